Thin whole path in separate processes

Cause: the users ask for one request served from end to end, split into processes, before anything else.

Ruled out: each router guessing from lagged load reports (nobody can keep a cold endpoint safe) and a static division of endpoints among routers (slots idle while work waits elsewhere). Chosen: each pool of a region has one owner by rendezvous hashing over the view; the owner queues, weighs service against share and hands out slots; the relaying router connects to the endpoint itself. Orders are claimed in the platform by a conditional write before they are sent.

--- /dev/null
+++ b/core/code/code_suite_test.go
@@ -0,0 +1,34 @@
+package code_test
+
+import (
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+)
+
+func TestCode(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Result codes")
+}
+
+var _ = Describe("the table", func() {
+	It("equals docs/CODES.md", func() {
+		page, err := os.ReadFile("../../docs/CODES.md")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(page)).To(Equal(code.Page()))
+	})
+
+	It("has ascending, unique numbers and names", func() {
+		names := map[string]bool{}
+		last := code.Code(-1)
+		for _, info := range code.Table() {
+			Expect(info.Code).To(BeNumerically(">", last))
+			Expect(names).NotTo(HaveKey(info.Name))
+			last, names[info.Name] = info.Code, true
+		}
+	})
+})
--- /dev/null
+++ b/core/manifest/check.go
@@ -0,0 +1,156 @@
+package manifest
+
+import (
+	"fmt"
+	"math"
+	"net/url"
+	"strings"
+)
+
+// Fault is one thing wrong with a manifest.
+type Fault struct {
+	Path  string `json:"path"`  // for example "accounts[2].share"
+	Value string `json:"value"` // the value found
+	Want  string `json:"want"`  // what is allowed
+}
+
+// String returns the fault on one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s is %s: want %s", f.Path, f.Value, f.Want)
+}
+
+// Check returns every fault of m; none means that m may be accepted.
+func (m *Manifest) Check() []Fault {
+	c := &checker{m: m}
+	c.zones()
+	c.accounts()
+	c.pools()
+	c.endpoints()
+	c.atLeast("orders.shards", m.Orders.Shards, 1)
+	c.atLeast("orders.retention_hours", m.Orders.RetentionHours, 1)
+	return c.faults
+}
+
+type checker struct {
+	m      *Manifest
+	faults []Fault
+}
+
+func (c *checker) add(path string, value any, want string) {
+	c.faults = append(c.faults, Fault{Path: path, Value: fmt.Sprintf("%v", value), Want: want})
+}
+
+func (c *checker) atLeast(path string, value, least int) {
+	if value < least {
+		c.add(path, value, fmt.Sprintf("%d or more", least))
+	}
+}
+
+// name checks a name and that it was not seen before.
+func (c *checker) name(path, name string, seen map[string]bool) {
+	if name == "" || strings.ContainsAny(name, " /\t\n") {
+		c.add(path, fmt.Sprintf("%q", name), "a name without spaces or slashes")
+	}
+	if seen[name] {
+		c.add(path, name, "a name used once")
+	}
+	seen[name] = true
+}
+
+func (c *checker) state(path string, s State) {
+	if s != In && s != Out {
+		c.add(path, fmt.Sprintf("%q", s), `"in" or "out"`)
+	}
+}
+
+func (c *checker) zones() {
+	seen := map[string]bool{}
+	for i, z := range c.m.Zones {
+		path := fmt.Sprintf("zones[%d]", i)
+		c.name(path+".name", z.Name, seen)
+		c.state(path+".state", z.State)
+		if z.Region == "" {
+			c.add(path+".region", `""`, "the region's name")
+		}
+	}
+	if len(c.m.Zones) == 0 {
+		c.add("zones", "empty", "at least one availability zone")
+	}
+}
+
+func (c *checker) accounts() {
+	seen := map[string]bool{}
+	digests := map[string]bool{}
+	for i, a := range c.m.Accounts {
+		path := fmt.Sprintf("accounts[%d]", i)
+		c.name(path+".name", a.Name, seen)
+		if !(a.Share > 0) || math.IsInf(a.Share, 0) {
+			c.add(path+".share", a.Share, "a finite number over 0")
+		}
+		c.atLeast(path+".max_queue", a.MaxQueue, 1)
+		c.atLeast(path+".max_wait_millis", a.MaxWaitMillis, 1)
+		for j, d := range a.KeyDigests {
+			c.digest(fmt.Sprintf("%s.key_digests[%d]", path, j), d, digests)
+		}
+	}
+	if len(c.m.Accounts) == 0 {
+		c.add("accounts", "empty", "at least one client account")
+	}
+}
+
+func (c *checker) digest(path, digest string, seen map[string]bool) {
+	if len(digest) != 64 || strings.Trim(digest, "0123456789abcdef") != "" {
+		c.add(path, digest, "64 lower-case hexadecimal digits")
+	}
+	if seen[digest] {
+		c.add(path, digest, "a key used by one client account")
+	}
+	seen[digest] = true
+}
+
+func (c *checker) pools() {
+	seen := map[string]bool{}
+	models := map[string]bool{}
+	paths := map[string]bool{}
+	for i, p := range c.m.Pools {
+		path := fmt.Sprintf("pools[%d]", i)
+		c.name(path+".name", p.Name, seen)
+		switch p.Kind {
+		case Model:
+			for j, model := range p.Models {
+				c.name(fmt.Sprintf("%s.models[%d]", path, j), model, models)
+			}
+			if len(p.Models) == 0 {
+				c.add(path+".models", "empty", "at least one model")
+			}
+		case Order, Service:
+			if !strings.HasPrefix(p.Path, "/") || len(p.Path) < 2 || paths[p.Path] {
+				c.add(path+".path", fmt.Sprintf("%q", p.Path), "a path prefix used once, such as /v1/orders")
+			}
+			paths[p.Path] = true
+		default:
+			c.add(path+".kind", fmt.Sprintf("%q", p.Kind), `"model", "order" or "service"`)
+		}
+	}
+}
+
+func (c *checker) endpoints() {
+	seen := map[string]bool{}
+	for i, e := range c.m.Endpoints {
+		path := fmt.Sprintf("endpoints[%d]", i)
+		c.name(path+".name", e.Name, seen)
+		c.state(path+".state", e.State)
+		if _, ok := c.m.Pool(e.Pool); !ok {
+			c.add(path+".pool", e.Pool, "a declared pool")
+		}
+		if _, ok := c.m.Zone(e.Zone); !ok {
+			c.add(path+".zone", e.Zone, "a declared availability zone")
+		}
+		u, err := url.Parse(e.URL)
+		if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+			c.add(path+".url", e.URL, "http or https, an IP number and a port")
+		}
+		c.atLeast(path+".slots", e.Slots, 1)
+		c.atLeast(path+".cold_slots", e.ColdSlots, 1)
+	}
+}
--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,99 @@
+// Package member holds the view of the fleet's routers and decides, from
+// that view alone, which router owns what.
+//
+// Ownership is a preference that saves work, never a guarantee: two routers
+// with different views may both think that they own a key. What must not
+// happen twice is protected elsewhere (platform versions, limits in
+// proportion to the members heard).
+package member
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Router is one member of the fleet, as its lease and heartbeats tell.
+type Router struct {
+	Name        string `json:"name"`
+	Incarnation int64  `json:"incarnation"` // grows with each start of the process
+	Zone        string `json:"zone"`
+	Region      string `json:"region"`
+	CallerURL   string `json:"caller_url"` // where callers connect
+	PeerAddr    string `json:"peer_addr"`  // host:port of the peer listener
+	OpsURL      string `json:"ops_url"`
+	Leaving     bool   `json:"leaving"`
+	Load        int    `json:"load"` // open requests
+}
+
+// View is the set of live routers, sorted by name.
+type View struct {
+	Routers []Router
+}
+
+// NewView returns the view of the given routers.
+func NewView(routers []Router) View {
+	sorted := slices.Clone(routers)
+	slices.SortFunc(sorted, func(a, b Router) int { return compare(a.Name, b.Name) })
+	return View{Routers: sorted}
+}
+
+// Get returns the named router.
+func (v View) Get(name string) (Router, bool) {
+	for _, r := range v.Routers {
+		if r.Name == name {
+			return r, true
+		}
+	}
+	return Router{}, false
+}
+
+// Names returns the routers' names in order.
+func (v View) Names() []string {
+	names := make([]string, 0, len(v.Routers))
+	for _, r := range v.Routers {
+		names = append(names, r.Name)
+	}
+	return names
+}
+
+// Owner returns the router of highest rendezvous weight for key among those
+// not leaving, and false if there is none.
+func (v View) Owner(key string) (Router, bool) {
+	ranked := v.Rank(key)
+	if len(ranked) == 0 {
+		return Router{}, false
+	}
+	return ranked[0], true
+}
+
+// Rank returns the routers that are not leaving by falling rendezvous weight
+// for key. If all are leaving, it ranks those.
+func (v View) Rank(key string) []Router {
+	staying := slices.DeleteFunc(slices.Clone(v.Routers), func(r Router) bool { return r.Leaving })
+	if len(staying) == 0 {
+		staying = slices.Clone(v.Routers)
+	}
+	slices.SortFunc(staying, func(a, b Router) int {
+		wa, wb := weight(a.Name, key), weight(b.Name, key)
+		if wa != wb {
+			return compare(wb, wa)
+		}
+		return compare(a.Name, b.Name)
+	})
+	return staying
+}
+
+func weight(router, key string) uint64 {
+	return xxhash.Sum64String(router + "\x00" + key)
+}
+
+func compare[T string | uint64](a, b T) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/addresses/addresses.go
@@ -0,0 +1,73 @@
+// Package addresses answers callers that ask which routers to connect to.
+package addresses
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
+	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+)
+
+// Fleet is what this package needs to know of the fleet.
+type Fleet interface {
+	View() member.View
+	Manifest() *manifest.Manifest
+}
+
+// API answers address requests. It is safe for concurrent use.
+type API struct {
+	fleet Fleet
+	ttl   time.Duration
+}
+
+// New returns an API whose answers may be kept for the given time.
+func New(fleet Fleet, ttl time.Duration) *API { return &API{fleet: fleet, ttl: ttl} }
+
+// Answer is the answer to a caller that asks where to connect.
+type Answer struct {
+	Addresses   []Address `json:"addresses"`    // best first
+	LifetimeSec int       `json:"lifetime_sec"` // how long the answer may be kept
+}
+
+// Address is one router.
+type Address struct {
+	URL  string `json:"url"`
+	Zone string `json:"zone"`
+}
+
+// ServeHTTP answers GET /v1/addresses?zone=NAME.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	zone := r.URL.Query().Get("zone")
+	routers := slices.DeleteFunc(slices.Clone(a.fleet.View().Routers), func(m member.Router) bool {
+		return m.Leaving || a.zoneOut(m.Zone)
+	})
+	slices.SortStableFunc(routers, func(x, y member.Router) int {
+		if near, far := x.Zone == zone, y.Zone == zone; near != far {
+			if near {
+				return -1
+			}
+			return 1
+		}
+		return x.Load - y.Load
+	})
+	answer := Answer{Addresses: []Address{}, LifetimeSec: int(a.ttl.Seconds())}
+	for _, m := range routers {
+		answer.Addresses = append(answer.Addresses, Address{URL: m.CallerURL, Zone: m.Zone})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", fmt.Sprintf("max-age=%d", answer.LifetimeSec))
+	json.NewEncoder(w).Encode(answer)
+}
+
+func (a *API) zoneOut(name string) bool {
+	m := a.fleet.Manifest()
+	if m == nil {
+		return false
+	}
+	zone, ok := m.Zone(name)
+	return ok && zone.State == manifest.Out
+}
--- /dev/null
+++ b/internal/callerapi/callerapi.go
@@ -0,0 +1,253 @@
+// Package callerapi serves callers: chat completions, orders, plain services
+// and the addresses to connect to, over HTTP.
+//
+// Every request gets an id, every refusal a numbered code and a truthful
+// not_run field, as problem details (RFC 9457).
+package callerapi
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/ledger"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/pool"
+)
+
+// Fleet is what this package needs to know of the fleet.
+type Fleet interface {
+	Manifest() *manifest.Manifest
+}
+
+// Options configure an API.
+type Options struct {
+	Fleet        Fleet
+	Pools        *pool.Client
+	Endpoints    *endpoint.Client
+	Ledger       *ledger.Ledger
+	Events       *eventlog.Log
+	Addresses    http.Handler
+	MaxBodyBytes int64
+}
+
+// API serves callers. It is safe for concurrent use.
+type API struct {
+	opts Options
+	open atomic.Int64
+	idle sync.WaitGroup
+}
+
+// call is one request of a caller.
+type call struct {
+	id      string
+	account manifest.Account
+	body    []byte
+}
+
+// New returns an API.
+func New(opts Options) *API { return &API{opts: opts} }
+
+// Open returns the number of open requests.
+func (a *API) Open() int { return int(a.open.Load()) }
+
+// Wait returns when no request is open.
+func (a *API) Wait() { a.idle.Wait() }
+
+// Handler returns the HTTP handler.
+func (a *API) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", a.health)
+	mux.Handle("GET /v1/addresses", a.opts.Addresses)
+	mux.HandleFunc("POST /v1/chat/completions", a.guard(a.chat))
+	mux.HandleFunc("/", a.guard(a.service))
+	return mux
+}
+
+// guard gives the request its id, finds its client account and reads its
+// body.
+func (a *API) guard(next func(http.ResponseWriter, *http.Request, call)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		a.idle.Add(1)
+		defer a.idle.Done()
+		a.open.Add(1)
+		defer a.open.Add(-1)
+		c := call{id: requestID(r)}
+		w.Header().Set(endpoint.RequestIDHeader, c.id)
+		account, err := a.authenticate(r)
+		if err != nil {
+			a.refuse(w, c, err)
+			return
+		}
+		c.account = account
+		c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, a.opts.MaxBodyBytes))
+		if err != nil {
+			a.refuse(w, c, bodyError(err))
+			return
+		}
+		next(w, r, c)
+	}
+}
+
+// authenticate finds the client account of the request's API key. Only
+// digests are compared, so the time taken tells nothing about a key.
+func (a *API) authenticate(r *http.Request) (manifest.Account, error) {
+	m := a.opts.Fleet.Manifest()
+	if m == nil {
+		return manifest.Account{}, code.Refuse(code.NoManifest, "")
+	}
+	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	digest := manifest.KeyDigest(key)
+	for _, account := range m.Accounts {
+		for _, known := range account.KeyDigests {
+			if known == digest {
+				return account, nil
+			}
+		}
+	}
+	return manifest.Account{}, code.Refuse(code.UnknownKey, "")
+}
+
+func (a *API) health(w http.ResponseWriter, r *http.Request) {
+	if a.opts.Fleet.Manifest() == nil {
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	}
+}
+
+// service serves orders and plain services by their declared path.
+func (a *API) service(w http.ResponseWriter, r *http.Request, c call) {
+	p, ok := a.opts.Fleet.Manifest().PoolForPath(r.URL.Path)
+	if !ok {
+		a.refuse(w, c, code.Refuse(code.UnknownPath, r.URL.Path))
+		return
+	}
+	if p.Kind == manifest.Order {
+		a.order(w, r, c, p)
+		return
+	}
+	a.plain(w, r, c, p)
+}
+
+func (a *API) order(w http.ResponseWriter, r *http.Request, c call, p manifest.Pool) {
+	key := r.Header.Get(endpoint.KeyHeader)
+	if key == "" || len(key) > maxKeyBytes {
+		a.refuse(w, c, code.Refuse(code.KeyMissing, ""))
+		return
+	}
+	result, err := a.opts.Ledger.Place(r.Context(), ledger.Order{
+		Account:     c.account.Name,
+		Key:         key,
+		Pool:        p.Name,
+		Path:        r.URL.Path,
+		ContentType: r.Header.Get("Content-Type"),
+		Body:        c.body,
+		RequestID:   c.id,
+	})
+	if err != nil {
+		a.refuse(w, c, err)
+		return
+	}
+	if result.Replayed {
+		w.Header().Set("Idempotency-Replayed", "true")
+	}
+	writeAnswer(w, result.Answer.Status, result.Answer.ContentType, result.Answer.Body)
+}
+
+func writeAnswer(w http.ResponseWriter, status int, contentType string, body []byte) {
+	w.Header().Set("Content-Type", contentType)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	w.Write(body)
+}
+
+const maxKeyBytes = 255
+
+// Problem is the body of a refusal or failure (RFC 9457).
+type Problem struct {
+	Type      string `json:"type"`
+	Title     string `json:"title"`
+	Status    int    `json:"status"`
+	Detail    string `json:"detail,omitempty"`
+	Code      int    `json:"code"`
+	NotRun    bool   `json:"not_run"` // true: no endpoint ran any part of it
+	RequestID string `json:"request_id"`
+	Next      string `json:"next"`
+}
+
+func (a *API) refuse(w http.ResponseWriter, c call, err error) {
+	failure := asError(err)
+	a.note(c, failure)
+	if failure.RetryAfter > 0 {
+		seconds := int(math.Ceil(failure.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(failure.Code.Info().Status)
+	json.NewEncoder(w).Encode(problem(c, failure))
+}
+
+func (a *API) note(c call, failure *code.Error) {
+	klog.V(2).InfoS("caller: Request refused", "request", c.id, "account", c.account.Name, "code", int(failure.Code), "detail", failure.Detail)
+	a.opts.Events.Add(eventlog.Event{Kind: eventlog.RequestRefused, Request: c.id, Account: c.account.Name, Code: int(failure.Code), Detail: failure.Detail})
+}
+
+func problem(c call, failure *code.Error) Problem {
+	info := failure.Code.Info()
+	return Problem{
+		Type:      "https://cyclamenwinch.example/codes#" + strconv.Itoa(int(failure.Code)),
+		Title:     info.Text,
+		Status:    info.Status,
+		Detail:    failure.Detail,
+		Code:      int(failure.Code),
+		NotRun:    failure.NotRun,
+		RequestID: c.id,
+		Next:      info.Next,
+	}
+}
+
+func asError(err error) *code.Error {
+	var failure *code.Error
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return code.Fail(code.Internal, err.Error())
+}
+
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return code.Refuse(code.BodyTooLarge, "")
+	}
+	return code.Refuse(code.BadRequest, err.Error())
+}
+
+// requestID returns the caller's id if it is usable, or a new one. The id is
+// extended so that two callers can't choose the same one.
+func requestID(r *http.Request) string {
+	random := make([]byte, 8)
+	rand.Read(random)
+	return hex.EncodeToString(random)
+}
+
+func fingerprint(parts ...string) uint64 {
+	sum := sha256.Sum256([]byte(strings.Join(parts, "\x00")))
+	var n uint64
+	for _, b := range sum[:8] {
+		n = n<<8 | uint64(b)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/endpoint/stream.go
@@ -0,0 +1,113 @@
+package endpoint
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+)
+
+const maxEventBytes = 256 << 10
+
+// Stream is a streamed chat completion. Close must be called.
+type Stream struct {
+	ctx     context.Context
+	watch   *progressWatch
+	body    io.ReadCloser
+	scanner *bufio.Scanner
+	id      string
+	tokens  int // total tokens that the endpoint reported; 0: not yet
+	events  int
+}
+
+// chunk is the part of a stream's event that the router reads.
+type chunk struct {
+	ID    string `json:"id"`
+	Usage *struct {
+		TotalTokens int `json:"total_tokens"`
+	} `json:"usage"`
+}
+
+// Open sends a chat completion that is to be streamed. The error is a
+// *code.Error as for Do.
+func (c *Client) Open(ctx context.Context, call Call) (*Stream, error) {
+	ctx, watch := watchProgress(ctx, c.progress)
+	resp, err := c.send(ctx, call)
+	if err != nil {
+		defer watch.stop()
+		return nil, failure(ctx, err)
+	}
+	s := &Stream{ctx: ctx, watch: watch, body: resp.Body, id: call.RequestID}
+	if err := s.accept(resp, call); err != nil {
+		s.Close()
+		return nil, err
+	}
+	s.scanner = bufio.NewScanner(watch.reader(resp.Body))
+	s.scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	return s, nil
+}
+
+func (s *Stream) accept(resp *http.Response, call Call) error {
+	if err := checkIdentity(resp, call); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return code.Fail(code.EndpointError, "the endpoint answered "+resp.Status)
+	}
+	return nil
+}
+
+// Next returns the data of the next event. It returns io.EOF after the end
+// marker, and a *code.Error if the stream ends without it.
+func (s *Stream) Next() ([]byte, error) {
+	for s.scanner.Scan() {
+		data, ok := bytes.CutPrefix(s.scanner.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			return nil, io.EOF
+		}
+		return data, s.check(data)
+	}
+	if err := s.scanner.Err(); err != nil {
+		return nil, failure(s.ctx, err)
+	}
+	return nil, code.Fail(code.Truncated, "the stream ended without its end marker")
+}
+
+// check reads what the router needs from an event.
+func (s *Stream) check(data []byte) error {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return code.Fail(code.EndpointError, errors.Wrap(err, "unreadable event").Error())
+	}
+	if c.ID != "" && c.ID != s.id {
+		return code.Fail(code.CrossedAnswer, "an event is for request "+c.ID)
+	}
+	s.events++
+	if c.Usage != nil {
+		s.tokens = c.Usage.TotalTokens
+	}
+	return nil
+}
+
+// Cost returns the tokens reported, or the events seen if there is no report.
+func (s *Stream) Cost() int {
+	if s.tokens > 0 {
+		return s.tokens
+	}
+	return s.events
+}
+
+// Close ends the stream; the endpoint cancels what is left of it.
+func (s *Stream) Close() {
+	s.watch.stop()
+	s.body.Close()
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Runs the formatter, the linter and all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+unformatted=$(gofmt -l $(git ls-files '*.go'))
+if [ -n "$unformatted" ]; then echo "gofmt differs: $unformatted"; exit 1; fi
+go vet ./...
+go tool staticcheck ./...
+go test ./...
--- /dev/null
+++ b/standin/runner/batch.go
@@ -0,0 +1,129 @@
+package runner
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	defaultTokens = 12 // tokens of an answer without max_tokens
+	silentAt      = 2  // token at which a silent runner stops
+)
+
+// begin counts the request in. It returns the runner's life and false if the
+// request finds the runner crashed.
+func (s *Server) begin(req Request) (int, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Running++
+	s.stats.MaxRunning = max(s.stats.MaxRunning, s.stats.Running)
+	cold := s.warm < s.opts.ColdFor
+	if cold {
+		s.stats.MaxWhenCold = max(s.stats.MaxWhenCold, s.stats.Running)
+	}
+	if cold && s.stats.Running > s.opts.ColdSlots || s.poisoned(req) {
+		s.crash()
+	}
+	return s.life, !s.faults.Crash && !s.poisoned(req)
+}
+
+func (s *Server) poisoned(req Request) bool {
+	return s.faults.CrashOn != "" && strings.Contains(req.Messages[len(req.Messages)-1].Content, s.faults.CrashOn)
+}
+
+// crash breaks all running streams and turns the runner cold.
+func (s *Server) crash() {
+	s.life++
+	s.warm = 0
+	s.stats.Crashes++
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Running--
+}
+
+func (s *Server) answered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.warm++
+	s.stats.Answers++
+}
+
+// pace waits for the next token; false if the runner crashed or the router
+// left.
+func (s *Server) pace(r *http.Request, life, token int) bool {
+	s.mu.Lock()
+	f, wait, current := s.faults, s.opts.TokenTime, s.life
+	if s.warm < s.opts.ColdFor {
+		wait *= 2
+	}
+	s.mu.Unlock()
+	if current != life || f.Crash {
+		return false
+	}
+	if f.Silent && token >= silentAt {
+		<-r.Context().Done()
+		return false
+	}
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
+func (s *Server) cut(token int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.CutShort && token >= silentAt
+}
+
+func (s *Server) echo(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Cross {
+		return "crossed-" + id
+	}
+	return id
+}
+
+// answer returns the tokens that the runner generates: the same for the same
+// request.
+func answer(name string, req Request) []string {
+	n := req.MaxTokens
+	if n <= 0 {
+		n = defaultTokens
+	}
+	words := strings.Fields(req.Messages[len(req.Messages)-1].Content)
+	tokens := make([]string, n)
+	for i := range tokens {
+		word := "ok"
+		if len(words) > 0 {
+			word = words[i%len(words)]
+		}
+		tokens[i] = fmt.Sprintf("%s ", word)
+	}
+	return tokens
+}
+
+func usage(req Request, tokens []string) *Usage {
+	prompt := 0
+	for _, m := range req.Messages {
+		prompt += len(strings.Fields(m.Content))
+	}
+	return &Usage{PromptTokens: prompt, CompletionTokens: len(tokens), TotalTokens: prompt + len(tokens)}
+}
+
+func send(w http.ResponseWriter, c Chunk) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(w, "data: %s\n\n", data)
+}
