Fair choice by heap, owner-safe admission, quarantine, sessions that move

Cause: the thin core scanned all accounts and endpoints for each grant and allocated; one blocked head request stopped its account; a cold endpoint could be overloaded after an owner change or a lost member; a silent owner left its waiters hanging for the keep-alive's time; slots of small endpoints were lost to rounding while a router was away.

Ruled out: rounding each limit down by the part of members heard (a one-slot endpoint is lost to every owner while any router is away); trusting what a lost member was known to hold for ever (a property found an owner that lived on with such memory while the other one granted); warmth without any doubt after idling (a restart with nothing in flight is seen by nobody).

Change: core/fair keeps an index heap, charges estimates, counts progress and keeps known cost apart so that totals never fall. core/estimate learns the ratio of cost to hint. core/admission gives each slot to one member, counts lost members' slots, proves warmth by answers and doubts it after idling, refuses early by virtual time. core/route holds free endpoints by zone and load, prefixes and the quarantine. internal/pool joins messages, gives up silent owners, returns to the first in rank, counts traffic.

Conclusion: the cores stand; the shell's behaviour under faults has no test of its own yet.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -5,362 +5,286 @@
 // Invariants:
 //   - The grants held at an endpoint never exceed its limit, unless routers
 //     report older grants that the owner did not know of.
-//   - A warm endpoint's limit is scaled by the part of the known members that
-//     have reported what they hold, so that two owners on the two sides of a
-//     partition don't double its load for longer than its grants last.
+//   - Each slot of an endpoint belongs to one known member. An owner uses only
+//     the slots of members that have a session with it, so two owners on the
+//     two sides of a partition use different slots.
 //   - An endpoint that is not proved warm bears at most its cold limit, and
-//     receives nothing before every known member has reported.
+//     receives nothing before every known member has reported what it holds.
+//   - No endpoint with a free slot that the owner may use stays idle while a
+//     request that may use it waits.
+//
+// docs/design/admission.md says why.
 package admission
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/core/estimate"
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
 	"github.com/cyclamenwinch/cyclamenwinch/core/route"
 )
 
-// ID names one request of one router.
-type ID struct {
-	Router string
-	Seq    uint64 // unique within the router's session
-}
-
-// Want is a request that waits for a slot.
-type Want struct {
-	ID          ID
-	Account     string
-	Estimate    fair.Cost // cost expected, in cost units
-	Zone        string    // zone of the router
-	Prefix      uint64    // hash of the prompt's start; 0: none
-	Fingerprint uint64    // hash of the whole request
-	Avoid       []string  // endpoints that failed it before
-}
-
-// Outcome says how a granted request ended.
-type Outcome uint8
-
-// The outcomes.
 const (
-	Done        Outcome = iota // ended whole
-	Failed                     // the endpoint answered with an error
-	Crashed                    // the endpoint broke the connection
-	Unreachable                // no connection; nothing was sent
-	Cancelled                  // the caller left
+	prefixesKept  = 16_384
+	estimatesKept = 4096
+	runOutEvery   = 10 * time.Millisecond
 )
 
-// Release gives a slot back.
-type Release struct {
-	ID         ID
-	Outcome    Outcome
-	Cost       fair.Cost     // cost known at the end
-	FirstToken time.Duration // 0: none seen
-}
-
-// Grant gives a slot to a request.
-type Grant struct {
-	ID       ID
-	Endpoint string
-}
-
-// Refusal ends the wait of a request that was not run.
-type Refusal struct {
-	ID         ID
-	Code       code.Code
-	RetryAfter time.Duration
-}
-
-// Decisions are the results of a step, in the order they were made.
-type Decisions struct {
-	Grants   []Grant
-	Refusals []Refusal
-}
-
-// Held is a slot in use, as a router reports it to a new owner.
-type Held struct {
-	ID       ID
-	Endpoint string
-	Account  string
-	Charged  fair.Cost
-}
-
-// Account is what admission needs to know of a client account.
-type Account struct {
-	Name     string
-	Share    float64
-	MaxQueue int
-	MaxWait  time.Duration
-}
-
-// Endpoint is what admission needs to know of an endpoint.
-type Endpoint struct {
-	Name      string
-	Zone      string
-	Slots     int
-	ColdSlots int
-	Open      bool // may receive new work
-}
-
 // Pool is the state of one pool at its owner. It is not safe for concurrent
 // use.
 type Pool struct {
-	book      *fair.Book
-	accounts  map[string]Account
-	endpoints []*endpoint // sorted by name
-	queues    map[string][]waiting
-	held      map[ID]*Held
-	members   map[string]bool // known member -> has reported
-	refusals  []Refusal
-}
-
-type waiting struct {
-	want     Want
-	deadline time.Time
-}
-
-// NewPool returns a pool without accounts, endpoints or members.
-func NewPool() *Pool {
+	book       *fair.Book
+	estimates  *estimate.Table
+	table      *route.Table
+	quarantine *route.Quarantine
+
+	accounts  map[string]*account
+	queues    []*account // the same, in the order of their first mention
+	endpoints map[string]*endpoint
+	ordered   []*endpoint // by name
+	requests  map[ID]*request
+	unused    []*request // to be used again
+	members   members
+	rate      rate
+	open      int       // endpoints that may receive new work
+	usable    int       // slots that this owner may use now
+	nextDue   time.Time // no wait, pause or ghost runs out before
+	ranOut    time.Time // when runOut last looked
+	out       Decisions
+	spare     Decisions // given out by the last step, to be used again
+}
+
+// NewPool returns a pool without accounts, endpoints or members. Pools may
+// share a quarantine.
+func NewPool(q *route.Quarantine) *Pool {
 	return &Pool{
-		book:     fair.NewBook(),
-		accounts: map[string]Account{},
-		queues:   map[string][]waiting{},
-		held:     map[ID]*Held{},
-		members:  map[string]bool{},
+		book:       fair.NewBook(fair.DefaultLead),
+		estimates:  estimate.NewTable(estimatesKept),
+		table:      route.NewTable(prefixesKept),
+		quarantine: q,
+		accounts:   map[string]*account{},
+		endpoints:  map[string]*endpoint{},
+		requests:   map[ID]*request{},
+		members:    newMembers(),
 	}
 }
 
-// Configure replaces accounts and endpoints. Endpoints that stay keep their
-// warmth; slots held at removed ones are forgotten when they are released.
-func (p *Pool) Configure(accounts []Account, endpoints []Endpoint) {
-	p.accounts = map[string]Account{}
-	for _, a := range accounts {
-		p.accounts[a.Name] = a
-		p.book.SetShare(a.Name, a.Share)
+// Want queues a request, or refuses it at the next step.
+func (p *Pool) Want(now time.Time, w Want) {
+	if _, known := p.requests[w.ID]; known {
+		return
 	}
-	old := p.endpoints
-	p.endpoints = nil
-	for _, cfg := range endpoints {
-		p.endpoints = append(p.endpoints, keep(old, cfg))
+	a, ok := p.accounts[w.Account]
+	if !ok || !a.declared {
+		p.refuse(w.ID, code.UnknownKey, 0)
+		return
 	}
-	slices.SortFunc(p.endpoints, func(a, b *endpoint) int {
-		if a.cfg.Name < b.cfg.Name {
-			return -1
-		}
-		return 1
-	})
-	p.recount()
-}
-
-// SetMembers gives the names of the known members. What a removed member
-// held is free again.
-func (p *Pool) SetMembers(names []string) {
-	old := p.members
-	p.members = map[string]bool{}
-	for _, name := range names {
-		p.members[name] = old[name]
+	r := p.newRequest(w, a)
+	r.estimate = p.estimates.Cost(estimate.Key{Account: w.Account, Model: w.Model}, w.Estimate)
+	if c, after := p.objection(now, r); c != code.OK {
+		p.refuse(w.ID, c, after)
+		p.reuse(r)
+		return
 	}
-	for id := range p.held {
-		if _, ok := p.members[id.Router]; !ok {
-			delete(p.held, id)
+	p.enqueue(now, r)
+}
+
+// objection returns why a request may not wait, or code.OK.
+func (p *Pool) objection(now time.Time, r *request) (code.Code, time.Duration) {
+	switch a := r.account; {
+	case p.quarantine.Held(now, r.want.Fingerprint):
+		return code.Quarantined, 0
+	case !p.anyOpen(&r.want):
+		return code.NoEndpoint, atLeast(a.cfg.MaxWait)
+	case a.waiting() >= a.cfg.MaxQueue:
+		return code.QueueFull, p.untilPlace(a)
+	case p.table.Free() > 0:
+		return code.OK, 0
+	default:
+		if wait, known := p.expectedWait(r); known && wait > a.cfg.MaxWait {
+			return code.WaitTooLong, atLeast(wait - a.cfg.MaxWait)
 		}
+		return code.OK, 0
 	}
-	for name := range old {
-		if _, ok := p.members[name]; !ok {
-			p.forget(name)
-		}
+}
+
+// Cancel drops a waiting request; it does nothing for others.
+func (p *Pool) Cancel(id ID) {
+	if r, ok := p.requests[id]; ok && r.endpoint == nil {
+		p.dequeue(r)
+		p.drop(r)
 	}
-	p.recount()
 }
 
-// Sync replaces what a router holds and drops what it waited for: the
-// router has opened a session and sends its waiting requests anew.
-func (p *Pool) Sync(router string, held []Held) {
-	p.forget(router)
-	for id := range p.held {
-		if id.Router == router {
-			delete(p.held, id)
-		}
+// Advance notes what is known so far of a request that holds a slot: its
+// cost and, once seen, its time to first token.
+func (p *Pool) Advance(now time.Time, id ID, known fair.Cost, first time.Duration) {
+	r, ok := p.requests[id]
+	if !ok || r.endpoint == nil {
+		return
 	}
-	for _, h := range held {
-		p.held[h.ID] = &h
+	r.running = p.book.Advance(r.account.cfg.Name, r.running, known)
+	if first > 0 || known > 0 {
+		p.integrate(r)
 	}
-	p.members[router] = true
-	p.recount()
+	r.endpoint.advanced(now)
+	p.sawFirst(now, r, first)
+	p.resize(now, r.endpoint)
 }
 
-// Lose notes that a router's session has ended. Its slots stay in use until
-// it reports again or is no member any more.
-func (p *Pool) Lose(router string) {
-	p.forget(router)
-	if _, ok := p.members[router]; ok {
-		p.members[router] = false
+// Release frees a slot, corrects the charge and learns about the endpoint.
+func (p *Pool) Release(now time.Time, rel Release) {
+	r, ok := p.requests[rel.ID]
+	if !ok || r.endpoint == nil {
+		return
+	}
+	p.book.Finish(r.account.cfg.Name, r.running, rel.Cost)
+	p.sawFirst(now, r, rel.FirstToken)
+	switch rel.Outcome {
+	case Done:
+		p.learn(now, r, rel.Cost)
+	case Failed:
+		r.endpoint.failed(now, r.account)
+	case Cancelled:
+		r.endpoint.advanced(now)
+	case Crashed, Unreachable:
+		p.broke(now, r, rel.Outcome)
+	}
+	e := r.endpoint
+	p.free(r)
+	p.drop(r)
+	p.resize(now, e)
+}
+
+// broke takes in that an endpoint broke a connection or can't be reached.
+func (p *Pool) broke(now time.Time, r *request, o Outcome) {
+	e := r.endpoint
+	if e.broke(now, r.granted) {
+		p.out.Paused = append(p.out.Paused, e.cfg.Name)
+		p.table.Cleared(&e.place)
+	}
+	if o == Crashed && e.blames(r) {
+		p.crashed(now, r.want.Fingerprint, e.cfg.Name)
 	}
 }
 
-// Want queues a request, or refuses it at the next step.
-func (p *Pool) Want(now time.Time, w Want) {
-	a, ok := p.accounts[w.Account]
-	if !ok {
-		p.refuse(w.ID, code.UnknownKey, 0)
+// sawFirst compares a time to first token with the account's mean.
+func (p *Pool) sawFirst(now time.Time, r *request, first time.Duration) {
+	if first <= 0 || r.firstSeen {
 		return
 	}
-	if len(p.queues[w.Account]) >= a.MaxQueue {
-		p.refuse(w.ID, code.QueueFull, a.MaxWait)
+	r.firstSeen = true
+	if r.account.slow(first) {
+		r.slow = true
+		r.endpoint.sign(now)
 		return
 	}
-	p.queues[w.Account] = append(p.queues[w.Account], waiting{want: w, deadline: now.Add(a.MaxWait)})
-	p.book.Enqueue(w.Account)
+	r.endpoint.signs = 0
+	if r.account.usual(first) {
+		r.endpoint.resume(now, r.granted)
+	}
+	if !r.endpoint.cold() {
+		r.account.average(first)
+	}
 }
 
-// Cancel drops a waiting request; it does nothing for others.
-func (p *Pool) Cancel(id ID) {
-	p.dropWaiting(func(w waiting) bool { return w.want.ID == id })
+// learn takes in the cost of a request that ended whole.
+func (p *Pool) learn(now time.Time, r *request, cost fair.Cost) {
+	p.quarantine.Cleared(r.want.Fingerprint)
+	p.estimates.Learn(estimate.Key{Account: r.want.Account, Model: r.want.Model}, r.want.Estimate, cost)
+	if !r.granted.IsZero() {
+		p.rate.add(cost, now.Sub(r.granted))
+	}
+	if !r.slow {
+		r.endpoint.answered(now, r.granted)
+	}
 }
 
-// Release frees a slot, corrects the charge and learns about the endpoint.
-func (p *Pool) Release(now time.Time, r Release) {
-	h, ok := p.held[r.ID]
-	if !ok {
+func (p *Pool) crashed(now time.Time, fingerprint uint64, endpoint string) {
+	if fingerprint == 0 {
 		return
 	}
-	delete(p.held, r.ID)
-	p.book.Charge(h.Account, r.Cost-h.Charged)
-	if e := p.endpoint(h.Endpoint); e != nil {
-		e.busy--
-		e.learn(now, r.Outcome)
-	}
+	c := route.Crash{Fingerprint: fingerprint, Endpoint: endpoint}
+	p.quarantine.Crashed(now, c)
+	p.out.Crashes = append(p.out.Crashes, c)
 }
 
-// SetRemote sets an account's cost charged by the owners of other pools.
+// SetRemote sets an account's cost known elsewhere in the fleet.
 func (p *Pool) SetRemote(account string, total fair.Cost) {
 	p.book.SetRemote(account, total)
 }
 
-// Charged returns the cost that this pool charged to each account.
-func (p *Pool) Charged() map[string]fair.Cost {
-	charged := map[string]fair.Cost{}
+// Known returns the cost of each account that this pool knows of: finished
+// work and the known part of running work. It never falls.
+func (p *Pool) Known() map[string]fair.Cost {
+	known := map[string]fair.Cost{}
 	for name := range p.accounts {
-		charged[name] = p.book.Charged(name)
+		known[name] = p.book.Known(name)
 	}
-	return charged
+	return known
 }
 
 // Step refuses what has waited too long, grants what can be granted and
 // returns both.
 func (p *Pool) Step(now time.Time) Decisions {
-	p.expire(now)
-	var d Decisions
-	for {
-		g, ok := p.grantOne(now)
-		if !ok {
-			break
-		}
-		d.Grants = append(d.Grants, g)
+	p.runOut(now)
+	for p.table.Free() > 0 && p.grantOne(now) {
 	}
-	d.Refusals = p.refusals
-	p.refusals = nil
+	p.book.Resume()
+	d := p.out
+	p.out, p.spare = p.spare.emptied(), d
 	return d
 }
 
-func (p *Pool) grantOne(now time.Time) (Grant, bool) {
-	free := p.candidates(now)
-	if len(free) == 0 {
-		return Grant{}, false
-	}
-	account, ok := p.book.Next(func(name string) bool {
-		q := p.queues[name]
-		return len(q) > 0 && route.Choose(request(q[0].want), free) >= 0
-	})
-	if !ok {
-		return Grant{}, false
-	}
-	w := p.queues[account][0].want
-	p.queues[account] = p.queues[account][1:]
-	p.book.Dequeue(account)
-	name := free[route.Choose(request(w), free)].Endpoint
-	p.endpoint(name).busy++
-	p.held[w.ID] = &Held{ID: w.ID, Endpoint: name, Account: account, Charged: w.Estimate}
-	p.book.Charge(account, w.Estimate)
-	return Grant{ID: w.ID, Endpoint: name}, true
-}
-
-func request(w Want) route.Request {
-	return route.Request{Zone: w.Zone, Avoid: w.Avoid}
-}
-
-func (p *Pool) candidates(now time.Time) []route.Candidate {
-	var free []route.Candidate
-	for _, e := range p.endpoints {
-		limit := p.scaled(e, now)
-		if e.cfg.Open && e.busy < limit {
-			free = append(free, route.Candidate{Endpoint: e.cfg.Name, Zone: e.cfg.Zone, Busy: e.busy, Limit: limit})
+// grantOne gives one slot to the next account that can use one.
+func (p *Pool) grantOne(now time.Time) bool {
+	for {
+		name, ok := p.book.Next()
+		if !ok {
+			return false
 		}
-	}
-	return free
-}
-
-// scaled is the part of an endpoint's limit that this owner may use. It is
-// rounded down, so that the parts of two owners never exceed the whole.
-func (p *Pool) scaled(e *endpoint, now time.Time) int {
-	reported := 0
-	for _, ok := range p.members {
-		if ok {
-			reported++
+		if r, e := p.pick(now, p.accounts[name]); r != nil {
+			p.grant(now, r, e)
+			return true
 		}
+		p.book.Skip(name)
 	}
-	if len(p.members) == 0 || reported < len(p.members) && e.cold() {
-		return 0
-	}
-	return e.limit(now) * reported / len(p.members)
 }
 
-func (p *Pool) expire(now time.Time) {
-	p.dropWaiting(func(w waiting) bool {
-		if now.Before(w.deadline) {
-			return false
-		}
-		p.refuse(w.want.ID, code.WaitTooLong, p.accounts[w.want.Account].MaxWait)
-		return true
+func (p *Pool) grant(now time.Time, r *request, e *endpoint) {
+	p.dequeueFor(r)
+	r.granted = now
+	r.suspect = p.quarantine.Suspect(now, r.want.Fingerprint)
+	r.attended, r.isolated = true, r.suspect
+	p.occupy(r, e)
+	p.table.Dispatched(r.want.Prefix, &e.place)
+	p.out.Grants = append(p.out.Grants, Grant{
+		ID:       r.want.ID,
+		Endpoint: e.cfg.Name,
+		Estimate: r.estimate,
+		Proved:   e.proved(),
 	})
 }
 
-func (p *Pool) forget(router string) {
-	p.dropWaiting(func(w waiting) bool { return w.want.ID.Router == router })
-}
-
-func (p *Pool) dropWaiting(drop func(waiting) bool) {
-	for account, q := range p.queues {
-		p.queues[account] = slices.DeleteFunc(q, func(w waiting) bool {
-			if !drop(w) {
-				return false
-			}
-			p.book.Dequeue(account)
-			return true
-		})
-	}
-}
-
 func (p *Pool) refuse(id ID, c code.Code, after time.Duration) {
-	p.refusals = append(p.refusals, Refusal{ID: id, Code: c, RetryAfter: after})
+	p.out.Refusals = append(p.out.Refusals, Refusal{ID: id, Code: c, RetryAfter: after})
 }
 
-func (p *Pool) endpoint(name string) *endpoint {
-	for _, e := range p.endpoints {
-		if e.cfg.Name == name {
-			return e
-		}
+// due makes sure that Step looks at what runs out at the given time.
+func (p *Pool) due(at time.Time) {
+	if p.nextDue.IsZero() || at.Before(p.nextDue) {
+		p.nextDue = at
 	}
-	return nil
 }
 
-func (p *Pool) recount() {
-	for _, e := range p.endpoints {
-		e.busy = 0
-	}
-	for _, h := range p.held {
-		if e := p.endpoint(h.Endpoint); e != nil {
-			e.busy++
-		}
+// runOut ends the waits, pauses and ghosts whose time has come.
+func (p *Pool) runOut(now time.Time) {
+	if p.nextDue.IsZero() || now.Before(p.nextDue) || now.Sub(p.ranOut) < runOutEvery {
+		return
 	}
+	p.nextDue, p.ranOut = time.Time{}, now
+	p.expireWaits(now)
+	p.expireGhosts(now)
+	p.resizeAll(now)
 }
--- a/internal/pool/broker.go
+++ b/internal/pool/broker.go
@@ -5,33 +5,33 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/cyclamenwinch/cyclamenwinch/core/admission"
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
-	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
 )
 
-const reopenPause = 100 * time.Millisecond
-
-// link is a session with an owner, over gRPC or within this process.
-type link interface {
-	Send(*peerpb.AdmitRequest) error
-	Recv() (*peerpb.AdmitReply, error)
-	Close()
-}
-
-// broker keeps the session of one scope.
+// broker keeps what this router waits for and holds in one scope. Its
+// session, when there is one, brings that to the owner.
 type broker struct {
-	client *Client
-	scope  string
+	client  *Client
+	scope   string
+	changed chan struct{} // the view has changed
 
 	mu      sync.Mutex
-	link    link
-	owner   string
+	out     *outbox // of the session in use, or nil
+	last    ownerID // of the last session
+	heard   time.Time
+	waiting time.Time // since when something waits
 	pending map[uint64]*pending
-	held    map[uint64]*peerpb.Held
+	held    map[uint64]*holding
+	warmth  map[string]warmth
+}
+
+// ownerID names one process.
+type ownerID struct {
+	name        string
+	incarnation int64
 }
 
 type pending struct {
@@ -44,15 +44,59 @@
 	err      error
 }
 
+// holding is a slot in use, or one whose release could not be sent yet.
+type holding struct {
+	held     *peerpb.Held
+	proved   uint32
+	granted  time.Time
+	first    time.Duration
+	unsent   bool // progress
+	released *peerpb.Release
+}
+
+type warmth struct {
+	proved uint32
+	at     time.Time
+}
+
 func newBroker(c *Client, scope string) *broker {
-	return &broker{client: c, scope: scope, pending: map[uint64]*pending{}, held: map[uint64]*peerpb.Held{}}
+	return &broker{
+		client:  c,
+		scope:   scope,
+		changed: make(chan struct{}, 1),
+		pending: map[uint64]*pending{},
+		held:    map[uint64]*holding{},
+		warmth:  map[string]warmth{},
+	}
+}
+
+func (b *broker) acquire(ctx context.Context, seq uint64, req Request, wait time.Duration) (*Slot, error) {
+	p := b.add(seq, req)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for graced := false; ; graced = true {
+		select {
+		case r := <-p.result:
+			return b.slot(seq, r)
+		case <-ctx.Done():
+			b.cancel(seq, p)
+			return nil, code.Refuse(code.CallerLeft, "")
+		case <-timer.C:
+			if !graced && b.connected() {
+				timer.Reset(refusalGrace)
+				continue
+			}
+			return nil, b.giveUp(seq, p, wait)
+		}
+	}
 }
 
-func (b *broker) acquire(ctx context.Context, seq uint64, req Request) (*Slot, error) {
+func (b *broker) add(seq uint64, req Request) *pending {
 	p := &pending{
 		want: &peerpb.Want{
 			Seq:         seq,
 			Account:     req.Account,
+			Model:       req.Model,
 			Estimate:    float64(req.Estimate),
 			Zone:        b.client.fleet.Self().Zone,
 			Prefix:      req.Prefix,
@@ -62,16 +106,13 @@
 		result: make(chan result, 1),
 	}
 	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.pending) == 0 {
+		b.waiting = time.Now()
+	}
 	b.pending[seq] = p
 	b.send(&peerpb.AdmitRequest{Wants: []*peerpb.Want{p.want}})
-	b.mu.Unlock()
-	select {
-	case r := <-p.result:
-		return b.slot(seq, r)
-	case <-ctx.Done():
-		b.cancel(seq, p)
-		return nil, code.Refuse(code.CallerLeft, "")
-	}
+	return p
 }
 
 func (b *broker) slot(seq uint64, r result) (*Slot, error) {
@@ -81,173 +122,187 @@
 	return &Slot{Endpoint: r.endpoint, broker: b, seq: seq}, nil
 }
 
+func (b *broker) connected() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.out != nil
+}
+
+// giveUp refuses a request that its owner neither granted nor refused.
+func (b *broker) giveUp(seq uint64, p *pending, wait time.Duration) error {
+	refusal := code.Refuse(code.OwnerLost, "")
+	if b.connected() {
+		refusal = code.Refuse(code.WaitTooLong, "")
+	}
+	refusal.RetryAfter = max(time.Second, wait)
+	b.cancel(seq, p)
+	return refusal
+}
+
 // cancel withdraws a request, or gives back the slot that it got meanwhile.
 func (b *broker) cancel(seq uint64, p *pending) {
 	b.mu.Lock()
-	_, waiting := b.pending[seq]
+	_, waits := b.pending[seq]
 	delete(b.pending, seq)
-	if waiting {
+	if waits {
 		b.send(&peerpb.AdmitRequest{Cancels: []uint64{seq}})
 	}
 	b.mu.Unlock()
-	if !waiting {
-		if r := <-p.result; r.err == nil {
-			b.release(&peerpb.Release{Seq: seq, Outcome: uint32(admission.Cancelled)})
-		}
+	if waits {
+		return
+	}
+	if r := <-p.result; r.err == nil {
+		b.release(seq, admission.Cancelled, 0, 0)
 	}
 }
 
-func (b *broker) release(r *peerpb.Release) {
+func (b *broker) progress(seq uint64, known fair.Cost, first time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.held, r.Seq)
-	b.send(&peerpb.AdmitRequest{Releases: []*peerpb.Release{r}})
+	if h := b.held[seq]; h != nil {
+		h.unsent = h.unsent || float64(known) > h.held.Known || first != h.first
+		h.held.Known = max(h.held.Known, float64(known))
+		h.first = first
+	}
 }
 
-// send writes to the session if there is one; a new session starts with a
-// full report, so nothing needs to be kept. The caller holds mu.
-func (b *broker) send(req *peerpb.AdmitRequest) {
-	if b.link == nil {
+func (b *broker) release(seq uint64, o admission.Outcome, cost fair.Cost, first time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.held[seq]
+	if h == nil {
 		return
 	}
-	if err := b.link.Send(req); err != nil {
-		b.link.Close()
-		b.link = nil
+	b.learn(h, o)
+	r := &peerpb.Release{Seq: seq, Outcome: uint32(o), Cost: float64(cost), FirstTokenMicros: first.Microseconds()}
+	if b.out == nil {
+		h.released = r
+		return
 	}
+	delete(b.held, seq)
+	b.send(&peerpb.AdmitRequest{Releases: []*peerpb.Release{r}})
 }
 
-// run keeps a session open until the context ends. If the owner can't be
-// reached it tries the router next in rank.
-func (b *broker) run(ctx context.Context) {
-	for attempt := 0; ctx.Err() == nil; attempt++ {
-		ranked := b.client.fleet.View().Rank(OwnerKey(b.scope))
-		owner := ranked[attempt%len(ranked)]
-		if b.session(ctx, owner) {
-			attempt = -1
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(reopenPause):
+// learn remembers how warm the endpoint is, for the next owner.
+func (b *broker) learn(h *holding, o admission.Outcome) {
+	switch {
+	case o == admission.Done && h.proved > 0:
+		if old := b.warmth[h.held.Endpoint]; !h.granted.Before(old.at) {
+			b.warmth[h.held.Endpoint] = warmth{proved: h.proved, at: h.granted}
 		}
+	case o == admission.Crashed || o == admission.Unreachable:
+		b.warmth[h.held.Endpoint] = warmth{at: time.Now()}
 	}
 }
 
-// session runs one session; it reports whether the owner ever answered or
-// was left for a new owner.
-func (b *broker) session(ctx context.Context, owner member.Router) bool {
-	l, err := b.open(ctx, owner)
-	if err != nil {
-		klog.V(1).InfoS("pool: Session not opened", "scope", b.scope, "owner", owner.Name, "err", err)
-		return false
+// send passes a message to the session if there is one; a new session starts
+// with a full report, so nothing needs to be kept. The caller holds mu.
+func (b *broker) send(req *peerpb.AdmitRequest) {
+	if b.out != nil {
+		b.out.put(req)
 	}
-	defer l.Close()
-	if err := b.start(l, owner.Name); err != nil {
-		return false
+}
+
+// take hands the owner's decisions to the waiting requests.
+func (b *broker) take(reply *peerpb.AdmitReply) {
+	b.client.host.remember(crashesFrom(reply.Crashes))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.heard = time.Now()
+	for _, g := range reply.Grants {
+		b.granted(g)
 	}
-	answered := false
-	for {
-		reply, err := l.Recv()
-		if err != nil {
-			klog.V(1).InfoS("pool: Session ended", "scope", b.scope, "owner", owner.Name, "err", err)
-			b.drop(l)
-			return answered || b.moved(owner.Name)
-		}
-		answered = true
-		b.take(reply)
+	for _, x := range reply.Refusals {
+		b.refused(x)
 	}
 }
 
-func (b *broker) open(ctx context.Context, owner member.Router) (link, error) {
-	if owner.Name == b.client.fleet.Self().Name {
-		return b.client.host.open(b.scope, owner.Name), nil
-	}
-	conn, err := b.client.dialer.Conn(owner)
-	if err != nil {
-		return nil, err
+func (b *broker) granted(g *peerpb.Grant) {
+	p, ok := b.pending[g.Seq]
+	if !ok {
+		b.send(&peerpb.AdmitRequest{Releases: []*peerpb.Release{{Seq: g.Seq, Outcome: uint32(admission.Cancelled)}}})
+		return
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	stream, err := peerpb.NewAdmissionClient(conn).Admit(ctx)
-	if err != nil {
-		cancel()
-		return nil, err
+	delete(b.pending, g.Seq)
+	b.held[g.Seq] = &holding{
+		held: &peerpb.Held{
+			Seq:         g.Seq,
+			Endpoint:    g.Endpoint,
+			Account:     p.want.Account,
+			Estimate:    g.Estimate,
+			Fingerprint: p.want.Fingerprint,
+		},
+		proved:  g.Proved,
+		granted: time.Now(),
 	}
-	return &remote{Admission_AdmitClient: stream, cancel: cancel}, nil
+	p.result <- result{endpoint: g.Endpoint}
 }
 
-// remote is a session over gRPC.
-type remote struct {
-	peerpb.Admission_AdmitClient
-	cancel context.CancelFunc
+func (b *broker) refused(x *peerpb.Refusal) {
+	p, ok := b.pending[x.Seq]
+	if !ok {
+		return
+	}
+	delete(b.pending, x.Seq)
+	refusal := code.Refuse(code.Code(x.Code), "")
+	refusal.RetryAfter = time.Duration(x.RetryAfterMillis) * time.Millisecond
+	p.result <- result{err: refusal}
 }
 
-// Close ends the session at once.
-func (r *remote) Close() { r.cancel() }
-
-// start reports what this router holds and wants.
-func (b *broker) start(l link, owner string) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	first := &peerpb.AdmitRequest{Scope: b.scope, Router: b.client.fleet.Self().Name, Sync: true}
-	for _, h := range b.held {
-		first.Held = append(first.Held, h)
+// report returns the first message of a session: all that this router holds
+// and wants. Releases that could not be sent follow what they release.
+func (b *broker) report(owner ownerID) *peerpb.AdmitRequest {
+	first := &peerpb.AdmitRequest{
+		Scope:   b.scope,
+		Router:  b.client.fleet.Self().Name,
+		Sync:    true,
+		Resumed: b.last == owner,
+		Crashes: crashesTo(b.client.host.Crashes()),
+	}
+	for seq, h := range b.held {
+		first.Held = append(first.Held, clone(h.held))
+		if h.released != nil {
+			first.Releases = append(first.Releases, h.released)
+			delete(b.held, seq)
+		}
 	}
 	for _, p := range b.pending {
 		first.Wants = append(first.Wants, p.want)
 	}
-	b.link, b.owner = l, owner
-	if err := l.Send(first); err != nil {
-		b.link = nil
-		return err
+	for name, w := range b.warmth {
+		if time.Since(w.at) > warmthKept {
+			delete(b.warmth, name)
+			continue
+		}
+		first.Warmth = append(first.Warmth, &peerpb.Warmth{Endpoint: name, Proved: w.proved, AgeMillis: time.Since(w.at).Milliseconds()})
 	}
-	return nil
+	return first
 }
 
-func (b *broker) drop(l link) {
+// sendProgress tells what has become known of running requests.
+func (b *broker) sendProgress() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.link == l {
-		b.link = nil
+	req := &peerpb.AdmitRequest{}
+	for seq, h := range b.held {
+		if h.unsent && h.released == nil {
+			h.unsent = false
+			req.Progress = append(req.Progress, &peerpb.Progress{Seq: seq, Known: h.held.Known, FirstTokenMicros: h.first.Microseconds()})
+		}
 	}
-}
-
-func (b *broker) moved(owner string) bool {
-	first, ok := b.client.fleet.View().Owner(OwnerKey(b.scope))
-	return ok && first.Name != owner
-}
-
-// checkOwner ends the session if another router owns the scope now.
-func (b *broker) checkOwner() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.link != nil && b.moved(b.owner) {
-		l := b.link
-		b.link = nil
-		go l.Close()
+	if len(req.Progress) > 0 {
+		b.send(req)
 	}
 }
 
-// take hands the owner's decisions to the waiting requests.
-func (b *broker) take(reply *peerpb.AdmitReply) {
+// silent reports whether requests wait and the owner has sent nothing for
+// too long.
+func (b *broker) silent() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, g := range reply.Grants {
-		p, ok := b.pending[g.Seq]
-		if !ok {
-			b.send(&peerpb.AdmitRequest{Releases: []*peerpb.Release{{Seq: g.Seq, Outcome: uint32(admission.Cancelled)}}})
-			continue
-		}
-		delete(b.pending, g.Seq)
-		b.held[g.Seq] = &peerpb.Held{Seq: g.Seq, Endpoint: g.Endpoint, Account: p.want.Account, Charged: p.want.Estimate}
-		p.result <- result{endpoint: g.Endpoint}
-	}
-	for _, x := range reply.Refusals {
-		p, ok := b.pending[x.Seq]
-		if !ok {
-			continue
-		}
-		delete(b.pending, x.Seq)
-		refusal := code.Refuse(code.Code(x.Code), "")
-		refusal.RetryAfter = time.Duration(x.RetryAfterMillis) * time.Millisecond
-		p.result <- result{err: refusal}
+	since := b.heard
+	if b.waiting.After(since) {
+		since = b.waiting
 	}
+	return len(b.pending) > 0 && time.Since(since) > silentAfter
 }
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -10,7 +10,6 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peer"
-	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
 )
 
 // Client asks pools' owners for slots. It is safe for concurrent use.
@@ -29,7 +28,8 @@
 // Request is what the owner needs to know of a request.
 type Request struct {
 	Account     string
-	Estimate    fair.Cost
+	Model       string    // what costs are learned for, besides the account
+	Estimate    fair.Cost // hint
 	Prefix      uint64
 	Fingerprint uint64
 	Avoid       []string // endpoints that failed it before
@@ -56,23 +56,28 @@
 
 // Acquire waits for a slot of the pool, in this router's region or, if that
 // has no open endpoint, in another one. The error is a *code.Error that is
-// truly "not run".
+// truly "not run". It returns within the account's wait, give or take
+// refusalGrace, whatever happens to the owner.
 func (c *Client) Acquire(ctx context.Context, pool string, req Request) (*Slot, error) {
 	scope, ok := c.scope(pool)
 	if !ok {
 		return nil, code.Refuse(code.NoEndpoint, "pool "+pool+" has no open endpoint")
 	}
-	return c.broker(scope).acquire(ctx, c.seq.Add(1), req)
+	if c.host.held(req.Fingerprint) {
+		return nil, code.Refuse(code.Quarantined, "")
+	}
+	return c.broker(scope).acquire(ctx, c.seq.Add(1), req, c.maxWait(req.Account))
+}
+
+// Progress tells the cost known so far of the request that holds the slot
+// and, once it is seen, its time to first token.
+func (s *Slot) Progress(known fair.Cost, firstToken time.Duration) {
+	s.broker.progress(s.seq, known, firstToken)
 }
 
 // Release gives the slot back.
 func (s *Slot) Release(outcome admission.Outcome, cost fair.Cost, firstToken time.Duration) {
-	s.broker.release(&peerpb.Release{
-		Seq:              s.seq,
-		Outcome:          uint32(outcome),
-		Cost:             float64(cost),
-		FirstTokenMicros: firstToken.Microseconds(),
-	})
+	s.broker.release(s.seq, outcome, cost, firstToken)
 }
 
 // scope returns the scope to ask for a slot of the pool.
@@ -95,6 +100,17 @@
 	return Scope(pool, other), other != ""
 }
 
+// maxWait is the account's declared wait; an unknown account waits only for
+// the owner's refusal.
+func (c *Client) maxWait(account string) time.Duration {
+	if m := c.fleet.Manifest(); m != nil {
+		if a, ok := m.Account(account); ok {
+			return time.Duration(a.MaxWaitMillis) * time.Millisecond
+		}
+	}
+	return silentAfter
+}
+
 func (c *Client) homeScopes() []string {
 	m := c.fleet.Manifest()
 	if m == nil {
@@ -132,6 +148,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, b := range c.scopes {
-		b.checkOwner()
+		b.viewChanged()
 	}
 }
