--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -61,7 +61,7 @@
 	return &Pool{
 		book:       fair.NewBook(fair.DefaultLead),
 		estimates:  estimate.NewTable(estimatesKept),
-		table:      route.NewTable(prefixesKept),
+		table:      route.NewTable(prefixesKept, route.DefaultSlack),
 		quarantine: q,
 		accounts:   map[string]*account{},
 		endpoints:  map[string]*endpoint{},
--- a/core/fair/fair_suite_test.go
+++ b/core/fair/fair_suite_test.go
@@ -132,6 +132,16 @@
 		Expect(b.Service("old") - b.Service("new")).To(BeNumerically("<=", 10))
 	})
 
+	It("gives idle time no credit", func() {
+		b := fair.NewBook(fair.DefaultLead)
+		b.Enqueue("busy")
+		for range 1000 {
+			b.Finish("busy", b.Dispatch("busy", 10), 10)
+		}
+		b.Enqueue("returning")
+		Expect(b.Service("busy") - b.Service("returning")).To(BeNumerically("<=", 10))
+	})
+
 	It("never lets the known cost fall", func() {
 		b := fair.NewBook(fair.DefaultLead)
 		r := b.Advance("a", b.Dispatch("a", 100), 40)
--- a/core/route/quarantine.go
+++ b/core/route/quarantine.go
@@ -11,7 +11,8 @@
 	// SuspectTime is the longest time between two crashes that count together.
 	SuspectTime = 10 * time.Minute
 
-	maxCrashes = 4096 // requests remembered
+	maxCrashes  = 4096 // requests remembered
+	keptCrashes = 3584 // of them, when they are too many
 )
 
 // Crash says that an endpoint broke while it ran a request.
@@ -139,21 +140,26 @@
 	return now.Sub(later(s.firstAt, s.secondAt)) >= QuarantineTime
 }
 
-// makeRoom drops what is over and, if the memory is still full, one suspect.
+// makeRoom drops, when the memory is full, a part of it at once: first what
+// is over, then single crashes, then the rest.
 func (q *Quarantine) makeRoom(now time.Time) {
 	if len(q.suspects) < maxCrashes {
 		return
 	}
+	q.dropWhere(0, func(s *suspect) bool { return s.over(now) })
+	q.dropWhere(keptCrashes, func(s *suspect) bool { return s.second == "" })
+	q.dropWhere(keptCrashes, func(*suspect) bool { return true })
+}
+
+// dropWhere drops suspects for which over holds until only keep are left.
+func (q *Quarantine) dropWhere(keep int, over func(*suspect) bool) {
 	for fingerprint, s := range q.suspects {
-		if s.over(now) {
-			delete(q.suspects, fingerprint)
-		}
-	}
-	for fingerprint := range q.suspects {
-		if len(q.suspects) < maxCrashes {
+		if len(q.suspects) <= keep {
 			return
 		}
-		delete(q.suspects, fingerprint)
+		if over(s) {
+			delete(q.suspects, fingerprint)
+		}
 	}
 }
 
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -3,12 +3,12 @@
 //
 // The order is: availability zone of the router that will connect, then
 // load, then the prompt prefix that an endpoint probably holds. A prefix
-// outweighs a difference of load up to affinitySlack.
+// outweighs a difference of load up to the table's slack.
 package route
 
-// affinitySlack is the part of an endpoint's limit by which the load of the
+// DefaultSlack is the part of an endpoint's limit by which the load of the
 // one that holds the prefix may exceed the least load.
-const affinitySlack = 0.25
+const DefaultSlack = 0.5
 
 // Endpoint is the part of an endpoint's state that the choice reads. After a
 // change of Busy or Limit its table must be updated.
@@ -38,12 +38,13 @@
 	zones    []*zone
 	free     int // endpoints with a free slot
 	prefixes *prefixes
+	slack    float64
 }
 
 // NewTable returns an empty table that remembers the given number of
-// prefixes.
-func NewTable(prefixes int) *Table {
-	return &Table{prefixes: newPrefixes(prefixes)}
+// prefixes and lets a prefix outweigh slack, a part of an endpoint's limit.
+func NewTable(prefixes int, slack float64) *Table {
+	return &Table{prefixes: newPrefixes(prefixes), slack: slack}
 }
 
 // Add puts an endpoint into the table.
@@ -85,7 +86,7 @@
 	if best == nil || req.Prefix == 0 {
 		return best
 	}
-	if e := t.prefixes.get(req.Prefix); e != nil && affine(e, best) {
+	if e := t.prefixes.get(req.Prefix); e != nil && t.affine(e, best) {
 		return e
 	}
 	return best
@@ -140,8 +141,8 @@
 }
 
 // affine reports whether the prefix that e holds outweighs best's load.
-func affine(e, best *Endpoint) bool {
-	return e.pos != absent && e.Zone == best.Zone && e.load() <= best.load()+affinitySlack
+func (t *Table) affine(e, best *Endpoint) bool {
+	return e.pos != absent && e.Zone == best.Zone && e.load() <= best.load()+t.slack
 }
 
 func better(req Request, a, b *Endpoint) bool {
--- /dev/null
+++ b/core/route/route_suite_test.go
@@ -0,0 +1,148 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/route"
+)
+
+func TestRoute(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Routing")
+}
+
+func table(prefixes int, endpoints ...*route.Endpoint) *route.Table {
+	t := route.NewTable(prefixes, route.DefaultSlack)
+	for _, e := range endpoints {
+		t.Add(e)
+	}
+	return t
+}
+
+var _ = Describe("the choice", func() {
+	var a1, a2, b1 *route.Endpoint
+	var t *route.Table
+
+	BeforeEach(func() {
+		a1 = &route.Endpoint{Name: "a1", Zone: "a", Busy: 6, Limit: 8}
+		a2 = &route.Endpoint{Name: "a2", Zone: "a", Busy: 5, Limit: 8}
+		b1 = &route.Endpoint{Name: "b1", Zone: "b", Limit: 8}
+		t = table(2, a1, a2, b1)
+	})
+
+	set := func(e *route.Endpoint, busy int) {
+		e.Busy = busy
+		t.Update(e)
+	}
+
+	DescribeTable("takes the zone, then the load, then the prefix",
+		func(prepare func(), req route.Request, want string) {
+			prepare()
+			Expect(t.Choose(req).Name).To(Equal(want))
+		},
+		Entry("zone before load", func() {}, route.Request{Zone: "a"}, "a2"),
+		Entry("load without a zone", func() {}, route.Request{Zone: "c"}, "b1"),
+		Entry("another zone if the own is full", func() { set(a1, 8); set(a2, 8) }, route.Request{Zone: "a"}, "b1"),
+		Entry("prefix within the slack", func() { t.Dispatched(7, a1) }, route.Request{Zone: "a", Prefix: 7}, "a1"),
+		Entry("load beyond the slack", func() { t.Dispatched(7, a1); set(a2, 1) }, route.Request{Zone: "a", Prefix: 7}, "a2"),
+		Entry("zone before prefix", func() { t.Dispatched(7, b1) }, route.Request{Zone: "a", Prefix: 7}, "a2"),
+		Entry("prefix after an eviction", func() { t.Dispatched(7, a1); t.Evicted(7, a1) }, route.Request{Zone: "a", Prefix: 7}, "a2"),
+		Entry("prefix after another's late eviction", func() { t.Dispatched(7, a1); t.Evicted(7, a2) }, route.Request{Zone: "a", Prefix: 7}, "a1"),
+		Entry("prefix after a restart", func() { t.Dispatched(7, a1); t.Cleared(a1) }, route.Request{Zone: "a", Prefix: 7}, "a2"),
+		Entry("prefix pushed out by newer ones", func() {
+			t.Dispatched(7, a1)
+			t.Dispatched(8, b1)
+			t.Dispatched(9, b1)
+		}, route.Request{Zone: "a", Prefix: 7}, "a2"),
+	)
+
+	It("is empty when all are full", func() {
+		set(a1, 8)
+		set(a2, 8)
+		set(b1, 8)
+		Expect(t.Choose(route.Request{Zone: "a"})).To(BeNil())
+		Expect(t.Free()).To(BeZero())
+	})
+})
+
+var _ = Describe("the quarantine", func() {
+	var q *route.Quarantine
+	now := time.Unix(1000, 0)
+	crash := func(endpoint string, age time.Duration) route.Crash {
+		return route.Crash{Fingerprint: 1, Endpoint: endpoint, Age: age}
+	}
+
+	BeforeEach(func() { q = route.NewQuarantine() })
+
+	It("needs two different endpoints within the time", func() {
+		Expect(q.Crashed(now, crash("e", 0))).To(BeFalse())
+		Expect(q.Crashed(now, crash("e", 0))).To(BeFalse())
+		Expect(q.Crashed(now.Add(route.SuspectTime), crash("f", 0))).To(BeFalse())
+		Expect(q.Held(now, 1)).To(BeFalse())
+		Expect(q.Crashed(now.Add(route.SuspectTime+time.Second), crash("g", 0))).To(BeTrue())
+		Expect(q.Held(now, 1)).To(BeTrue())
+	})
+
+	It("passes to another router with its age, and ends", func() {
+		q.Crashed(now, crash("e", 0))
+		q.Crashed(now, crash("f", 0))
+		later := now.Add(route.QuarantineTime - time.Minute)
+		next := route.NewQuarantine()
+		for _, c := range q.Crashes(later) {
+			next.Crashed(later, c)
+		}
+		Expect(next.Held(later, 1)).To(BeTrue())
+		Expect(next.Held(later.Add(time.Minute), 1)).To(BeFalse())
+		Expect(next.Crashes(later.Add(time.Minute))).To(BeEmpty())
+	})
+
+	It("stays lifted when another router reports the old crashes", func() {
+		q.Crashed(now, crash("e", 0))
+		q.Crashed(now, crash("f", 0))
+		reported := q.Crashes(now)
+		Expect(q.Lift(now.Add(time.Second), 1)).To(BeTrue())
+		for _, c := range reported {
+			c.Age = 2 * time.Second
+			q.Crashed(now.Add(2*time.Second), c)
+		}
+		Expect(q.Held(now.Add(2*time.Second), 1)).To(BeFalse())
+	})
+
+	It("remembers a bounded number", func() {
+		for i := range 10_000 {
+			q.Crashed(now, route.Crash{Fingerprint: uint64(i + 1), Endpoint: "e"})
+		}
+		Expect(len(q.Crashes(now))).To(BeNumerically("<=", 4096))
+	})
+})
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{15, 70, 12_000} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			t := route.NewTable(16_384, route.DefaultSlack)
+			var all []*route.Endpoint
+			for i := range n {
+				e := &route.Endpoint{Name: fmt.Sprint(i), Zone: fmt.Sprint(i % 3), Limit: 8}
+				t.Add(e)
+				all = append(all, e)
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				e := t.Choose(route.Request{Zone: "0", Prefix: uint64(i%5000 + 1)})
+				t.Dispatched(uint64(i%5000+1), e)
+				e.Busy++
+				t.Update(e)
+				old := all[i%n]
+				old.Busy = max(0, old.Busy-1)
+				t.Update(old)
+			}
+		})
+	}
+}
--- a/internal/pool/broker.go
+++ b/internal/pool/broker.go
@@ -122,10 +122,12 @@
 	return &Slot{Endpoint: r.endpoint, broker: b, seq: seq}, nil
 }
 
+// connected reports whether the owner was heard as lately as one that can be
+// reached must be.
 func (b *broker) connected() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.out != nil
+	return b.out != nil && b.quiet() < 2*signEvery
 }
 
 // giveUp refuses a request that its owner neither granted nor refused.
@@ -300,9 +302,14 @@
 func (b *broker) silent() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	since := b.heard
-	if b.waiting.After(since) {
-		since = b.waiting
+	return len(b.pending) > 0 && b.quiet() > silentAfter
+}
+
+// quiet is the time for which the owner could have sent something and did
+// not. The caller holds mu.
+func (b *broker) quiet() time.Duration {
+	if b.waiting.After(b.heard) {
+		return time.Since(b.waiting)
 	}
-	return len(b.pending) > 0 && time.Since(since) > silentAfter
+	return time.Since(b.heard)
 }
--- a/internal/pool/hosted.go
+++ b/internal/pool/hosted.go
@@ -57,7 +57,7 @@
 	s.take(now, req)
 	s.on.step(now)
 	if req.Sync {
-		s.box.put(&peerpb.AdmitReply{})
+		s.box.put(&peerpb.AdmitReply{Crashes: crashesTo(h.quarantine.Crashes(now))})
 	}
 	return nil
 }
