core/member: membership as a state machine without I/O

Cause: the view was kept inside internal/fleet with the wall clock; nothing tested it, every router read all leases at each renewal and heard all others. Change: member.Tracker takes lease reads, heartbeats, notices, refusals and time, and gives view and changes. Up to Mesh routers hear each other directly, above that each hears its ring successors and one more in turn. Found by the property tests: two routers that had removed each other never met again, since a third one's news of either was taken as old; a notice now says whether its sender hears the router itself.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -38,14 +38,19 @@
 	return View{Routers: sorted}
 }
 
+// Region returns the view of one region's routers.
+func (v View) Region(region string) View {
+	kept := slices.DeleteFunc(slices.Clone(v.Routers), func(r Router) bool { return r.Region != region })
+	return View{Routers: kept}
+}
+
 // Get returns the named router.
 func (v View) Get(name string) (Router, bool) {
-	for _, r := range v.Routers {
-		if r.Name == name {
-			return r, true
-		}
+	i, found := slices.BinarySearchFunc(v.Routers, name, func(r Router, name string) int { return compare(r.Name, name) })
+	if !found {
+		return Router{}, false
 	}
-	return Router{}, false
+	return v.Routers[i], true
 }
 
 // Names returns the routers' names in order.
@@ -60,11 +65,20 @@
 // Owner returns the router of highest rendezvous weight for key among those
 // not leaving, and false if there is none.
 func (v View) Owner(key string) (Router, bool) {
-	ranked := v.Rank(key)
-	if len(ranked) == 0 {
+	if len(v.Routers) == 0 {
 		return Router{}, false
 	}
-	return ranked[0], true
+	var best Router
+	var bestWeight uint64
+	for _, r := range v.Routers {
+		w := weight(r.Name, key)
+		switch {
+		case best.Name != "" && r.Leaving && !best.Leaving:
+		case best.Name == "", best.Leaving && !r.Leaving, w > bestWeight:
+			best, bestWeight = r, w
+		}
+	}
+	return best, true
 }
 
 // Rank returns the routers that are not leaving by falling rendezvous weight
@@ -74,13 +88,11 @@
 	if len(staying) == 0 {
 		staying = slices.Clone(v.Routers)
 	}
-	slices.SortFunc(staying, func(a, b Router) int {
-		wa, wb := weight(a.Name, key), weight(b.Name, key)
-		if wa != wb {
-			return compare(wb, wa)
-		}
-		return compare(a.Name, b.Name)
-	})
+	weights := make(map[string]uint64, len(staying))
+	for _, r := range staying {
+		weights[r.Name] = weight(r.Name, key)
+	}
+	slices.SortStableFunc(staying, func(a, b Router) int { return compare(weights[b.Name], weights[a.Name]) })
 	return staying
 }
 
--- /dev/null
+++ b/core/member/tracker_test.go
@@ -0,0 +1,302 @@
+package member_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+)
+
+func TestMember(t *testing.T) {
+	RegisterFailHandler(Fail)
+	if !flag.Parsed() || flag.Lookup("rapid.seed").Value.String() == "0" {
+		flag.Set("rapid.seed", "1") // the same verdict every run
+	}
+	RunSpecs(t, "Membership")
+}
+
+const (
+	lifetime = 4 * time.Second
+	beat     = 500 * time.Millisecond
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// world drives trackers over a network and a platform that can fail.
+type world struct {
+	now      time.Time
+	rounds   int
+	mesh     int
+	trackers map[string]*member.Tracker
+	leases   map[string]member.Lease
+	version  int64
+	down     bool               // the platform fails
+	stopped  map[string]bool    // dead or paused
+	cut      map[[2]string]bool // messages from the first to the second are lost
+	highest  map[string]int64   // incarnation seen in any view
+	renewed  map[string]time.Time
+}
+
+func newWorld(n, mesh int) *world {
+	w := &world{
+		now: start, mesh: mesh, trackers: map[string]*member.Tracker{}, leases: map[string]member.Lease{},
+		stopped: map[string]bool{}, cut: map[[2]string]bool{}, highest: map[string]int64{}, renewed: map[string]time.Time{},
+	}
+	for i := range n {
+		w.restart(fmt.Sprintf("r%02d", i), 1)
+	}
+	return w
+}
+
+func (w *world) names() []string {
+	var names []string
+	for name := range w.trackers {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (w *world) restart(name string, incarnation int64) {
+	self := member.Router{Name: name, Incarnation: incarnation, Region: "north", PeerAddr: name}
+	w.trackers[name] = member.NewTracker(self, member.Limits{Lifetime: lifetime, Mesh: w.mesh, Fanout: 2}, w.now)
+	w.stopped[name] = false
+}
+
+// round lets one heartbeat period pass.
+func (w *world) round() {
+	w.now = w.now.Add(beat)
+	w.rounds++
+	for _, name := range w.names() {
+		t := w.trackers[name]
+		if w.stopped[name] {
+			continue
+		}
+		t.Step(w.now)
+		w.platform(name, t)
+		for _, peer := range t.Partners(w.rounds) {
+			w.exchange(name, peer)
+		}
+	}
+}
+
+func (w *world) platform(name string, t *member.Tracker) {
+	if w.now.Sub(w.renewed[name]) < t.Renewal() {
+		return
+	}
+	if w.down {
+		t.PlatformFailed()
+		return
+	}
+	w.renewed[name] = w.now
+	w.version++
+	w.leases[name] = member.Lease{Router: t.Self(), Version: w.version}
+	if t.WantsRead(w.now) {
+		var all []member.Lease
+		for _, l := range w.leases {
+			all = append(all, l)
+		}
+		t.ReadLeases(w.now, all)
+	}
+}
+
+func (w *world) exchange(from, to string) {
+	a, b := w.trackers[from], w.trackers[to]
+	if b == nil || w.stopped[to] || w.cut[[2]string{from, to}] {
+		return
+	}
+	b.Hear(w.now, a.NextBeat(0, 0))
+	b.TakeNotices(w.now, a.Notices())
+	if w.cut[[2]string{to, from}] {
+		return
+	}
+	a.Hear(w.now, b.NextBeat(0, 0))
+	a.TakeNotices(w.now, b.Notices())
+	a.Answered()
+	if a.Digest() != b.Digest() {
+		fromA, fromB := a.Differing(w.now, b.Digest()), b.Differing(w.now, a.Digest())
+		b.TakeNotices(w.now, fromA)
+		a.TakeNotices(w.now, fromB)
+	}
+}
+
+func (w *world) run(d time.Duration) {
+	for range int(d / beat) {
+		w.round()
+	}
+}
+
+func (w *world) views() map[string]member.View {
+	views := map[string]member.View{}
+	for name, t := range w.trackers {
+		views[name] = t.View()
+	}
+	return views
+}
+
+// agreed returns the members that all running trackers agree on.
+func (w *world) agreed() ([]string, bool) {
+	var agreed []string
+	for _, name := range w.names() {
+		if w.stopped[name] {
+			continue
+		}
+		var view []string
+		for _, r := range w.trackers[name].View().Routers {
+			view = append(view, fmt.Sprintf("%s/%d/%v", r.Name, r.Incarnation, r.Leaving))
+		}
+		if agreed != nil && !slices.Equal(agreed, view) {
+			return nil, false
+		}
+		agreed = view
+	}
+	return agreed, true
+}
+
+// check asserts what must hold at any moment.
+func (w *world) check(t *rapid.T) {
+	for _, tracker := range w.trackers {
+		view := tracker.View()
+		for _, r := range view.Routers {
+			key := tracker.Self().Name + ">" + r.Name
+			if r.Incarnation < w.highest[key] {
+				t.Fatalf("%s: incarnation fell from %d to %d", key, w.highest[key], r.Incarnation)
+			}
+			w.highest[key] = r.Incarnation
+		}
+		owner, _ := view.Owner("key")
+		staying := slices.ContainsFunc(view.Routers, func(r member.Router) bool { return !r.Leaving })
+		if owner.Leaving && staying {
+			t.Fatalf("%s leaves and owns a key", owner.Name)
+		}
+	}
+}
+
+func properties(mesh int) func(*rapid.T) {
+	return func(t *rapid.T) {
+		n := rapid.IntRange(2, 9).Draw(t, "routers")
+		w := newWorld(n, mesh)
+		w.run(2 * lifetime)
+		names := w.names()
+		name := rapid.SampledFrom(names)
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			switch rapid.IntRange(0, 6).Draw(t, "fault") {
+			case 0:
+				who := name.Draw(t, "restarted")
+				w.restart(who, w.trackers[who].Self().Incarnation+1)
+				delete(w.highest, who)
+			case 1:
+				w.cut[[2]string{name.Draw(t, "from"), name.Draw(t, "to")}] = true
+			case 2:
+				w.down = !w.down
+			case 3:
+				who := name.Draw(t, "stopped")
+				w.stopped[who] = !w.stopped[who]
+			case 4:
+				w.trackers[name.Draw(t, "leaving")].SetLeaving(rapid.Bool().Draw(t, "leaves"))
+			default:
+				w.run(time.Duration(rapid.IntRange(1, 20).Draw(t, "beats")) * beat)
+			}
+			w.check(t)
+		}
+		clear(w.cut)
+		clear(w.stopped)
+		w.down = false
+		w.run(5 * time.Second)
+		w.check(t)
+		if _, ok := w.agreed(); !ok {
+			t.Fatalf("views differ 5 s after all faults ended: %v", w.views())
+		}
+	}
+}
+
+var _ = Describe("the tracker", func() {
+	It("converges and has one owner at rest, as a full mesh", func() {
+		rapid.Check(GinkgoT(), properties(16))
+	})
+
+	It("converges and has one owner at rest, on the ring", func() {
+		rapid.Check(GinkgoT(), properties(3))
+	})
+
+	It("removes a dead router once the platform was read", func() {
+		w := newWorld(3, 16)
+		w.run(lifetime)
+		w.stopped["r00"] = true
+		w.run(3 * lifetime / 2)
+		Expect(w.trackers["r01"].View().Names()).To(Equal([]string{"r01", "r02"}))
+	})
+
+	It("changes nothing in an hour of platform outage, and removes no live router after it", func() {
+		w := newWorld(7, 16)
+		w.run(lifetime)
+		w.down = true
+		w.stopped["r00"] = true
+		w.cut[[2]string{"r01", "r02"}], w.cut[[2]string{"r02", "r01"}] = true, true
+		w.run(time.Hour)
+		Expect(w.trackers["r01"].View().Routers).To(HaveLen(7))
+		w.down = false
+		w.run(3 * lifetime / 2)
+		Expect(w.trackers["r01"].View().Names()).To(Equal([]string{"r01", "r02", "r03", "r04", "r05", "r06"}))
+	})
+
+	It("removes a router whose address refuses connections while the platform is down", func() {
+		w := newWorld(3, 16)
+		w.run(lifetime)
+		w.down, w.stopped["r00"] = true, true
+		w.trackers["r01"].Refused("r00", 1)
+		w.run(3 * lifetime / 2)
+		Expect(w.trackers["r01"].View().Names()).To(Equal([]string{"r01", "r02"}))
+		Expect(w.trackers["r02"].View().Names()).To(Equal([]string{"r01", "r02"}), "the proof is passed on")
+	})
+
+	It("owns nothing after a pause until it was answered", func() {
+		w := newWorld(2, 16)
+		w.run(lifetime)
+		t := w.trackers["r00"]
+		t.Step(w.now.Add(lifetime + time.Millisecond))
+		for i := range 50 {
+			owner, _ := t.View().Owner(fmt.Sprint("key", i))
+			Expect(owner.Name).To(Equal("r01"))
+		}
+		t.Answered()
+		Expect(t.Confirmed()).To(BeTrue())
+	})
+
+	It("takes a higher incarnation than its former self, though the clock fell", func() {
+		w := newWorld(2, 16)
+		w.run(lifetime)
+		w.restart("r00", 0)
+		w.run(lifetime)
+		Expect(w.trackers["r00"].Self().Incarnation).To(BeNumerically(">", 1))
+		Expect(w.trackers["r00"].Replaced()).To(BeFalse())
+	})
+
+	It("steps back for a later process under its name", func() {
+		w := newWorld(2, 16)
+		w.run(lifetime)
+		w.trackers["r00"].Hear(w.now, member.Heartbeat{Router: member.Router{Name: "r00", Incarnation: 9}, Beat: 1})
+		Expect(w.trackers["r00"].Replaced()).To(BeTrue())
+	})
+
+	It("talks to a bounded number of routers in a large fleet, and to each in turn", func() {
+		w := newWorld(40, 16)
+		w.run(2 * lifetime)
+		met := map[string]bool{}
+		for round := range 39 {
+			partners := w.trackers["r00"].Partners(round)
+			Expect(len(partners)).To(BeNumerically("<=", 3))
+			for _, p := range partners {
+				met[p] = true
+			}
+		}
+		Expect(met).To(HaveLen(39))
+	})
+})
