--- a/core/code/code.go
+++ b/core/code/code.go
@@ -5,6 +5,7 @@
 package code
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -151,3 +152,9 @@
 func Fail(c Code, detail string) *Error {
 	return &Error{Code: c, Detail: detail}
 }
+
+// Is reports whether err carries the code.
+func Is(err error, c Code) bool {
+	var failure *Error
+	return errors.As(err, &failure) && failure.Code == c
+}
--- a/core/manifest/check.go
+++ b/core/manifest/check.go
@@ -21,7 +21,7 @@
 
 // Check returns every fault of m; none means that m may be accepted.
 func (m *Manifest) Check() []Fault {
-	c := &checker{m: m}
+	c := &checker{m: m, index: m.newIndex()}
 	c.zones()
 	c.accounts()
 	c.pools()
@@ -33,6 +33,7 @@
 
 type checker struct {
 	m      *Manifest
+	index  *index
 	faults []Fault
 }
 
@@ -140,10 +141,10 @@
 		path := fmt.Sprintf("endpoints[%d]", i)
 		c.name(path+".name", e.Name, seen)
 		c.state(path+".state", e.State)
-		if _, ok := c.m.Pool(e.Pool); !ok {
+		if _, ok := c.index.pools[e.Pool]; !ok {
 			c.add(path+".pool", e.Pool, "a declared pool")
 		}
-		if _, ok := c.m.Zone(e.Zone); !ok {
+		if _, ok := c.index.zones[e.Zone]; !ok {
 			c.add(path+".zone", e.Zone, "a declared availability zone")
 		}
 		u, err := url.Parse(e.URL)
--- a/core/manifest/manifest.go
+++ b/core/manifest/manifest.go
@@ -8,7 +8,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"strings"
 )
 
 // State says whether a zone or an endpoint may receive new work.
@@ -38,6 +37,8 @@
 	Pools      []Pool     `json:"pools"`
 	Endpoints  []Endpoint `json:"endpoints"`
 	Orders     Orders     `json:"orders"`
+
+	index *index // nil until Index
 }
 
 // Zone is an availability zone.
@@ -89,70 +90,9 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Zone returns the named zone.
-func (m *Manifest) Zone(name string) (Zone, bool) {
-	for _, z := range m.Zones {
-		if z.Name == name {
-			return z, true
-		}
-	}
-	return Zone{}, false
-}
-
-// Pool returns the named pool.
-func (m *Manifest) Pool(name string) (Pool, bool) {
-	for _, p := range m.Pools {
-		if p.Name == name {
-			return p, true
-		}
-	}
-	return Pool{}, false
-}
-
-// PoolForModel returns the pool that serves a model.
-func (m *Manifest) PoolForModel(model string) (Pool, bool) {
-	for _, p := range m.Pools {
-		for _, name := range p.Models {
-			if name == model {
-				return p, true
-			}
-		}
-	}
-	return Pool{}, false
-}
-
-// PoolForPath returns the pool with the longest path prefix of path.
-func (m *Manifest) PoolForPath(path string) (Pool, bool) {
-	var best Pool
-	for _, p := range m.Pools {
-		if p.Path != "" && hasPathPrefix(path, p.Path) && len(p.Path) > len(best.Path) {
-			best = p
-		}
-	}
-	return best, best.Path != ""
-}
-
-// Account returns the named client account.
-func (m *Manifest) Account(name string) (Account, bool) {
-	for _, a := range m.Accounts {
-		if a.Name == name {
-			return a, true
-		}
-	}
-	return Account{}, false
-}
-
 // Open reports whether an endpoint may receive new work: neither it nor its
 // availability zone is out.
 func (m *Manifest) Open(e Endpoint) bool {
 	z, ok := m.Zone(e.Zone)
 	return ok && z.State != Out && e.State != Out
 }
-
-func hasPathPrefix(path, prefix string) bool {
-	if !strings.HasPrefix(path, prefix) {
-		return false
-	}
-	rest := path[len(prefix):]
-	return rest == "" || rest[0] == '/'
-}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -23,7 +23,7 @@
 	PeerAddr    string `json:"peer_addr"`  // host:port of the peer listener
 	OpsURL      string `json:"ops_url"`
 	Leaving     bool   `json:"leaving"`
-	Load        int    `json:"load"` // open requests
+	Load        int    `json:"load,omitempty"` // open requests
 }
 
 // View is the set of live routers, sorted by name.
--- a/core/member/tracker.go
+++ b/core/member/tracker.go
@@ -54,8 +54,9 @@
 
 // Change is one change of the view.
 type Change struct {
-	Kind   ChangeKind
-	Router Router
+	Kind    ChangeKind
+	Router  Router
+	Version int64 // of its lease, for Left; 0: not known
 }
 
 // Tracker decides which routers are members. It never trusts its own clock
@@ -391,7 +392,7 @@
 	delete(t.members, name)
 	t.gone[name] = tomb{router: e.router, beat: e.beat, version: e.version, at: now}
 	t.stale = true
-	t.changes = append(t.changes, Change{Kind: Left, Router: e.router})
+	t.changes = append(t.changes, Change{Kind: Left, Router: e.router, Version: e.version})
 	t.spread(Notice{Router: e.router, Beat: e.beat, Gone: true})
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -143,6 +143,7 @@
 	root.Add(&part{name: "lease", serve: d.fleet.KeepLease})
 	root.Add(&part{name: "heartbeats", serve: d.fleet.KeepHeartbeats})
 	root.Add(&part{name: "manifest", serve: d.fleet.WatchManifest})
+	root.Add(&part{name: "changes", serve: d.fleet.KeepNotifying})
 	root.Add(&part{name: "pools", serve: d.host.Serve})
 	root.Add(&part{name: "peers", serve: func(ctx context.Context) error {
 		return peer.Serve(ctx, shared(l.peers), d.creds, peer.Handlers{Fleet: d.fleet, Admission: d.host, Orders: d.ledger})
--- /dev/null
+++ b/internal/fleet/convert.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
+)
+
+func memberTo(r member.Router) *peerpb.Member {
+	return &peerpb.Member{
+		Name:        r.Name,
+		Incarnation: r.Incarnation,
+		Zone:        r.Zone,
+		Region:      r.Region,
+		CallerUrl:   r.CallerURL,
+		PeerAddr:    r.PeerAddr,
+		OpsUrl:      r.OpsURL,
+		Leaving:     r.Leaving,
+	}
+}
+
+func memberFrom(m *peerpb.Member) member.Router {
+	return member.Router{
+		Name:        m.GetName(),
+		Incarnation: m.GetIncarnation(),
+		Zone:        m.GetZone(),
+		Region:      m.GetRegion(),
+		CallerURL:   m.GetCallerUrl(),
+		PeerAddr:    m.GetPeerAddr(),
+		OpsURL:      m.GetOpsUrl(),
+		Leaving:     m.GetLeaving(),
+	}
+}
+
+func noticesTo(notices []member.Notice) []*peerpb.Notice {
+	var out []*peerpb.Notice
+	for _, n := range notices {
+		out = append(out, &peerpb.Notice{Member: memberTo(n.Router), Beat: n.Beat, Gone: n.Gone, Heard: n.Heard})
+	}
+	return out
+}
+
+func noticesFrom(notices []*peerpb.Notice) []member.Notice {
+	var out []member.Notice
+	for _, n := range notices {
+		if n.GetMember().GetName() == "" {
+			continue
+		}
+		out = append(out, member.Notice{Router: memberFrom(n.Member), Beat: n.Beat, Gone: n.Gone, Heard: n.Heard})
+	}
+	return out
+}
+
+func digestTo(d member.Digest) []uint64 { return d[:] }
+
+func digestFrom(values []uint64) member.Digest {
+	var d member.Digest
+	copy(d[:], values)
+	return d
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,22 +4,32 @@
 //
 // It reads the platform and exchanges heartbeats with peers; whichever
 // brings news first is believed. While the platform is down the last view
-// and manifest stay in force.
+// and manifest stay in force. The decisions are those of core/member,
+// core/manifest and core/usage.
 package fleet
 
 import (
+	"context"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+	"github.com/cyclamenwinch/cyclamenwinch/core/usage"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peer"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/platform"
 )
 
+const (
+	meshSize   = 16 // up to so many other routers all exchange heartbeats
+	ringFanout = 2  // successors in a larger fleet
+)
+
 // Options configure a Fleet.
 type Options struct {
 	Self      member.Router
@@ -37,165 +47,157 @@
 // Fleet is safe for concurrent use.
 type Fleet struct {
 	peerpb.UnimplementedFleetServer
-	opts Options
+	opts    Options
+	changed chan struct{} // holds one token while subscribers are to be called
+	renewal chan struct{} // holds one token while the lease is to be written at once
+	config  *config
+	syncing atomic.Bool
 
 	mu           sync.Mutex
-	self         member.Router
+	tracker      *member.Tracker
+	incarnation  int64 // of the book
 	leaseVersion int64
-	seen         map[string]sighting
-	usage        map[usageKey]fair.Cost
-	manifest     *manifest.Manifest
+	platformDown bool
+	differing    int // exchanges in a row that showed another view
+	book         *usage.Book
+	remote       map[string]fair.Cost // copy of the book's, at remoteSeq
+	remoteSeq    uint64
+	sent         map[string]progress
+	inFlight     map[string]bool
 	subscribers  []func()
 }
 
-// sighting is the last news of another router.
-type sighting struct {
-	router     member.Router
-	generation int64
-	at         time.Time
-}
-
-type usageKey struct {
-	router      string
-	incarnation int64
-	account     string
-}
-
 // New returns a fleet that knows only itself.
 func New(opts Options) *Fleet {
+	limits := member.Limits{Lifetime: opts.Lease, Mesh: meshSize, Fanout: ringFanout}
 	return &Fleet{
-		opts:  opts,
-		self:  opts.Self,
-		seen:  map[string]sighting{},
-		usage: map[usageKey]fair.Cost{},
+		opts:        opts,
+		changed:     make(chan struct{}, 1),
+		renewal:     make(chan struct{}, 1),
+		config:      &config{},
+		tracker:     member.NewTracker(opts.Self, limits, time.Now()),
+		incarnation: opts.Self.Incarnation,
+		book:        usage.NewBook(opts.Self.Name, opts.Self.Incarnation),
+		sent:        map[string]progress{},
+		inFlight:    map[string]bool{},
 	}
 }
 
-// Subscribe calls f after each change of view or manifest. f must not block.
+// Subscribe calls fn after changes of view or manifest, from KeepNotifying's
+// goroutine. Changes that come close together lead to one call.
 func (f *Fleet) Subscribe(fn func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.subscribers = append(f.subscribers, fn)
 }
 
+// KeepNotifying calls the subscribers after changes until the context ends.
+// Heartbeats and requests never wait for them.
+func (f *Fleet) KeepNotifying(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-f.changed:
+		}
+		f.mu.Lock()
+		subscribers := f.subscribers
+		f.mu.Unlock()
+		for _, fn := range subscribers {
+			fn()
+		}
+	}
+}
+
 // Self returns this router as others see it.
 func (f *Fleet) Self() member.Router {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.self
+	return f.tracker.Self()
 }
 
 // View returns the live routers, this one among them.
 func (f *Fleet) View() member.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	routers := []member.Router{f.self}
-	for _, s := range f.seen {
-		routers = append(routers, s.router)
-	}
-	return member.NewView(routers)
+	return f.tracker.View()
 }
 
 // Manifest returns the manifest in force, or nil before there is one. The
 // caller must not change it.
-func (f *Fleet) Manifest() *manifest.Manifest {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.manifest
-}
+func (f *Fleet) Manifest() *manifest.Manifest { return f.config.manifest() }
 
 // Generations returns the generation that each router last reported.
 func (f *Fleet) Generations() map[string]int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	generations := map[string]int64{f.self.Name: generation(f.manifest)}
-	for name, s := range f.seen {
-		generations[name] = s.generation
-	}
+	generations := f.tracker.Generations()
+	generations[f.tracker.Self().Name] = f.config.generation()
 	return generations
 }
 
-// RemoteUsage returns the cost that other routers charged to each account.
+// RemoteUsage returns the cost that other routers, and former runs of this
+// one, charged to each account. The caller must not change it.
 func (f *Fleet) RemoteUsage() map[string]fair.Cost {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	totals := map[string]fair.Cost{}
-	for key, cost := range f.usage {
-		totals[key.account] += cost
+	if f.remote == nil || f.remoteSeq != f.book.Seq() {
+		f.remote, f.remoteSeq = maps.Clone(f.book.Remote()), f.book.Seq()
 	}
-	return totals
+	return f.remote
 }
 
 // SetLeaving marks this router as leaving, or not.
 func (f *Fleet) SetLeaving(leaving bool) {
 	f.mu.Lock()
-	f.self.Leaving = leaving
+	f.tracker.SetLeaving(leaving)
 	f.mu.Unlock()
+	signal(f.renewal)
 	f.notify()
 }
 
 // Adopt puts a manifest in force if its generation is higher than that of
 // the one in force. It reports whether it did.
 func (f *Fleet) Adopt(m *manifest.Manifest) bool {
-	f.mu.Lock()
-	if m.Generation <= generation(f.manifest) {
-		f.mu.Unlock()
+	if !f.config.adopt(m, nil, nil) {
 		return false
 	}
-	f.manifest = m
-	f.mu.Unlock()
+	f.inForce(m)
+	return true
+}
+
+func (f *Fleet) inForce(m *manifest.Manifest) {
 	f.opts.Events.Add(eventlog.Event{Kind: eventlog.ManifestInForce, Detail: detail("generation", m.Generation)})
 	f.notify()
-	return true
 }
 
-// see notes news of another router. News of an older incarnation is ignored.
-func (f *Fleet) see(r member.Router, gen int64, now time.Time) {
+// publish reports the tracker's changes. It must run after each input.
+func (f *Fleet) publish() {
 	f.mu.Lock()
-	if r.Name == f.self.Name || r.Incarnation < f.seen[r.Name].router.Incarnation {
-		f.mu.Unlock()
-		return
-	}
-	old, known := f.seen[r.Name]
-	f.seen[r.Name] = sighting{router: r, generation: max(gen, old.generation), at: now}
-	changed := !known || old.router.Leaving != r.Leaving || old.router.Incarnation != r.Incarnation
+	changes := f.tracker.Changes()
+	view := f.tracker.View()
 	f.mu.Unlock()
-	if !known {
-		f.opts.Events.Add(eventlog.Event{Kind: eventlog.MemberJoined, Detail: r.Name})
+	for _, c := range changes {
+		switch c.Kind {
+		case member.Joined:
+			f.opts.Events.Add(eventlog.Event{Kind: eventlog.MemberJoined, Detail: c.Router.Name})
+		case member.Left:
+			f.opts.Events.Add(eventlog.Event{Kind: eventlog.MemberLeft, Detail: c.Router.Name})
+			f.opts.Dialer.Forget(c.Router)
+			f.cleanUp(c, view)
+		}
 	}
-	if changed {
+	if len(changes) > 0 {
 		f.notify()
 	}
 }
 
-// remove forgets routers.
-func (f *Fleet) remove(names []string) {
-	if len(names) == 0 {
-		return
-	}
-	f.mu.Lock()
-	for _, name := range names {
-		delete(f.seen, name)
-	}
-	f.mu.Unlock()
-	for _, name := range names {
-		f.opts.Events.Add(eventlog.Event{Kind: eventlog.MemberLeft, Detail: name})
-	}
-	f.notify()
-}
-
-func (f *Fleet) notify() {
-	f.mu.Lock()
-	subscribers := f.subscribers
-	f.mu.Unlock()
-	for _, fn := range subscribers {
-		fn()
-	}
-}
+func (f *Fleet) notify() { signal(f.changed) }
 
-func generation(m *manifest.Manifest) int64 {
-	if m == nil {
-		return 0
+// signal puts a token into a channel that holds one.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
-	return m.Generation
 }
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -2,55 +2,92 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"k8s.io/klog/v2"
 
-	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
-	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+	"github.com/cyclamenwinch/cyclamenwinch/core/usage"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
 )
 
-// KeepHeartbeats exchanges heartbeats with the other routers until the
-// context ends.
+const (
+	// syncAfter is how many exchanges in a row must show another view before
+	// the views are compared: news on its way needs no comparison.
+	syncAfter   = 3
+	syncTimeout = 2 * time.Second
+)
+
+// KeepHeartbeats exchanges heartbeats with other routers until the context
+// ends. At most one exchange with each is under way.
 func (f *Fleet) KeepHeartbeats(ctx context.Context) error {
-	ticker := time.NewTicker(f.opts.Heartbeat)
-	defer ticker.Stop()
-	for {
-		for _, r := range f.View().Routers {
-			if r.Name != f.opts.Self.Name {
-				go f.beat(ctx, r)
-			}
+	for round := 0; ; round++ {
+		for _, r := range f.step(round) {
+			go f.beat(ctx, r)
 		}
+		f.publish()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case <-time.After(jittered(f.opts.Heartbeat)):
 		}
 	}
 }
 
+// step lets time pass and returns the routers to call now.
+func (f *Fleet) step(round int) []member.Router {
+	own := f.opts.Usage()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tracker.Step(time.Now())
+	f.keepIncarnation()
+	f.book.SetOwn(own)
+	view := f.tracker.View()
+	var partners []member.Router
+	for _, name := range f.tracker.Partners(round) {
+		r, ok := view.Get(name)
+		if ok && !f.inFlight[name] {
+			f.inFlight[name] = true
+			partners = append(partners, r)
+		}
+	}
+	return partners
+}
+
+// keepIncarnation starts the usage book anew if this router had to take a
+// higher incarnation than its clock gave it; the caller holds mu.
+func (f *Fleet) keepIncarnation() {
+	now := f.tracker.Self().Incarnation
+	if now == f.incarnation {
+		return
+	}
+	f.incarnation = now
+	f.book = usage.NewBook(f.opts.Self.Name, now)
+	f.remote = nil
+	clear(f.sent)
+}
+
 // Heartbeat answers another router's heartbeat.
 func (f *Fleet) Heartbeat(ctx context.Context, in *peerpb.HeartbeatMessage) (*peerpb.HeartbeatMessage, error) {
 	f.hear(in)
-	return f.message(), nil
+	return f.message(in.GetMember().GetName()), nil
 }
 
-// FetchManifest answers with the manifest in force if its generation is
-// above the one asked for.
-func (f *Fleet) FetchManifest(ctx context.Context, in *peerpb.ManifestRequest) (*peerpb.ManifestReply, error) {
-	m := f.Manifest()
-	if generation(m) <= in.Above {
-		return &peerpb.ManifestReply{}, nil
-	}
-	data, err := json.Marshal(m)
-	return &peerpb.ManifestReply{Manifest: data}, errors.Wrap(err, "encode manifest")
+// SyncView answers with news of the routers in the buckets that differ.
+func (f *Fleet) SyncView(ctx context.Context, in *peerpb.ViewMessage) (*peerpb.ViewMessage, error) {
+	defer f.publish()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reply := &peerpb.ViewMessage{Notices: noticesTo(f.tracker.Differing(time.Now(), digestFrom(in.Digest)))}
+	f.tracker.TakeNotices(time.Now(), noticesFrom(in.Notices))
+	reply.Digest = digestTo(f.tracker.Digest())
+	return reply, nil
 }
 
 func (f *Fleet) beat(ctx context.Context, r member.Router) {
+	defer f.landed(r.Name)
 	ctx, cancel := context.WithTimeout(ctx, f.opts.Heartbeat)
 	defer cancel()
 	conn, err := f.opts.Dialer.Conn(r)
@@ -59,65 +96,122 @@
 		return
 	}
 	client := peerpb.NewFleetClient(conn)
-	reply, err := client.Heartbeat(ctx, f.message())
+	msg := f.message(r.Name)
+	parts, mark := f.usageFor(r)
+	msg.Usage = parts
+	reply, err := client.Heartbeat(ctx, msg)
 	if err != nil {
 		klog.V(2).InfoS("fleet: Heartbeat not answered", "peer", r.Name, "err", err)
+		f.unanswered(r, err)
 		return
 	}
+	f.opts.Dialer.Answered(r)
+	f.usageTaken(r, mark)
 	f.hear(reply)
-	if reply.Generation > generation(f.Manifest()) {
-		f.fetch(ctx, client)
-	}
+	f.answered(reply, client)
 }
 
-// fetch takes a newer manifest from a peer.
-func (f *Fleet) fetch(ctx context.Context, client peerpb.FleetClient) {
-	reply, err := client.FetchManifest(ctx, &peerpb.ManifestRequest{Above: generation(f.Manifest())})
-	if err != nil || len(reply.Manifest) == 0 {
-		return
+// landed allows the next exchange with a router.
+func (f *Fleet) landed(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.inFlight, name)
+}
+
+func (f *Fleet) unanswered(r member.Router, err error) {
+	if status.Code(err) == codes.DeadlineExceeded {
+		f.opts.Dialer.Silent(r)
 	}
-	var m manifest.Manifest
-	if err := json.Unmarshal(reply.Manifest, &m); err != nil {
-		klog.ErrorS(err, "fleet: Peer sent an unreadable manifest")
+	if !f.opts.Dialer.Refused(r) {
 		return
 	}
-	f.Adopt(&m)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tracker.Refused(r.Name, r.Incarnation)
 }
 
-func (f *Fleet) message() *peerpb.HeartbeatMessage {
-	self := f.Self()
-	msg := &peerpb.HeartbeatMessage{
-		Name:        self.Name,
-		Incarnation: self.Incarnation,
-		Leaving:     self.Leaving,
-		Generation:  generation(f.Manifest()),
-		Load:        uint32(f.opts.Load()),
-		Clock:       f.opts.Events.Clock().Now(),
+// answered takes in what a reply says of this router and its view.
+func (f *Fleet) answered(reply *peerpb.HeartbeatMessage, client peerpb.FleetClient) {
+	f.mu.Lock()
+	if reply.Known {
+		f.tracker.Answered()
 	}
-	for account, cost := range f.opts.Usage() {
-		msg.Usage = append(msg.Usage, &peerpb.Usage{Account: account, Cost: float64(cost)})
+	if reply.View == f.tracker.Digest().Sum() {
+		f.differing = 0
+	} else {
+		f.differing++
+	}
+	differs := f.differing >= syncAfter
+	f.mu.Unlock()
+	if differs && f.syncing.CompareAndSwap(false, true) {
+		go f.sync(client)
 	}
-	return msg
 }
 
-// hear takes in a heartbeat of a router whose lease is known.
-func (f *Fleet) hear(in *peerpb.HeartbeatMessage) {
-	f.opts.Events.Clock().Observe(in.Clock)
+// sync exchanges the differing parts of the views with a peer, once a
+// heartbeat period at most.
+func (f *Fleet) sync(client peerpb.FleetClient) {
+	defer f.syncing.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
+	defer cancel()
 	f.mu.Lock()
-	s, known := f.seen[in.Name]
-	if known && in.Incarnation >= s.router.Incarnation {
-		for _, u := range in.Usage {
-			key := usageKey{router: in.Name, incarnation: in.Incarnation, account: u.Account}
-			f.usage[key] = max(f.usage[key], fair.Cost(u.Cost))
-		}
+	ask := &peerpb.ViewMessage{Digest: digestTo(f.tracker.Digest())}
+	f.mu.Unlock()
+	reply, err := client.SyncView(ctx, ask)
+	if err != nil {
+		klog.V(1).InfoS("fleet: Views not compared", "err", err)
+		return
+	}
+	f.mu.Lock()
+	f.tracker.TakeNotices(time.Now(), noticesFrom(reply.Notices))
+	tell := &peerpb.ViewMessage{
+		Digest:  digestTo(f.tracker.Digest()),
+		Notices: noticesTo(f.tracker.Differing(time.Now(), digestFrom(reply.Digest))),
 	}
+	f.differing = 0
 	f.mu.Unlock()
-	if !known {
+	f.publish()
+	if len(tell.Notices) > 0 {
+		if _, err := client.SyncView(ctx, tell); err != nil {
+			klog.V(1).InfoS("fleet: Views not compared", "err", err)
+		}
+	}
+}
+
+// message returns the heartbeat for the named router, without usage.
+func (f *Fleet) message(to string) *peerpb.HeartbeatMessage {
+	load, generation, clock := f.opts.Load(), f.config.generation(), f.opts.Events.Clock().Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := f.tracker.NextBeat(load, generation)
+	_, known := f.tracker.View().Get(to)
+	return &peerpb.HeartbeatMessage{
+		Member:     memberTo(h.Router),
+		Beat:       h.Beat,
+		Generation: h.Generation,
+		Load:       uint32(load),
+		Clock:      clock,
+		Notices:    noticesTo(f.tracker.Notices()),
+		View:       f.tracker.Digest().Sum(),
+		Known:      known,
+	}
+}
+
+// hear takes in a heartbeat, in either direction of an exchange.
+func (f *Fleet) hear(in *peerpb.HeartbeatMessage) {
+	if in.GetMember().GetName() == "" {
 		return
 	}
-	r := s.router
-	r.Incarnation = in.Incarnation
-	r.Leaving = in.Leaving
+	f.opts.Events.Clock().Observe(in.Clock)
+	r := memberFrom(in.Member)
 	r.Load = int(in.Load)
-	f.see(r, in.Generation, time.Now())
+	f.mu.Lock()
+	f.tracker.Hear(time.Now(), member.Heartbeat{Router: r, Beat: in.Beat, Generation: in.Generation})
+	f.tracker.TakeNotices(time.Now(), noticesFrom(in.Notices))
+	f.takeUsage(in)
+	f.mu.Unlock()
+	f.publish()
+	if in.Generation > f.config.generation() {
+		f.fetchFrom(r)
+	}
 }
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -11,35 +12,35 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/platform"
 )
 
 // LeasePrefix is where the routers' leases stand in the platform.
 const LeasePrefix = "leases/"
 
-// leaseRenewals is how often a lease is renewed within its lifetime.
-const leaseRenewals = 3
+const (
+	jitter            = 0.1 // of a period, so that routers don't act in step
+	instancesEvery    = 10  // renewals between reads of the instance list
+	cleanUpTimeout    = 3 * time.Second
+	firstRenewalRetry = 300 * time.Millisecond // until this router is confirmed
+)
 
-// KeepLease writes this router's lease, renews it and reads the others'
-// until the context ends. A router is a member while its lease changes or
-// its heartbeats arrive; the reader's own clock alone measures how long ago
-// that was.
+// KeepLease writes this router's lease and reads the others' until the
+// context ends.
 func (f *Fleet) KeepLease(ctx context.Context) error {
-	ticker := time.NewTicker(f.opts.Lease / leaseRenewals)
-	defer ticker.Stop()
-	versions := map[string]int64{}
-	for {
-		if err := f.renew(ctx); err != nil {
-			klog.V(1).InfoS("fleet: Lease not renewed", "err", err)
-		} else if err := f.readLeases(ctx, versions); err != nil {
-			klog.V(1).InfoS("fleet: Leases not read", "err", err)
-		} else {
-			f.expire(time.Now())
+	for round := 0; ; round++ {
+		err := f.renewOnce(ctx)
+		f.notePlatform(err)
+		if err == nil && round%instancesEvery == 0 {
+			f.readInstances(ctx)
 		}
+		f.publish()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case <-f.renewal:
+		case <-time.After(f.renewalPause()):
 		}
 	}
 }
@@ -52,31 +53,62 @@
 	return f.opts.Platform.Delete(ctx, LeasePrefix+f.opts.Self.Name, version)
 }
 
+func (f *Fleet) renewalPause() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.tracker.Confirmed() {
+		return jittered(firstRenewalRetry)
+	}
+	return jittered(f.tracker.Renewal())
+}
+
+// renewOnce reads the leases if there is doubt and renews the own one. It
+// reads first: a router that was paused learns what it missed.
+func (f *Fleet) renewOnce(ctx context.Context) error {
+	f.mu.Lock()
+	wants := f.tracker.WantsRead(time.Now())
+	f.mu.Unlock()
+	if wants {
+		if err := f.readLeases(ctx); err != nil {
+			return err
+		}
+	}
+	return f.renew(ctx)
+}
+
 func (f *Fleet) renew(ctx context.Context) error {
 	f.mu.Lock()
-	version := f.leaseVersion
-	value, err := json.Marshal(f.self)
+	version, self, replaced := f.leaseVersion, f.tracker.Self(), f.tracker.Replaced()
 	f.mu.Unlock()
+	if replaced {
+		return errors.Newf("another router runs under the name %s", self.Name)
+	}
+	self.Load = 0
+	value, err := json.Marshal(self)
 	if err != nil {
 		return errors.Wrap(err, "encode lease")
 	}
-	key := LeasePrefix + f.opts.Self.Name
-	version, err = f.opts.Platform.Put(ctx, key, value, version)
+	version, err = f.opts.Platform.Put(ctx, LeasePrefix+self.Name, value, version)
 	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUncertain) {
-		return f.rereadLease(ctx, key, err)
+		return f.rereadLease(ctx, LeasePrefix+self.Name, err)
 	}
 	if err != nil {
 		return err
 	}
-	f.setLeaseVersion(version)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaseVersion = version
+	f.tracker.Answered()
 	return nil
 }
 
 // rereadLease learns the lease's version after a conflict or a lost answer.
 func (f *Fleet) rereadLease(ctx context.Context, key string, cause error) error {
 	o, err := f.opts.Platform.Get(ctx, key)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if errors.Is(err, platform.ErrNotFound) {
-		f.setLeaseVersion(0)
+		f.leaseVersion = 0
 		return cause
 	}
 	if err != nil {
@@ -86,67 +118,85 @@
 	if err := json.Unmarshal(o.Value, &holder); err != nil {
 		return errors.Wrap(err, "read lease")
 	}
-	if holder.Incarnation > f.opts.Self.Incarnation {
-		return errors.Newf("another router runs under the name %s", f.opts.Self.Name)
-	}
-	f.setLeaseVersion(o.Version)
+	f.tracker.Hear(time.Now(), member.Heartbeat{Router: holder})
+	f.leaseVersion = o.Version
 	return nil
 }
 
-func (f *Fleet) setLeaseVersion(version int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.leaseVersion = version
-}
-
-func (f *Fleet) readLeases(ctx context.Context, versions map[string]int64) error {
+func (f *Fleet) readLeases(ctx context.Context) error {
 	list, err := f.opts.Platform.List(ctx, LeasePrefix)
 	if err != nil {
 		return err
 	}
-	present := map[string]bool{}
+	leases := make([]member.Lease, 0, len(list.Items))
+	own := int64(0)
 	for _, o := range list.Items {
-		name := strings.TrimPrefix(o.Key, LeasePrefix)
-		present[name] = true
-		if versions[name] == o.Version {
+		var r member.Router
+		if err := json.Unmarshal(o.Value, &r); err != nil || r.Name != strings.TrimPrefix(o.Key, LeasePrefix) {
+			klog.InfoS("fleet: Unreadable lease passed over", "key", o.Key, "err", err)
 			continue
 		}
-		versions[name] = o.Version
-		var r member.Router
-		if err := json.Unmarshal(o.Value, &r); err != nil {
-			return errors.Wrapf(err, "read lease %s", name)
+		if r.Name == f.opts.Self.Name {
+			own = o.Version
 		}
-		f.see(r, 0, time.Now())
+		leases = append(leases, member.Lease{Router: r, Version: o.Version})
 	}
-	f.removeReleased(present)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaseVersion = own
+	f.tracker.ReadLeases(time.Now(), leases)
 	return nil
 }
 
-// removeReleased forgets leaving routers whose lease is gone.
-func (f *Fleet) removeReleased(present map[string]bool) {
-	f.mu.Lock()
-	var gone []string
-	for name, s := range f.seen {
-		if s.router.Leaving && !present[name] {
-			gone = append(gone, name)
-		}
+func (f *Fleet) readInstances(ctx context.Context) {
+	instances, err := f.opts.Platform.Instances(ctx)
+	if err != nil {
+		return
 	}
-	f.mu.Unlock()
-	f.remove(gone)
+	leaving := map[string]bool{}
+	for _, i := range instances {
+		leaving[i.Name] = i.Leaving
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tracker.Instances(leaving)
 }
 
-// expire forgets routers that were not heard for a lease's lifetime. It runs
-// only after the platform was read: while it is down, silence proves nothing.
-func (f *Fleet) expire(now time.Time) {
+func (f *Fleet) notePlatform(err error) {
 	f.mu.Lock()
-	var gone []string
-	for name, s := range f.seen {
-		if now.Sub(s.at) > f.opts.Lease {
-			gone = append(gone, name)
-		}
+	turned := f.platformDown != (err != nil)
+	f.platformDown = err != nil
+	if err != nil {
+		f.tracker.PlatformFailed()
 	}
 	f.mu.Unlock()
-	f.remove(gone)
+	switch {
+	case turned && err != nil:
+		klog.InfoS("fleet: Platform lost", "err", err)
+		f.opts.Events.Add(eventlog.Event{Kind: eventlog.PlatformLost, Detail: err.Error()})
+	case turned:
+		f.opts.Events.Add(eventlog.Event{Kind: eventlog.PlatformRegained})
+	}
+}
+
+// cleanUp removes the lease of a router that is gone; one member does it.
+func (f *Fleet) cleanUp(c member.Change, view member.View) {
+	key := LeasePrefix + c.Router.Name
+	owner, ok := view.Owner(key)
+	if !ok || owner.Name != f.opts.Self.Name || c.Version == 0 {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cleanUpTimeout)
+		defer cancel()
+		if err := f.opts.Platform.Delete(ctx, key, c.Version); err != nil {
+			klog.V(1).InfoS("fleet: Lease of a gone router not removed", "router", c.Router.Name, "err", err)
+		}
+	}()
+}
+
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + jitter*(2*rand.Float64()-1)))
 }
 
 func detail(name string, value int64) string { return fmt.Sprintf("%s=%d", name, value) }
--- a/internal/submit/submit.go
+++ b/internal/submit/submit.go
@@ -1,14 +1,17 @@
 // Package submit stores a manifest in the platform. Accepted means that one
-// conditional write has committed; of two operators that race, one wins and
-// the other is told.
+// conditional write of the root has committed; of two operators that race,
+// one wins and the other is told what changed.
 package submit
 
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,6 +21,14 @@
 	"github.com/cyclamenwinch/cyclamenwinch/internal/platform"
 )
 
+const (
+	tokenBytes = 8
+	attempts   = 5 // of a write whose answer was lost
+	retryPause = 100 * time.Millisecond
+	shownDiffs = 20 // differences named in an error
+	ordersKey  = "orders/"
+)
+
 // Parse reads and checks a manifest; unknown fields are refused. The error
 // names every fault.
 func Parse(data []byte) (*manifest.Manifest, error) {
@@ -27,56 +38,140 @@
 	if err := dec.Decode(&m); err != nil {
 		return nil, code.Refuse(code.BadManifest, err.Error())
 	}
-	faults := m.Check()
-	if len(faults) == 0 {
-		return &m, nil
-	}
-	lines := make([]string, len(faults))
-	for i, f := range faults {
-		lines[i] = f.String()
+	if faults := m.Check(); len(faults) > 0 {
+		return nil, faulty(faults)
 	}
-	return nil, code.Refuse(code.BadManifest, strings.Join(lines, "\n"))
+	return &m, nil
 }
 
 // Submit stores m as the next generation and returns it. If m names a
-// generation, that must be the one in force; 0 stands for any.
+// generation, that must be the one in force; 0 stands for any. After a lost
+// answer it reads back what became of its own write.
 func Submit(ctx context.Context, p *platform.Client, m *manifest.Manifest) (int64, error) {
-	current, version, err := Current(ctx, p)
+	base, err := load(ctx, p)
 	if err != nil {
 		return 0, err
 	}
-	if m.Generation != 0 && m.Generation != current.Generation {
-		return 0, code.Fail(code.Conflict, fmt.Sprintf("generation %d is in force, not %d", current.Generation, m.Generation))
+	if m.Generation != 0 && m.Generation != base.root.Generation {
+		return 0, conflict(fmt.Sprintf("generation %d is in force, not %d; from it to this manifest", base.root.Generation, m.Generation), base.manifest, m)
 	}
-	next := *m
-	next.Generation = current.Generation + 1
-	value, err := json.Marshal(&next)
+	if err := checkFixed(ctx, p, base, m); err != nil {
+		return 0, err
+	}
+	token := newToken()
+	root, parts, err := manifest.Split(m, base.root, token)
 	if err != nil {
-		return 0, errors.Wrap(err, "encode manifest")
+		return 0, err
 	}
-	_, err = p.Put(ctx, fleet.ManifestKey, value, version)
+	if err := writeParts(ctx, p, parts); err != nil {
+		return 0, err
+	}
+	generation, err := accept(ctx, p, base, root, token)
 	switch {
 	case err == nil:
-		return next.Generation, nil
-	case errors.Is(err, platform.ErrConflict):
-		return 0, code.Fail(code.Conflict, fmt.Sprintf("another change was accepted after generation %d", current.Generation))
+		remove(ctx, p, append(root.Dropped, base.root.Dropped...))
+	case code.Is(err, code.Conflict):
+		remove(ctx, p, refs(parts))
 	}
-	return 0, code.Fail(code.SubmitUnknown, err.Error())
+	return generation, err
 }
 
-// Current returns the stored manifest and its version; a zero manifest and
-// version 0 if there is none.
+// Current returns the stored manifest and the version of its root; a zero
+// manifest and version 0 if there is none.
 func Current(ctx context.Context, p *platform.Client) (*manifest.Manifest, int64, error) {
-	var m manifest.Manifest
-	o, err := p.Get(ctx, fleet.ManifestKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return &m, 0, nil
+	s, err := load(ctx, p)
+	if err != nil {
+		return nil, 0, err
 	}
+	return s.manifest, s.version, nil
+}
+
+// accept writes the root. Only the platform's version check decides: a
+// repeated write either commits once or meets the version that another one,
+// perhaps its own first try, has left.
+func accept(ctx context.Context, p *platform.Client, base *stored, root *manifest.Root, token string) (int64, error) {
+	value, err := json.Marshal(root)
 	if err != nil {
-		return nil, 0, code.Fail(code.PlatformError, err.Error())
+		return 0, errors.Wrap(err, "encode root")
+	}
+	for range attempts {
+		_, err = p.Put(ctx, fleet.ManifestKey, value, base.version)
+		if err == nil {
+			return root.Generation, nil
+		}
+		if errors.Is(err, platform.ErrConflict) {
+			var generation int64
+			if generation, err = fate(ctx, p, base, token); err == nil || code.Is(err, code.Conflict) {
+				return generation, err
+			}
+		}
+		pause(ctx)
+	}
+	return 0, code.Fail(code.SubmitUnknown, err.Error())
+}
+
+// fate reads back whether the submission was accepted.
+func fate(ctx context.Context, p *platform.Client, base *stored, token string) (int64, error) {
+	now, err := load(ctx, p)
+	if err != nil {
+		return 0, err
 	}
-	if err := json.Unmarshal(o.Value, &m); err != nil {
-		return nil, 0, code.Fail(code.BadManifest, "the stored manifest can't be read: "+err.Error())
+	generation, known := now.root.Fate(token, base.root.Generation)
+	if generation > 0 {
+		return generation, nil
+	}
+	if !known {
+		return 0, code.Fail(code.SubmitUnknown, fmt.Sprintf("generation %d is in force, too far on to tell", now.root.Generation))
+	}
+	what := fmt.Sprintf("generation %d was accepted after generation %d; it changed", now.root.Generation, base.root.Generation)
+	return 0, conflict(what, base.manifest, now.manifest)
+}
+
+// checkFixed refuses changes that recorded orders don't allow.
+func checkFixed(ctx context.Context, p *platform.Client, base *stored, m *manifest.Manifest) error {
+	faults := manifest.Fixed(base.manifest, m)
+	if base.version == 0 || len(faults) == 0 {
+		return nil
+	}
+	orders, err := p.List(ctx, ordersKey)
+	if err != nil {
+		return code.Fail(code.PlatformError, err.Error())
+	}
+	if len(orders.Items) == 0 {
+		return nil
+	}
+	return faulty(faults)
+}
+
+func faulty(faults []manifest.Fault) error {
+	lines := make([]string, len(faults))
+	for i, f := range faults {
+		lines[i] = f.String()
+	}
+	return code.Refuse(code.BadManifest, strings.Join(lines, "\n"))
+}
+
+func conflict(what string, old, new *manifest.Manifest) error {
+	lines := []string{what + ":"}
+	differences := manifest.Diff(old, new)
+	for _, d := range differences[:min(len(differences), shownDiffs)] {
+		lines = append(lines, d.String())
+	}
+	if hidden := len(differences) - shownDiffs; hidden > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", hidden))
+	}
+	return code.Fail(code.Conflict, strings.Join(lines, "\n"))
+}
+
+func newToken() string {
+	random := make([]byte, tokenBytes)
+	rand.Read(random)
+	return hex.EncodeToString(random)
+}
+
+func pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryPause):
 	}
-	return &m, o.Version, nil
 }
