Tests of the fleet's shell; addresses drawn by weight; zones out own nothing

Cause: the address answer put the least loaded router first for everybody, named all routers, and nothing tested the shell, submit or the peer links. Change: each answer draws up to four routers by weights of zone and load, in two zones where it can. Routers of a zone that is out stand as leaving. Ruled out: least load first (herds on one figure), all routers (450 long).

--- /dev/null
+++ b/core/manifest/manifest_test.go
@@ -0,0 +1,202 @@
+package manifest_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
+)
+
+func TestManifest(t *testing.T) {
+	RegisterFailHandler(Fail)
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		flag.Set("rapid.seed", "1") // the same verdict every run
+	}
+	RunSpecs(t, "Manifest")
+}
+
+const maxObjectBytes = 1 << 20
+
+// sized returns a right manifest of the given size.
+func sized(accounts, endpoints int) *manifest.Manifest {
+	m := &manifest.Manifest{
+		Zones:  []manifest.Zone{{Name: "z", Region: "north", State: manifest.In}},
+		Pools:  []manifest.Pool{{Name: "p", Kind: manifest.Model, Models: []string{"m"}}},
+		Orders: manifest.Orders{Shards: 4, RetentionHours: 24},
+	}
+	for i := range accounts {
+		name := fmt.Sprintf("account-%05d", i)
+		m.Accounts = append(m.Accounts, manifest.Account{
+			Name: name, Share: 1, MaxQueue: 10, MaxWaitMillis: 10,
+			KeyDigests: []string{manifest.KeyDigest(name), manifest.KeyDigest(name + "b")},
+		})
+	}
+	for i := range endpoints {
+		m.Endpoints = append(m.Endpoints, manifest.Endpoint{
+			Name: fmt.Sprintf("runner-%05d", i), Pool: "p", URL: fmt.Sprintf("http://10.0.%d.%d:8000", i/250, i%250+1),
+			Zone: "z", State: manifest.In, Slots: 8, ColdSlots: 1,
+		})
+	}
+	return m
+}
+
+// drawn returns a manifest of few names, so that two of them overlap.
+func drawn(t *rapid.T, label string) *manifest.Manifest {
+	m := sized(0, 0)
+	for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 300), 0, 200, rapid.ID[int]).Draw(t, label+" accounts") {
+		m.Accounts = append(m.Accounts, manifest.Account{Name: fmt.Sprintf("a%03d", i), Share: 1, MaxQueue: rapid.IntRange(1, 2).Draw(t, "queue")})
+	}
+	for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 300), 0, 20, rapid.ID[int]).Draw(t, label+" endpoints") {
+		m.Endpoints = append(m.Endpoints, manifest.Endpoint{Name: fmt.Sprintf("e%03d", i), Slots: rapid.IntRange(1, 2).Draw(t, "slots")})
+	}
+	return m
+}
+
+func splitProperty(t *rapid.T) {
+	held := manifest.Parts{}
+	var prev *manifest.Root
+	for i := range rapid.IntRange(1, 4).Draw(t, "generations") {
+		m := drawn(t, "next")
+		root, parts, err := manifest.Split(m, prev, fmt.Sprint("token", i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, ref := range root.Dropped {
+			delete(held, ref)
+		}
+		for ref, value := range parts {
+			if !ref.Matches(value) {
+				t.Fatalf("%s does not match its value", ref)
+			}
+			held[ref] = value
+		}
+		joined, err := root.Join(held)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := manifest.Diff(m, joined); len(d) > 0 {
+			t.Fatalf("joined differs: %v", d)
+		}
+		if joined.Generation != int64(i+1) {
+			t.Fatalf("generation %d after %d", joined.Generation, i)
+		}
+		if refs := root.Refs(); len(held) != len(slices.Compact(slices.Sorted(slices.Values(refs)))) {
+			t.Fatalf("%d parts held, %d in use", len(held), len(refs))
+		}
+		prev = root
+	}
+}
+
+var _ = Describe("parts", func() {
+	It("join to what was split, whatever came before", func() {
+		rapid.Check(GinkgoT(), splitProperty)
+	})
+
+	It("keep every object of the largest manifest under the platform's limit", func() {
+		root, parts, err := manifest.Split(sized(2200, 12000), nil, "token")
+		Expect(err).NotTo(HaveOccurred())
+		value, err := json.Marshal(root)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(value)).To(BeNumerically("<", maxObjectBytes))
+		for _, part := range parts {
+			Expect(len(part)).To(BeNumerically("<", maxObjectBytes))
+		}
+	})
+
+	It("are kept but for the one that holds a changed endpoint", func() {
+		m := sized(2200, 12000)
+		root, _, err := manifest.Split(m, nil, "one")
+		Expect(err).NotTo(HaveOccurred())
+		m.Endpoints[7].State = manifest.Out
+		next, parts, err := manifest.Split(m, root, "two")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parts).To(HaveLen(1))
+		Expect(next.Dropped).To(HaveLen(1))
+	})
+
+	It("tell a submission's fate as far back as tokens are kept", func() {
+		var root *manifest.Root
+		for i := range 30 {
+			root, _, _ = manifest.Split(sized(1, 1), root, fmt.Sprint("t", i))
+		}
+		generation, known := root.Fate("t20", 20)
+		Expect(generation).To(BeEquivalentTo(21))
+		Expect(known).To(BeTrue())
+		_, known = root.Fate("other", 20)
+		Expect(known).To(BeTrue(), "it lost")
+		_, known = root.Fate("t2", 2)
+		Expect(known).To(BeFalse())
+	})
+})
+
+var _ = Describe("lookups", func() {
+	It("find the same with and without an index", func() {
+		m := sized(3, 3)
+		m.Pools = append(m.Pools, manifest.Pool{Name: "o", Kind: manifest.Order, Path: "/v1/orders"})
+		for range 2 {
+			account, ok := m.AccountByKeyDigest(manifest.KeyDigest("account-00001"))
+			Expect(ok).To(BeTrue())
+			Expect(account.Name).To(Equal("account-00001"))
+			endpoint, _ := m.Endpoint("runner-00002")
+			Expect(endpoint.URL).To(Equal("http://10.0.0.3:8000"))
+			pool, _ := m.PoolForPath("/v1/orders/7")
+			Expect(pool.Name).To(Equal("o"))
+			_, ok = m.PoolForPath("/v1/ordersX")
+			Expect(ok).To(BeFalse())
+			pool, _ = m.PoolForModel("m")
+			Expect(pool.Name).To(Equal("p"))
+			m.Index()
+		}
+	})
+})
+
+var _ = Describe("a difference", func() {
+	It("names what changed, came and went", func() {
+		old, next := sized(2, 2), sized(2, 2)
+		next.Accounts[0].Share = 3
+		next.Zones[0].State = manifest.Out
+		next.Endpoints = next.Endpoints[:1]
+		next.Orders.Shards = 8
+		var lines []string
+		for _, d := range manifest.Diff(old, next) {
+			lines = append(lines, d.String()[:min(40, len(d.String()))])
+		}
+		Expect(lines).To(Equal([]string{
+			"~ accounts/account-00000.share: 1 -> 3",
+			"- endpoints/runner-00001: {Name:runner-0",
+			"~ orders.shards: 4 -> 8",
+			"~ zones/z.state: in -> out",
+		}))
+		Expect(manifest.Fixed(old, next)).To(HaveLen(1))
+		Expect(manifest.Diff(old, old)).To(BeEmpty())
+	})
+})
+
+func BenchmarkAccountByKeyDigest(b *testing.B) {
+	m := sized(2200, 12000)
+	m.Index()
+	digest := manifest.KeyDigest("account-02000")
+	for b.Loop() {
+		m.AccountByKeyDigest(digest)
+	}
+}
+
+func BenchmarkJoin(b *testing.B) {
+	for _, endpoints := range []int{12, 3000, 12000} {
+		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
+			root, parts, _ := manifest.Split(sized(2200, endpoints), nil, "token")
+			b.ReportAllocs()
+			for b.Loop() {
+				m, _ := root.Join(parts)
+				m.Index()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/member/pick_test.go
@@ -0,0 +1,75 @@
+package member_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+)
+
+var _ = Describe("the pick for callers", func() {
+	fleet := func(load ...int) []member.Router {
+		var routers []member.Router
+		for i, l := range load {
+			routers = append(routers, member.Router{Name: fmt.Sprint("r", i), Zone: fmt.Sprint("z", i%3), Region: "north", Load: l})
+		}
+		return routers
+	}
+	const draws = 20_000
+	firsts := func(routers []member.Router, from member.Place) map[string]int {
+		rng := rand.New(rand.NewPCG(1, 1))
+		counts := map[string]int{}
+		for range draws {
+			counts[member.Pick(routers, from, 4, rng.Float64)[0].Name]++
+		}
+		return counts
+	}
+
+	It("spreads callers evenly over routers of equal load", func() {
+		mean := float64(draws) / 7
+		for _, n := range firsts(fleet(3, 3, 3, 3, 3, 3, 3), member.Place{Region: "north"}) {
+			Expect(float64(n)).To(BeNumerically("~", mean, 5*math.Sqrt(mean)))
+		}
+	})
+
+	It("gives an idle router more callers, but not all", func() {
+		counts := firsts(fleet(9, 9, 9, 0), member.Place{Region: "north"})
+		// The idle one weighs 10 times a busy one: 10 of 13.
+		Expect(float64(counts["r3"]) / draws).To(BeNumerically("~", 10.0/13, 0.02))
+	})
+
+	It("prefers the caller's zone and spills over from an overloaded one", func() {
+		near := member.Place{Zone: "z0", Region: "north"}
+		counts := firsts(fleet(1, 1, 1, 1, 1, 1, 1), near)
+		Expect(float64(counts["r0"]+counts["r3"]+counts["r6"]) / draws).To(BeNumerically("~", 48.0/52, 0.02))
+		counts = firsts(fleet(400, 0, 0), near)
+		Expect(counts["r0"]).To(BeNumerically("<", draws/10))
+	})
+
+	It("answers with a few routers in two zones, and never another region first while this one serves", func() {
+		routers := fleet(make([]int, 60)...)
+		far := 0
+		rng := rand.New(rand.NewPCG(1, 1))
+		for i := range routers[30:] {
+			routers[30+i].Region = "south"
+		}
+		for range draws {
+			answer := member.Pick(routers, member.Place{Zone: "z0", Region: "north"}, 4, rng.Float64)
+			Expect(answer).To(HaveLen(4))
+			zones := map[string]bool{}
+			for _, r := range answer {
+				zones[r.Zone] = true
+			}
+			Expect(len(zones)).To(BeNumerically(">", 1))
+			if answer[0].Region == "south" && answer[0].Zone != "z0" {
+				far++
+			}
+		}
+		Expect(far).To(BeNumerically("<", draws/100))
+		Expect(member.Pick(nil, member.Place{}, 4, rng.Float64)).To(BeEmpty())
+	})
+})
--- a/core/member/tracker.go
+++ b/core/member/tracker.go
@@ -74,6 +74,7 @@
 	gone    map[string]tomb
 	news    []outgoing
 	changes []Change
+	out     map[string]bool // availability zones taken out
 
 	confirmed  bool      // the platform or a peer answered since the start or pause
 	unanswered time.Time // since when not confirmed
@@ -139,12 +140,12 @@
 		return t.view
 	}
 	self := t.self
-	self.Leaving = self.Leaving || !t.confirmed || t.replaced
+	self.Leaving = self.Leaving || !t.confirmed || t.replaced || t.out[self.Zone]
 	routers := make([]Router, 0, len(t.members)+1)
 	routers = append(routers, self)
 	for _, e := range t.members {
 		r := e.router
-		r.Leaving = r.Leaving || e.retiring
+		r.Leaving = r.Leaving || e.retiring || t.out[r.Zone]
 		routers = append(routers, r)
 	}
 	t.view, t.stale = NewView(routers), false
@@ -166,6 +167,12 @@
 	t.stale = true
 }
 
+// SetOut names the availability zones that operators have taken out: their
+// routers stand in the view as leaving.
+func (t *Tracker) SetOut(zones map[string]bool) {
+	t.out, t.stale = zones, true
+}
+
 // NextBeat returns this router's next heartbeat.
 func (t *Tracker) NextBeat(load int, generation int64) Heartbeat {
 	t.beat++
--- a/core/member/tracker_test.go
+++ b/core/member/tracker_test.go
@@ -279,6 +279,17 @@
 		Expect(w.trackers["r00"].Replaced()).To(BeFalse())
 	})
 
+	It("gives nothing to the routers of an availability zone that is out", func() {
+		w := newWorld(2, 16)
+		w.run(lifetime)
+		w.trackers["r00"].Hear(w.now, member.Heartbeat{Router: member.Router{Name: "r01", Incarnation: 2, Zone: "z"}, Beat: 1})
+		w.trackers["r00"].SetOut(map[string]bool{"z": true})
+		for i := range 50 {
+			owner, _ := w.trackers["r00"].View().Owner(fmt.Sprint("key", i))
+			Expect(owner.Name).To(Equal("r00"))
+		}
+	})
+
 	It("steps back for a later process under its name", func() {
 		w := newWorld(2, 16)
 		w.run(lifetime)
--- a/internal/addresses/addresses.go
+++ b/internal/addresses/addresses.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -12,6 +13,9 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/member"
 )
 
+// addressesGiven bounds an answer, however large the fleet is.
+const addressesGiven = 4
+
 // Fleet is what this package needs to know of the fleet.
 type Fleet interface {
 	View() member.View
@@ -41,21 +45,8 @@
 
 // ServeHTTP answers GET /v1/addresses?zone=NAME.
 func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	zone := r.URL.Query().Get("zone")
-	routers := slices.DeleteFunc(slices.Clone(a.fleet.View().Routers), func(m member.Router) bool {
-		return m.Leaving || a.zoneOut(m.Zone)
-	})
-	slices.SortStableFunc(routers, func(x, y member.Router) int {
-		if near, far := x.Zone == zone, y.Zone == zone; near != far {
-			if near {
-				return -1
-			}
-			return 1
-		}
-		return x.Load - y.Load
-	})
 	answer := Answer{Addresses: []Address{}, LifetimeSec: int(a.ttl.Seconds())}
-	for _, m := range routers {
+	for _, m := range member.Pick(a.open(), a.place(r.URL.Query().Get("zone")), addressesGiven, rand.Float64) {
 		answer.Addresses = append(answer.Addresses, Address{URL: m.CallerURL, Zone: m.Zone})
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -63,6 +54,23 @@
 	json.NewEncoder(w).Encode(answer)
 }
 
+// open returns the routers that may be given to callers.
+func (a *API) open() []member.Router {
+	return slices.DeleteFunc(slices.Clone(a.fleet.View().Routers), func(m member.Router) bool {
+		return m.Leaving || a.zoneOut(m.Zone)
+	})
+}
+
+// place returns where a caller of the named zone stands.
+func (a *API) place(zone string) member.Place {
+	m := a.fleet.Manifest()
+	if m == nil {
+		return member.Place{Zone: zone}
+	}
+	z, _ := m.Zone(zone)
+	return member.Place{Zone: zone, Region: z.Region}
+}
+
 func (a *API) zoneOut(name string) bool {
 	m := a.fleet.Manifest()
 	if m == nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -167,6 +167,13 @@
 }
 
 func (f *Fleet) inForce(m *manifest.Manifest) {
+	out := map[string]bool{}
+	for _, z := range m.Zones {
+		out[z.Name] = z.State == manifest.Out
+	}
+	f.mu.Lock()
+	f.tracker.SetOut(out)
+	f.mu.Unlock()
 	f.opts.Events.Add(eventlog.Event{Kind: eventlog.ManifestInForce, Detail: detail("generation", m.Generation)})
 	f.notify()
 }
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -63,17 +63,22 @@
 }
 
 // renewOnce reads the leases if there is doubt and renews the own one. It
-// reads first: a router that was paused learns what it missed.
+// reads first: a router that was paused learns what it missed. A router that
+// starts reads once more, so that of two that start together one sees the
+// other.
 func (f *Fleet) renewOnce(ctx context.Context) error {
 	f.mu.Lock()
-	wants := f.tracker.WantsRead(time.Now())
+	wants, confirmed := f.tracker.WantsRead(time.Now()), f.tracker.Confirmed()
 	f.mu.Unlock()
 	if wants {
 		if err := f.readLeases(ctx); err != nil {
 			return err
 		}
 	}
-	return f.renew(ctx)
+	if err := f.renew(ctx); err != nil || confirmed {
+		return err
+	}
+	return f.readLeases(ctx)
 }
 
 func (f *Fleet) renew(ctx context.Context) error {
--- a/internal/peer/dialer.go
+++ b/internal/peer/dialer.go
@@ -23,11 +23,15 @@
 // concurrent use.
 type Dialer struct {
 	creds credentials.TransportCredentials
+	open  Connect
 
 	mu    sync.Mutex
 	conns map[string]*link
 }
 
+// Connect opens a TCP connection to an IP number and port.
+type Connect func(ctx context.Context, addr string) (net.Conn, error)
+
 // link is the connection to one address.
 type link struct {
 	conn    *grpc.ClientConn
@@ -37,7 +41,14 @@
 
 // NewDialer returns a dialer without connections.
 func NewDialer(creds credentials.TransportCredentials) *Dialer {
-	return &Dialer{creds: creds, conns: map[string]*link{}}
+	return NewDialerWith(creds, func(ctx context.Context, addr string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	})
+}
+
+// NewDialerWith returns a dialer that opens its connections by open.
+func NewDialerWith(creds credentials.TransportCredentials, open Connect) *Dialer {
+	return &Dialer{creds: creds, open: open, conns: map[string]*link{}}
 }
 
 // Conn returns the connection to the router. It does not wait for it to be
@@ -128,7 +139,7 @@
 
 // connect opens a TCP connection and notes whether the address refused it.
 func (d *Dialer) connect(ctx context.Context, addr string) (net.Conn, error) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	conn, err := d.open(ctx, addr)
 	d.mu.Lock()
 	if l, ok := d.conns[addr]; ok {
 		l.refused = errors.Is(err, syscall.ECONNREFUSED)
--- /dev/null
+++ b/internal/submit/submit_test.go
@@ -0,0 +1,161 @@
+package submit_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/platform"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/submit"
+	"github.com/cyclamenwinch/cyclamenwinch/standin/objects"
+)
+
+func TestSubmit(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Submit")
+}
+
+func example(slots int) *manifest.Manifest {
+	return &manifest.Manifest{
+		Zones:     []manifest.Zone{{Name: "z", Region: "north", State: manifest.In}},
+		Accounts:  []manifest.Account{{Name: "cafes", Share: 1, MaxQueue: 1, MaxWaitMillis: 1}},
+		Pools:     []manifest.Pool{{Name: "p", Kind: manifest.Model, Models: []string{"m"}}},
+		Endpoints: []manifest.Endpoint{{Name: "e", Pool: "p", URL: "http://127.0.0.1:1", Zone: "z", State: manifest.In, Slots: slots, ColdSlots: 1}},
+		Orders:    manifest.Orders{Shards: 4, RetentionHours: 1},
+	}
+}
+
+var _ = Describe("submit", func() {
+	var (
+		ctx    = context.Background()
+		client *platform.Client
+		server *httptest.Server
+		lose   atomic.Int64 // answers of root writes still to be lost after they took effect
+		drop   atomic.Int64 // root writes still to be dropped before they took effect
+	)
+
+	BeforeEach(func() {
+		lose.Store(0)
+		drop.Store(0)
+		handler := objects.NewServer(1).Handler()
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			rootWrite := r.Method == http.MethodPut && strings.HasSuffix(r.URL.Path, "config/manifest")
+			switch {
+			case rootWrite && drop.Add(-1) >= 0:
+				http.Error(w, "lost", http.StatusServiceUnavailable)
+			case rootWrite && lose.Add(-1) >= 0:
+				handler.ServeHTTP(httptest.NewRecorder(), r)
+				http.Error(w, "lost", http.StatusServiceUnavailable)
+			default:
+				handler.ServeHTTP(w, r)
+			}
+		}))
+		DeferCleanup(server.Close)
+		client = platform.New(server.URL)
+	})
+
+	It("lets one of racing operators win each generation and tells the others what changed", func() {
+		_, err := submit.Submit(ctx, client, example(1))
+		Expect(err).NotTo(HaveOccurred())
+		errs := make([]error, 8)
+		var all sync.WaitGroup
+		for i := range errs {
+			all.Go(func() {
+				m := example(10 + i)
+				m.Generation = 1
+				_, errs[i] = submit.Submit(ctx, client, m)
+			})
+		}
+		all.Wait()
+		won := 0
+		for _, err := range errs {
+			if err == nil {
+				won++
+				continue
+			}
+			Expect(code.Is(err, code.Conflict)).To(BeTrue(), err.Error())
+			Expect(err.Error()).To(ContainSubstring("endpoints/e.slots: "))
+		}
+		Expect(won).To(Equal(1))
+		m, _, err := submit.Current(ctx, client)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Generation).To(BeEquivalentTo(2))
+		parts, err := client.List(ctx, "config/parts/")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(parts.Items).To(HaveLen(2), "the losers' and the former parts are removed")
+	})
+
+	It("learns that it was accepted though the answer was lost", func() {
+		lose.Store(1)
+		generation, err := submit.Submit(ctx, client, example(1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(generation).To(BeEquivalentTo(1))
+	})
+
+	It("learns that it was accepted though another change followed at once", func() {
+		lose.Store(1)
+		tries := 0
+		fast := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPut && strings.HasSuffix(r.URL.Path, "config/manifest") {
+				tries++
+			}
+			if tries == 2 {
+				submit.Submit(ctx, client, example(7))
+			}
+			server.Config.Handler.ServeHTTP(w, r)
+		}))
+		defer fast.Close()
+		generation, err := submit.Submit(ctx, platform.New(fast.URL), example(1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(generation).To(BeEquivalentTo(1))
+		m, _, _ := submit.Current(ctx, client)
+		Expect(m.Endpoints[0].Slots).To(Equal(7))
+	})
+
+	It("writes once more if the write itself was lost", func() {
+		drop.Store(2)
+		generation, err := submit.Submit(ctx, client, example(1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(generation).To(BeEquivalentTo(1))
+	})
+
+	It("says so if the platform does not tell", func() {
+		drop.Store(1000)
+		_, err := submit.Submit(ctx, client, example(1))
+		Expect(code.Is(err, code.SubmitUnknown)).To(BeTrue())
+	})
+
+	It("names every fault of a bad manifest and stores nothing", func() {
+		m := example(0)
+		m.Accounts[0].Share = -1
+		m.Endpoints[0].Zone = "none"
+		data, _ := json.Marshal(m)
+		_, err := submit.Parse(data)
+		Expect(err).To(MatchError(And(ContainSubstring("share"), ContainSubstring("slots"), ContainSubstring("zone"))))
+	})
+
+	It("fixes the number of shards once an order is recorded", func() {
+		_, err := submit.Submit(ctx, client, example(1))
+		Expect(err).NotTo(HaveOccurred())
+		m := example(1)
+		m.Orders.Shards = 8
+		_, err = submit.Submit(ctx, client, m)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client.Put(ctx, fmt.Sprintf("orders/%d/%d", 3, 1), []byte("{}"), 0)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = submit.Submit(ctx, client, example(1))
+		Expect(code.Is(err, code.BadManifest)).To(BeTrue())
+		Expect(err.Error()).To(ContainSubstring("orders.shards"))
+	})
+})
