Settings, operations API, command line and daemon made whole

Cause: the thin path had a command line that printed from one file, settings that named only the first unknown field, a stop that waited on a counter that new requests could keep over 0 for ever, and an operations API without filters, orders or numbered errors.

Change: - settings: one table of fields gives checks, docs/SETTINGS.md and the JSON Schema; every unknown, mistyped, out-of-range or contradicting setting and every unusable PEM file is named at once. TLS for callers and operators, plain text only when the settings say so; addresses to tell others apart from those to listen on. - daemon: a stop leaves the address answers, waits out their lifetime, closes the callers' listener, lets requests and orders end, releases the lease. A second signal or the bound ends it with event, code 5011 and exit code 3. SIGHUP takes a new verbosity. Restarts of parts are counted and logged. Header size, body time and streams of a connection are bounded. - fault found: a closed kept listener did not end Accept, so a part that was stopped stayed in it.

--- /dev/null
+++ b/cmd/cyclamenwinch/about.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"runtime/debug"
+
+	"github.com/cyclamenwinch/cyclamenwinch/internal/schema"
+)
+
+type schemaCommand struct {
+	app  *app
+	Args struct {
+		Name string `positional-arg-name:"manifest|settings" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints a JSON Schema.
+func (c *schemaCommand) Execute([]string) error {
+	text, err := schema.Text(schema.Name(c.Args.Name))
+	if err != nil {
+		return err
+	}
+	_, err = c.app.out.Write(text)
+	return err
+}
+
+type versionCommand struct {
+	app *app
+	jsonOption
+}
+
+// Version is the JSON output of version.
+type Version struct {
+	Version  string `json:"version"`
+	Revision string `json:"revision"`
+	Go       string `json:"go"`
+}
+
+// Execute prints the version.
+func (c *versionCommand) Execute([]string) error {
+	v := buildVersion()
+	return c.app.print(c.JSON, v, func() {
+		fmt.Fprintf(c.app.out, "cyclamenwinch %s %s (%s)\n", v.Version, v.Revision, v.Go)
+	})
+}
+
+// buildVersion returns what the linker noted.
+func buildVersion() Version {
+	v := Version{Version: "unknown", Revision: "unknown"}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return v
+	}
+	v.Version, v.Go = info.Main.Version, info.GoVersion
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			v.Revision = s.Value
+		}
+	}
+	return v
+}
+
+const completionScript = `_cyclamenwinch() {
+  local IFS=$'\n'
+  COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${COMP_WORDS[@]:1:$COMP_CWORD}"))
+}
+complete -F _cyclamenwinch cyclamenwinch
+`
+
+type completionCommand struct{ app *app }
+
+// Execute prints the completion script.
+func (c *completionCommand) Execute([]string) error {
+	_, err := fmt.Fprint(c.app.out, completionScript)
+	return err
+}
--- a/cmd/cyclamenwinch/main.go
+++ b/cmd/cyclamenwinch/main.go
@@ -1,39 +1,68 @@
 // Command cyclamenwinch is the operators' and build pipelines' tool.
+//
+// Tables are for people, --json is for pipelines; the exit codes stand in
+// exit.go and in docs/OPERATIONS.md.
 package main
 
 import (
+	"io"
 	"os"
 
 	flag "github.com/jessevdk/go-flags"
 )
 
-// The exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 func main() {
-	parser := flag.NewParser(nil, flag.Default)
-	add := func(name, short string, command any) {
-		if _, err := parser.AddCommand(name, short, short, command); err != nil {
-			panic(err)
-		}
-	}
-	add("check", "check a manifest", &checkCommand{})
-	add("submit", "submit a manifest", &submitCommand{})
-	add("status", "show the state of a router and its fleet", &statusCommand{})
-	add("wait", "wait until a generation is in force everywhere", &waitCommand{})
-	add("timeline", "show the merged time line of all routers", &timelineCommand{})
-	_, err := parser.Parse()
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run executes one command line and returns the exit code.
+func run(args []string, out, errs io.Writer) int {
+	a := &app{out: out}
+	parser := a.parser()
+	_, err := parser.ParseArgs(args)
 	if err == nil {
-		return
+		return exitDone
 	}
 	if usage, ok := err.(*flag.Error); ok {
-		if usage.Type == flag.ErrHelp {
-			return
+		return reportUsage(usage, out, errs)
+	}
+	return a.report(err, errs)
+}
+
+// app is what all commands share.
+type app struct {
+	out  io.Writer
+	json bool // the failed command was asked for JSON
+}
+
+// parser returns the parser with all commands.
+func (a *app) parser() *flag.Parser {
+	parser := flag.NewNamedParser("cyclamenwinch", flag.HelpFlag|flag.PassDoubleDash)
+	for _, c := range a.commands() {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			panic(err)
 		}
-		os.Exit(exitUsage)
 	}
-	os.Exit(exitFailed)
+	return parser
+}
+
+// command is one command of the tool.
+type command struct {
+	name, short, long string
+	data              any
+}
+
+func (a *app) commands() []command {
+	return []command{
+		{"check", "check a manifest", "Check a manifest file and name every fault. Nothing is sent.", &checkCommand{app: a}},
+		{"submit", "submit a manifest", "Check a manifest file and store it as the next generation. A file that names a generation is refused if another one is stored.", &submitCommand{app: a}},
+		{"wait", "wait until a generation is in force everywhere", "Wait until every router reports the generation or a higher one.", &waitCommand{app: a}},
+		{"status", "show the state of the fleet", "Show the members, generations, service, endpoints and queues. Routers that don't answer are named.", &statusCommand{app: a}},
+		{"timeline", "show the merged time line of all routers", "Show the events of all routers in one order. Routers that don't answer are named.", &timelineCommand{app: a}},
+		{"explain", "tell why a request went where it went", "Tell from the time line of all routers what happened to a request, or why it was refused.", &explainCommand{app: a}},
+		{"orders", "look up, list or settle orders", "Look up an order by client account and key, list the orders of unknown outcome, or settle one of these.", &ordersCommand{app: a}},
+		{"schema", "print a JSON Schema", "Print the JSON Schema of the manifest or of the daemon's settings.", &schemaCommand{app: a}},
+		{"completion", "print the shell completion for bash", "Print a script that completes commands and options in bash: source <(cyclamenwinch completion).", &completionCommand{app: a}},
+		{"version", "print the version", "Print the version of this tool.", &versionCommand{app: a}},
+	}
 }
--- a/cmd/cyclamenwinchd/main.go
+++ b/cmd/cyclamenwinchd/main.go
@@ -1,66 +1,114 @@
 // Command cyclamenwinchd is the router: one on each entry instance.
+//
+// SIGTERM and SIGINT start a graceful stop, a second one cuts it; SIGHUP
+// reads the settings again.
 package main
 
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
-	"strconv"
 	"syscall"
 
 	flag "github.com/jessevdk/go-flags"
 	"k8s.io/klog/v2"
 
-	goflag "flag"
-
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/daemon"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/settings"
 )
 
 type options struct {
 	Settings string `long:"settings" required:"true" description:"JSON file with the settings"`
-	Check    bool   `long:"check" description:"check the settings and exit"`
+	Check    bool   `long:"check" description:"check the settings and the files they name, and exit"`
 }
 
+// The exit codes, which docs/OPERATIONS.md lists.
 const (
+	exitDone   = 0
 	exitFailed = 1
-	exitUsage  = 2
+	exitUsage  = 2 // the command line or the settings are wrong
+	exitCut    = 3 // the stop ended before the requests did
 )
 
 func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(args []string, out, errs io.Writer) int {
 	var opts options
-	if _, err := flag.Parse(&opts); err != nil {
-		os.Exit(exitUsage)
+	if _, err := flag.NewParser(&opts, flag.HelpFlag|flag.PassDoubleDash).ParseArgs(args); err != nil {
+		if flag.WroteHelp(err) {
+			fmt.Fprintln(out, err)
+			return exitDone
+		}
+		fmt.Fprintln(errs, err)
+		return exitUsage
 	}
 	s, err := settings.Load(opts.Settings)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitUsage)
+		fmt.Fprintf(errs, "%v\nNext: %s\n", err, code.As(err).Code.Info().Next)
+		return exitUsage
 	}
 	if opts.Check {
-		fmt.Println("The settings are right.")
-		return
+		fmt.Fprintln(out, "The settings are right.")
+		return exitDone
 	}
-	if err := run(s); err != nil {
-		klog.ErrorS(err, "daemon: Failed")
-		klog.Flush()
-		os.Exit(exitFailed)
+	defer klog.Flush()
+	if err := serve(opts.Settings, s); err != nil {
+		failure := code.As(err)
+		klog.ErrorS(err, "daemon: Failed", "code", int(failure.Code))
+		if failure.Code == code.WorkCut {
+			return exitCut
+		}
+		return exitFailed
 	}
-	klog.Flush()
+	return exitDone
 }
 
-func run(s settings.Settings) error {
-	logFlags := goflag.NewFlagSet("klog", goflag.ContinueOnError)
-	klog.InitFlags(logFlags)
-	if err := logFlags.Set("v", strconv.Itoa(s.Verbosity)); err != nil {
+// serve runs the router until a signal stops it.
+func serve(file string, s settings.Settings) error {
+	if err := daemon.SetVerbosity(s.Verbosity); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	d, err := daemon.New(s)
 	if err != nil {
 		return err
 	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go obey(signals, d, file, stop)
 	return d.Run(ctx)
 }
+
+// obey acts on signals: the first that asks for a stop starts a graceful
+// one, the second cuts it.
+func obey(signals <-chan os.Signal, d *daemon.Daemon, file string, stop func()) {
+	stopping := false
+	for s := range signals {
+		switch {
+		case s == syscall.SIGHUP:
+			reload(d, file)
+		case stopping:
+			klog.InfoS("daemon: Second signal, the stop is cut")
+			d.Cut()
+		default:
+			stopping = true
+			stop()
+		}
+	}
+}
+
+func reload(d *daemon.Daemon, file string) {
+	s, err := settings.Load(file)
+	if err == nil {
+		err = d.Reload(s)
+	}
+	if err != nil {
+		klog.ErrorS(err, "daemon: Settings not reloaded", "code", int(code.As(err).Code))
+	}
+}
--- a/core/code/code.go
+++ b/core/code/code.go
@@ -57,6 +57,11 @@
 	PlatformError  Code = 5006
 	ObjectNotFound Code = 5007
 
+	RouterUnreachable Code = 5008
+	NotInForce        Code = 5009
+	NoEvents          Code = 5010
+	WorkCut           Code = 5011
+
 	Internal Code = 9001
 )
 
@@ -104,6 +109,10 @@
 	{NotAuthorized, "NotAuthorized", http.StatusUnauthorized, "The operator credential is wrong.", "Use the credential from the router's settings."},
 	{PlatformError, "PlatformError", http.StatusBadGateway, "The platform refused or failed a call.", "See the detail and the platform's own logs."},
 	{ObjectNotFound, "ObjectNotFound", http.StatusNotFound, "The platform holds no such object.", "Submit a manifest first, or check the name."},
+	{RouterUnreachable, "RouterUnreachable", http.StatusBadGateway, "The router does not answer operators.", "Name another router with --ops, or start this one."},
+	{NotInForce, "NotInForce", http.StatusGatewayTimeout, "The generation is not in force at every router.", "Run status to see which routers lag, then wait again."},
+	{NoEvents, "NoEvents", http.StatusNotFound, "No router's time line holds such an event.", "Check the request id; the time line keeps the newest events only."},
+	{WorkCut, "WorkCut", http.StatusServiceUnavailable, "The router stopped before its requests had ended.", "Raise stop_seconds, or send one signal only."},
 	{Internal, "Internal", http.StatusInternalServerError, "The router failed.", "Report the request id to the operator."},
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,12 +4,10 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/thejerf/suture/v4"
 	"google.golang.org/grpc/credentials"
 	"k8s.io/klog/v2"
 
@@ -28,25 +26,28 @@
 	"github.com/cyclamenwinch/cyclamenwinch/internal/settings"
 )
 
-const (
-	eventsKept    = 20_000
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
-	dropTimeout   = 3 * time.Second
-)
+// eventsKept is the number of events in a router's time line.
+const eventsKept = 20_000
 
 // Daemon is one router.
 type Daemon struct {
+	creds  credentials.TransportCredentials
+	events *eventlog.Log
+	fleet  *fleet.Fleet
+	host   *pool.Host
+	pools  *pool.Client
+	ledger *ledger.Ledger
+	dialer *peer.Dialer
+	cut    chan struct{} // closed by Cut
+	cutOne sync.Once
+
+	callers   *callerapi.API
+	callerWeb *webServer
+	ops       *opsapi.API
+	opsWeb    *webServer
+
+	mu       sync.Mutex
 	settings settings.Settings
-	creds    credentials.TransportCredentials
-	events   *eventlog.Log
-	fleet    *fleet.Fleet
-	host     *pool.Host
-	pools    *pool.Client
-	ledger   *ledger.Ledger
-	dialer   *peer.Dialer
-	callers  *callerapi.API
-	ops      *opsapi.API
 }
 
 // New wires a router; nothing runs yet.
@@ -55,7 +56,13 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{settings: s, creds: creds, events: eventlog.New(s.Name, eventsKept), dialer: peer.NewDialer(creds)}
+	d := &Daemon{
+		settings: s,
+		creds:    creds,
+		events:   eventlog.New(s.Name, eventsKept),
+		dialer:   peer.NewDialer(creds),
+		cut:      make(chan struct{}),
+	}
 	store := platform.New(s.PlatformURL)
 	d.fleet = fleet.New(fleet.Options{
 		Self:      self(s),
@@ -77,146 +84,64 @@
 		MaxBodyBytes: int64(s.MaxBodyBytes),
 	})
 	d.ops = opsapi.New(opsapi.Options{Fleet: d.fleet, Events: d.events, Token: s.OpsToken, Open: d.callers.Open, Usage: d.host.Usage})
+	d.callerWeb = newWebServer("callers", s.CallerTLS, d.callerHandler())
+	d.opsWeb = newWebServer("operators", s.OpsTLS, d.ops.Handler())
 	return d, nil
 }
 
+// self is this router as its settings describe it.
 func self(s settings.Settings) member.Router {
 	return member.Router{
 		Name:        s.Name,
 		Incarnation: time.Now().UnixNano(),
 		Zone:        s.Zone,
 		Region:      s.Region,
-		CallerURL:   "http://" + s.CallerListen,
-		PeerAddr:    s.PeerListen,
-		OpsURL:      "http://" + s.OpsListen,
+		CallerURL:   webURL(s.CallerTLS, s.CallerAdvertise, s.CallerListen),
+		PeerAddr:    advertised(s.PeerAdvertise, s.PeerListen),
+		OpsURL:      webURL(s.OpsTLS, s.OpsAdvertise, s.OpsListen),
+	}
+}
+
+func webURL(t settings.ServerTLS, advertise, listen string) string {
+	if t.Mode == settings.Plain {
+		return "http://" + advertised(advertise, listen)
 	}
+	return "https://" + advertised(advertise, listen)
 }
 
-// Run serves until the context ends, then stops gracefully: it leaves the
-// address answers, waits until those given have run out and the last request
-// has ended, and releases its lease.
+func advertised(advertise, listen string) string {
+	if advertise != "" {
+		return advertise
+	}
+	return listen
+}
+
+// Run serves until the context ends, then stops gracefully; see drain. The
+// error of a stop that ended before the work did has code.WorkCut.
 func (d *Daemon) Run(ctx context.Context) error {
-	listeners, err := d.listen()
+	l, err := d.listen()
 	if err != nil {
 		return err
 	}
+	defer l.close()
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
-	root := d.supervise(listeners)
-	ended := root.ServeBackground(work)
+	ended := d.supervise(l).ServeBackground(work)
 	d.events.Add(eventlog.Event{Kind: eventlog.RouterStarted})
-	klog.InfoS("daemon: Started", "router", d.settings.Name)
+	klog.InfoS("daemon: Started", "router", d.fleet.Self().Name)
 	select {
 	case <-ctx.Done():
 	case err := <-ended:
 		return errors.Wrap(err, "supervisor ended")
 	}
-	err = d.drain()
+	err = d.drain(l)
 	stopWork()
 	<-ended
 	d.pools.Close()
 	d.dialer.Close()
-	klog.InfoS("daemon: Stopped", "router", d.settings.Name)
+	klog.InfoS("daemon: Stopped", "router", d.fleet.Self().Name)
 	return err
 }
 
-type listeners struct{ callers, peers, ops net.Listener }
-
-func (d *Daemon) listen() (listeners, error) {
-	var l listeners
-	var err error
-	if l.callers, err = net.Listen("tcp", d.settings.CallerListen); err != nil {
-		return l, errors.Wrap(err, "caller_listen")
-	}
-	if l.peers, err = net.Listen("tcp", d.settings.PeerListen); err != nil {
-		return l, errors.Wrap(err, "peer_listen")
-	}
-	if l.ops, err = net.Listen("tcp", d.settings.OpsListen); err != nil {
-		return l, errors.Wrap(err, "ops_listen")
-	}
-	return l, nil
-}
-
-// supervise returns the tree of parts; a part that fails is restarted.
-func (d *Daemon) supervise(l listeners) *suture.Supervisor {
-	root := suture.New("router", suture.Spec{EventHook: d.supervised})
-	root.Add(&part{name: "lease", serve: d.fleet.KeepLease})
-	root.Add(&part{name: "heartbeats", serve: d.fleet.KeepHeartbeats})
-	root.Add(&part{name: "manifest", serve: d.fleet.WatchManifest})
-	root.Add(&part{name: "pools", serve: d.host.Serve})
-	root.Add(&part{name: "peers", serve: func(ctx context.Context) error {
-		return peer.Serve(ctx, shared(l.peers), d.creds, peer.Handlers{Fleet: d.fleet, Admission: d.host, Orders: d.ledger})
-	}})
-	root.Add(&part{name: "callers", serve: func(ctx context.Context) error {
-		return serveHTTP(ctx, shared(l.callers), d.callers.Handler())
-	}})
-	root.Add(&part{name: "operators", serve: func(ctx context.Context) error {
-		return serveHTTP(ctx, shared(l.ops), d.ops.Handler())
-	}})
-	return root
-}
-
-func (d *Daemon) supervised(e suture.Event) {
-	klog.InfoS("daemon: Supervisor event", "event", e.String())
-	d.events.Add(eventlog.Event{Kind: eventlog.PartRestarted, Detail: e.String()})
-}
-
-// drain is the graceful part of a stop.
-func (d *Daemon) drain() error {
-	klog.InfoS("daemon: Stopping", "router", d.settings.Name)
-	d.events.Add(eventlog.Event{Kind: eventlog.RouterStopping})
-	d.fleet.SetLeaving(true)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.StopSeconds)*time.Second)
-	defer cancel()
-	select {
-	case <-ctx.Done():
-	case <-time.After(time.Duration(d.settings.AddressSeconds) * time.Second):
-	}
-	idle := make(chan struct{})
-	go func() {
-		d.callers.Wait()
-		d.ledger.Wait()
-		close(idle)
-	}()
-	select {
-	case <-ctx.Done():
-		return errors.Newf("%d requests still open after %d seconds", d.callers.Open(), d.settings.StopSeconds)
-	case <-idle:
-	}
-	ctx, cancelDrop := context.WithTimeout(context.Background(), dropTimeout)
-	defer cancelDrop()
-	if err := d.fleet.DropLease(ctx); err != nil {
-		klog.InfoS("daemon: Lease not released", "err", err)
-	}
-	return nil
-}
-
-// part is one supervised service.
-type part struct {
-	name  string
-	serve func(context.Context) error
-}
-
-// Serve runs the part until the context ends.
-func (p *part) Serve(ctx context.Context) error { return p.serve(ctx) }
-
-// String returns the part's name for the supervisor's log.
-func (p *part) String() string { return p.name }
-
-// shared lets a restarted part listen again: it never closes the listener.
-func shared(l net.Listener) net.Listener { return keptListener{l} }
-
-type keptListener struct{ net.Listener }
-
-// Close does nothing.
-func (keptListener) Close() error { return nil }
-
-func serveHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Protocols: protocols}
-	stop := context.AfterFunc(ctx, func() { s.Close() })
-	defer stop()
-	return errors.Wrap(s.Serve(l), "http server")
-}
+// Cut ends a graceful stop at once.
+func (d *Daemon) Cut() { d.cutOne.Do(func() { close(d.cut) }) }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -3,10 +3,7 @@
 // routers merge into one order that respects cause and effect.
 package eventlog
 
-import (
-	"sync"
-	"time"
-)
+import "sync"
 
 // Kind names what happened.
 type Kind string
@@ -31,6 +28,9 @@
 	PlatformLost     Kind = "platform_lost"
 	PlatformRegained Kind = "platform_regained"
 	PartRestarted    Kind = "part_restarted"
+	RouterStopped    Kind = "router_stopped"
+	StopCut          Kind = "stop_cut" // a stop that ended before the work did
+	SettingsReloaded Kind = "settings_reloaded"
 )
 
 // Event is one entry of the time line. Fields that don't apply are empty.
@@ -45,72 +45,66 @@
 	Detail   string `json:"detail,omitempty"`
 }
 
-// clockShift is the number of low bits of a clock value that count events
-// within one millisecond; the bits above hold Unix milliseconds.
-const clockShift = 16
-
-// Time returns the physical part of a clock value.
-func Time(clock int64) time.Time { return time.UnixMilli(clock >> clockShift) }
-
-// Clock is a hybrid logical clock: it never falls, and it exceeds every
-// value that Observe has seen. It is safe for concurrent use.
-type Clock struct {
-	mu   sync.Mutex
-	last int64
-}
-
-// Now returns the next value.
-func (c *Clock) Now() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.last = max(c.last+1, time.Now().UnixMilli()<<clockShift)
-	return c.last
-}
-
-// Observe moves the clock past a value from another router.
-func (c *Clock) Observe(other int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.last = max(c.last, other)
-}
+// The bounds of one event and of a whole log.
+const (
+	maxDetailBytes = 512
+	bytesPerEvent  = 512 // mean that a log of many large events may reach
+	fixedBytes     = 128 // of an event, apart from its strings
+)
 
-// Log is a ring of the newest events. It is safe for concurrent use.
+// Log is a ring of the newest events, bounded by their number and by the
+// memory they take. It is safe for concurrent use.
 type Log struct {
 	router string
 	clock  *Clock
 
-	mu     sync.Mutex
-	events []Event
-	next   int
-	full   bool
+	mu       sync.Mutex
+	ring     []Event
+	first    int // index of the oldest event
+	count    int
+	bytes    int
+	maxBytes int
+	dropped  int64 // events that made room for newer ones
 }
 
-// New returns a log that keeps the given number of events.
+// New returns a log that keeps at most the given number of events, and at
+// most 512 bytes times that number.
 func New(router string, size int) *Log {
-	return &Log{router: router, clock: &Clock{}, events: make([]Event, size)}
+	return &Log{router: router, clock: &Clock{}, ring: make([]Event, size), maxBytes: size * bytesPerEvent}
 }
 
 // Clock returns the log's clock, to be carried on messages to other routers.
 func (l *Log) Clock() *Clock { return l.clock }
 
-// Add stamps and keeps an event.
+// Add stamps and keeps an event. A detail over 512 bytes is cut.
 func (l *Log) Add(e Event) {
-	e.Clock = l.clock.Now()
 	e.Router = l.router
+	if len(e.Detail) > maxDetailBytes {
+		e.Detail = e.Detail[:maxDetailBytes]
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.events[l.next] = e
-	l.next = (l.next + 1) % len(l.events)
-	l.full = l.full || l.next == 0
+	e.Clock = l.clock.Now()
+	l.bytes += size(e)
+	for l.count == len(l.ring) || l.count > 0 && l.bytes > l.maxBytes {
+		l.dropOldest()
+	}
+	l.ring[(l.first+l.count)%len(l.ring)] = e
+	l.count++
 }
 
 // All returns the kept events, oldest first.
-func (l *Log) All() []Event {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var all []Event
-	if l.full {
-		all = append(all, l.events[l.next:]...)
-	}
-	return append(all, l.events[:l.next]...)
+func (l *Log) All() []Event { return l.Select(Filter{}).Events }
+
+func (l *Log) dropOldest() {
+	l.bytes -= size(l.ring[l.first])
+	l.ring[l.first] = Event{}
+	l.first = (l.first + 1) % len(l.ring)
+	l.count--
+	l.dropped++
+}
+
+// size is the memory that an event takes, in bytes.
+func size(e Event) int {
+	return fixedBytes + len(e.Request) + len(e.Account) + len(e.Endpoint) + len(e.Detail)
 }
--- /dev/null
+++ b/internal/eventlog/filter.go
@@ -0,0 +1,69 @@
+package eventlog
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Filter chooses events. A zero field chooses all.
+type Filter struct {
+	Request  string
+	Account  string
+	Endpoint string
+	Kind     Kind
+	From     time.Time // first instant
+	To       time.Time // first instant after the span
+	Limit    int       // newest events kept; 0: all
+}
+
+// Page is a part of a log.
+type Page struct {
+	Events  []Event `json:"events"`  // oldest first
+	Cut     bool    `json:"cut"`     // older events were left out for the limit
+	Dropped int64   `json:"dropped"` // events that the log has forgotten since the start
+}
+
+// Match reports whether the filter chooses an event; the limit aside.
+func (f Filter) Match(e Event) bool {
+	return matches(f.Request, e.Request) &&
+		matches(f.Account, e.Account) &&
+		matches(f.Endpoint, e.Endpoint) &&
+		matches(f.Kind, e.Kind) &&
+		(f.From.IsZero() || e.Clock >= FirstAt(f.From)) &&
+		(f.To.IsZero() || e.Clock < FirstAt(f.To))
+}
+
+// Select returns the newest events that the filter chooses.
+func (l *Log) Select(f Filter) Page {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	page := Page{Events: []Event{}, Dropped: l.dropped}
+	for i := l.count - 1; i >= 0; i-- {
+		e := l.ring[(l.first+i)%len(l.ring)]
+		if !f.Match(e) {
+			continue
+		}
+		if f.Limit > 0 && len(page.Events) == f.Limit {
+			page.Cut = true
+			break
+		}
+		page.Events = append(page.Events, e)
+	}
+	slices.Reverse(page.Events)
+	return page
+}
+
+// Merge returns the events of several logs in the order of their clocks.
+func Merge(parts ...[]Event) []Event {
+	merged := slices.Concat(parts...)
+	slices.SortStableFunc(merged, func(a, b Event) int {
+		if a.Clock != b.Clock {
+			return cmp.Compare(a.Clock, b.Clock)
+		}
+		return cmp.Compare(a.Router, b.Router)
+	})
+	return merged
+}
+
+func matches[T ~string](want, have T) bool { return want == "" || want == have }
--- a/internal/opsapi/opsapi.go
+++ b/internal/opsapi/opsapi.go
@@ -1,9 +1,13 @@
 // Package opsapi serves operators and the command line: state, time line,
-// metrics. It listens apart from the callers' listener and has its own
-// credential.
+// orders, metrics. It listens apart from the callers' listener and has its
+// own credential.
+//
+// Every refusal is a problem document with a numbered code. Only /health and
+// /ready need no credential; they tell nothing but whether the router serves.
 package opsapi
 
 import (
+	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
@@ -11,11 +15,13 @@
 	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+	"github.com/cyclamenwinch/cyclamenwinch/core/order"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 )
 
@@ -28,6 +34,17 @@
 	RemoteUsage() map[string]fair.Cost
 }
 
+// Orders reads and settles the records of orders. Errors are *code.Error.
+type Orders interface {
+	// Lookup returns the record of a client account's key.
+	Lookup(ctx context.Context, account, key string) (order.Record, error)
+	// Unknown returns the records whose outcome is not known.
+	Unknown(ctx context.Context) ([]order.Record, error)
+	// Settle gives an order of unknown outcome the outcome that the operator
+	// has found: order.Done or order.NotRun.
+	Settle(ctx context.Context, account, key string, outcome order.State) error
+}
+
 // Options configure an API.
 type Options struct {
 	Fleet  Fleet
@@ -35,77 +52,75 @@
 	Token  string
 	Open   func() int                  // open requests
 	Usage  func() map[string]fair.Cost // charged by this router
+	Pools  func() []PoolState          // owned by this router; nil: none
+	Orders Orders                      // nil: /orders is not served
 }
 
-// API serves operators.
+// API serves operators. It is safe for concurrent use.
 type API struct{ opts Options }
 
-// Status is the state of one router.
-type Status struct {
-	Router      member.Router    `json:"router"`
-	Generation  int64            `json:"generation"`  // in force here
-	Generations map[string]int64 `json:"generations"` // last heard of each router
-	Members     []member.Router  `json:"members"`
-	Open        int              `json:"open"`
-	Service     []AccountService `json:"service"`
-}
-
-// AccountService is the service of one client account over the fleet, as
-// this router knows it.
-type AccountService struct {
-	Account string    `json:"account"`
-	Share   float64   `json:"share"`
-	Cost    fair.Cost `json:"cost"` // cost units
-}
-
 // New returns an API.
 func New(opts Options) *API { return &API{opts: opts} }
 
 // Handler returns the HTTP handler.
 func (a *API) Handler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /ready", a.ready)
 	mux.HandleFunc("GET /status", a.guard(a.status))
 	mux.HandleFunc("GET /timeline", a.guard(a.timeline))
 	mux.HandleFunc("GET /metrics", a.guard(func(w http.ResponseWriter, r *http.Request) {
 		metrics.WritePrometheus(w, true)
 	}))
+	if a.opts.Orders != nil {
+		mux.HandleFunc("GET /orders", a.guard(a.lookUp))
+		mux.HandleFunc("GET /orders/unknown", a.guard(a.unknown))
+		mux.HandleFunc("POST /orders/settle", a.guard(a.settle))
+	}
+	mux.HandleFunc("/", a.guard(func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, r, code.Refuse(code.UnknownPath, r.Method+" "+r.URL.Path))
+	}))
 	return mux
 }
 
-// guard refuses a request without the operators' credential.
+// guard refuses a request without the operators' credential. Digests are
+// compared in constant time, so the time taken tells nothing about it.
 func (a *API) guard(next http.HandlerFunc) http.HandlerFunc {
 	want := sha256.Sum256([]byte(a.opts.Token))
 	return func(w http.ResponseWriter, r *http.Request) {
-		got := sha256.Sum256([]byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")))
-		if subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
-			http.Error(w, code.NotAuthorized.String(), http.StatusUnauthorized)
+		token, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		got := sha256.Sum256([]byte(token))
+		if subtle.ConstantTimeCompare(got[:], want[:]) != 1 || !bearer {
+			refuse(w, r, code.Refuse(code.NotAuthorized, ""))
 			return
 		}
 		next(w, r)
 	}
 }
 
-func (a *API) status(w http.ResponseWriter, r *http.Request) {
-	s := Status{
-		Router:      a.opts.Fleet.Self(),
-		Generations: a.opts.Fleet.Generations(),
-		Members:     a.opts.Fleet.View().Routers,
-		Open:        a.opts.Open(),
-		Service:     []AccountService{},
+// ready answers 200 while the router takes new work.
+func (a *API) ready(w http.ResponseWriter, r *http.Request) {
+	if err := a.readiness(); err != nil {
+		refuse(w, r, err)
 	}
-	local, remote := a.opts.Usage(), a.opts.Fleet.RemoteUsage()
-	if m := a.opts.Fleet.Manifest(); m != nil {
-		s.Generation = m.Generation
-		for _, account := range m.Accounts {
-			cost := local[account.Name] + remote[account.Name]
-			s.Service = append(s.Service, AccountService{Account: account.Name, Share: account.Share, Cost: cost})
-		}
+}
+
+func (a *API) readiness() error {
+	if a.opts.Fleet.Self().Leaving {
+		return code.Refuse(code.Stopping, "")
+	}
+	if a.opts.Fleet.Manifest() == nil {
+		return code.Refuse(code.NoManifest, "")
 	}
-	writeJSON(w, s)
+	return nil
 }
 
-func (a *API) timeline(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, a.opts.Events.All())
+func refuse(w http.ResponseWriter, r *http.Request, err error) {
+	failure := code.As(err)
+	klog.V(2).InfoS("operators: Call refused", "path", r.URL.Path, "code", int(failure.Code), "detail", failure.Detail)
+	w.Header().Set("Content-Type", code.ProblemType)
+	w.WriteHeader(failure.Code.Info().Status)
+	json.NewEncoder(w).Encode(code.NewProblem(failure, ""))
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
--- /dev/null
+++ b/internal/opsapi/opsapi_test.go
@@ -0,0 +1,193 @@
+package opsapi_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
+	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
+	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+	"github.com/cyclamenwinch/cyclamenwinch/core/order"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/opsapi"
+)
+
+func TestOpsAPI(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Operations API")
+}
+
+const token = "operators-token"
+
+// fakeFleet is a fleet of one router.
+type fakeFleet struct {
+	self     member.Router
+	manifest *manifest.Manifest
+}
+
+func (f *fakeFleet) Self() member.Router               { return f.self }
+func (f *fakeFleet) View() member.View                 { return member.NewView([]member.Router{f.self}) }
+func (f *fakeFleet) Manifest() *manifest.Manifest      { return f.manifest }
+func (f *fakeFleet) Generations() map[string]int64     { return map[string]int64{f.self.Name: 1} }
+func (f *fakeFleet) RemoteUsage() map[string]fair.Cost { return map[string]fair.Cost{"hotels": 2} }
+
+// fakeOrders holds one record.
+type fakeOrders struct{ record order.Record }
+
+func (f *fakeOrders) Lookup(_ context.Context, account, key string) (order.Record, error) {
+	if account != f.record.Account || key != f.record.Key {
+		return order.Record{}, code.Refuse(code.NotRecorded, key)
+	}
+	return f.record, nil
+}
+
+func (f *fakeOrders) Unknown(context.Context) ([]order.Record, error) {
+	if f.record.State != order.Unknown {
+		return nil, nil
+	}
+	return []order.Record{f.record}, nil
+}
+
+func (f *fakeOrders) Settle(_ context.Context, _, _ string, outcome order.State) error {
+	f.record.State = outcome
+	return nil
+}
+
+var _ = Describe("the operations API", func() {
+	var (
+		fleet  *fakeFleet
+		orders *fakeOrders
+		events *eventlog.Log
+		h      http.Handler
+	)
+
+	BeforeEach(func() {
+		fleet = &fakeFleet{self: member.Router{Name: "router-a", Zone: "z1"}, manifest: &manifest.Manifest{
+			Generation: 1,
+			Zones:      []manifest.Zone{{Name: "z1", Region: "r", State: manifest.Out}},
+			Accounts:   []manifest.Account{{Name: "hotels", Share: 3}},
+			Endpoints:  []manifest.Endpoint{{Name: "runner-1", Pool: "drafting", Zone: "z1", State: manifest.In}},
+		}}
+		orders = &fakeOrders{record: order.Record{Account: "hotels", Key: "k", State: order.Unknown}}
+		events = eventlog.New("router-a", 100)
+		h = opsapi.New(opsapi.Options{
+			Fleet: fleet, Events: events, Token: token, Orders: orders,
+			Open:  func() int { return 4 },
+			Usage: func() map[string]fair.Cost { return map[string]fair.Cost{"hotels": 5} },
+			Pools: func() []opsapi.PoolState { return []opsapi.PoolState{{Scope: "drafting/r"}} },
+		}).Handler()
+	})
+
+	// call returns the status and reads a 200 answer into out, another one
+	// into a problem.
+	call := func(credential, method, path, body string, out any) (int, code.Problem) {
+		r := httptest.NewRequest(method, path, strings.NewReader(body))
+		r.Header.Set("Authorization", credential)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		var p code.Problem
+		if w.Code != http.StatusOK {
+			Expect(w.Header().Get("Content-Type")).To(Equal(code.ProblemType))
+			Expect(json.Unmarshal(w.Body.Bytes(), &p)).To(Succeed())
+		} else if out != nil {
+			Expect(json.Unmarshal(w.Body.Bytes(), out)).To(Succeed())
+		}
+		return w.Code, p
+	}
+	get := func(path string, out any) (int, code.Problem) {
+		return call("Bearer "+token, "GET", path, "", out)
+	}
+
+	DescribeTable("refuses any other credential", func(credential string) {
+		for _, path := range []string{"/status", "/timeline", "/metrics", "/orders", "/orders/unknown", "/anything"} {
+			status, p := call(credential, "GET", path, "", nil)
+			Expect(status).To(Equal(http.StatusUnauthorized), path)
+			Expect(p.Code).To(Equal(int(code.NotAuthorized)))
+		}
+		status, _ := call(credential, "POST", "/orders/settle", `{"account":"hotels","key":"k","outcome":"done"}`, nil)
+		Expect(status).To(Equal(http.StatusUnauthorized))
+		Expect(orders.record.State).To(Equal(order.Unknown))
+	},
+		Entry("none", ""),
+		Entry("a caller's key", "Bearer demo-hotels"),
+		Entry("the token without its scheme", token),
+		Entry("a start of the token", "Bearer "+token[:4]),
+	)
+
+	It("shows the state", func() {
+		var s opsapi.Status
+		Expect(get("/status", &s)).To(Equal(http.StatusOK))
+		Expect(s.Generation).To(Equal(int64(1)))
+		Expect(s.Open).To(Equal(4))
+		Expect(s.Service).To(Equal([]opsapi.AccountService{{Account: "hotels", Share: 3, Cost: 7}}))
+		Expect(s.Zones).To(Equal([]opsapi.ZoneState{{Zone: "z1", Region: "r", State: manifest.Out}}))
+		Expect(s.Endpoints).To(Equal([]opsapi.EndpointState{{Endpoint: "runner-1", Pool: "drafting", Zone: "z1"}}))
+		Expect(s.Pools).To(HaveLen(1))
+	})
+
+	It("shows the state before there is a manifest", func() {
+		fleet.manifest = nil
+		var s opsapi.Status
+		Expect(get("/status", &s)).To(Equal(http.StatusOK))
+		Expect(s.Generation).To(BeZero())
+	})
+
+	It("is ready only with a manifest and while it stays", func() {
+		Expect(call("", "GET", "/ready", "", nil)).To(Equal(http.StatusOK))
+		fleet.self.Leaving = true
+		_, p := call("", "GET", "/ready", "", nil)
+		Expect(p.Code).To(Equal(int(code.Stopping)))
+		fleet.self.Leaving, fleet.manifest = false, nil
+		_, p = call("", "GET", "/ready", "", nil)
+		Expect(p.Code).To(Equal(int(code.NoManifest)))
+	})
+
+	It("filters and bounds the time line", func() {
+		for _, request := range []string{"1", "2", "1"} {
+			events.Add(eventlog.Event{Request: request})
+		}
+		var page eventlog.Page
+		Expect(get("/timeline?request=1", &page)).To(Equal(http.StatusOK))
+		Expect(page.Events).To(HaveLen(2))
+		page = eventlog.Page{}
+		Expect(get("/timeline?limit=1", &page)).To(Equal(http.StatusOK))
+		Expect(page.Events).To(HaveLen(1))
+		Expect(page.Cut).To(BeTrue())
+		Expect(page.Events[0].Request).To(Equal("1"))
+	})
+
+	DescribeTable("names what is wrong with a query", func(path string, want code.Code) {
+		_, p := get(path, nil)
+		Expect(p.Code).To(Equal(int(want)))
+		Expect(p.Next).NotTo(BeEmpty())
+	},
+		Entry("limit", "/timeline?limit=0", code.BadRequest),
+		Entry("limit over the bound", "/timeline?limit=1000000", code.BadRequest),
+		Entry("from", "/timeline?from=today", code.BadRequest),
+		Entry("an order that is not recorded", "/orders?account=hotels&key=other", code.NotRecorded),
+		Entry("a path", "/nothing", code.UnknownPath),
+	)
+
+	It("looks up, lists and settles orders", func() {
+		var found order.Record
+		Expect(get("/orders?account=hotels&key=k", &found)).To(Equal(http.StatusOK))
+		Expect(found.State).To(Equal(order.Unknown))
+		var list []order.Record
+		Expect(get("/orders/unknown", &list)).To(Equal(http.StatusOK))
+		Expect(list).To(HaveLen(1))
+		_, p := call("Bearer "+token, "POST", "/orders/settle", `{"account":"hotels","key":"k","outcome":"claimed"}`, nil)
+		Expect(p.Code).To(Equal(int(code.BadRequest)))
+		status, _ := call("Bearer "+token, "POST", "/orders/settle", `{"account":"hotels","key":"k","outcome":"done"}`, nil)
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(get("/orders/unknown", &list)).To(Equal(http.StatusOK))
+		Expect(list).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/internal/opsapi/orders.go
@@ -0,0 +1,57 @@
+package opsapi
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/core/order"
+)
+
+// maxSettleBytes bounds the body of POST /orders/settle.
+const maxSettleBytes = 4096
+
+// Settlement is the body of POST /orders/settle.
+type Settlement struct {
+	Account string      `json:"account"`
+	Key     string      `json:"key"`
+	Outcome order.State `json:"outcome"` // order.Done or order.NotRun
+}
+
+func (a *API) lookUp(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	record, err := a.opts.Orders.Lookup(r.Context(), q.Get("account"), q.Get("key"))
+	if err != nil {
+		refuse(w, r, err)
+		return
+	}
+	writeJSON(w, record)
+}
+
+func (a *API) unknown(w http.ResponseWriter, r *http.Request) {
+	records, err := a.opts.Orders.Unknown(r.Context())
+	if err != nil {
+		refuse(w, r, err)
+		return
+	}
+	writeJSON(w, append([]order.Record{}, records...))
+}
+
+func (a *API) settle(w http.ResponseWriter, r *http.Request) {
+	var s Settlement
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSettleBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		refuse(w, r, code.Refuse(code.BadRequest, err.Error()))
+		return
+	}
+	if s.Outcome != order.Done && s.Outcome != order.NotRun {
+		refuse(w, r, code.Refuse(code.BadRequest, `outcome is "`+string(s.Outcome)+`": want "done" or "not_run"`))
+		return
+	}
+	if err := a.opts.Orders.Settle(r.Context(), s.Account, s.Key, s.Outcome); err != nil {
+		refuse(w, r, err)
+		return
+	}
+	writeJSON(w, s)
+}
--- /dev/null
+++ b/internal/schema/schema_test.go
@@ -0,0 +1,104 @@
+package schema_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"github.com/cyclamenwinch/cyclamenwinch/internal/schema"
+)
+
+func TestSchema(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "JSON Schemas")
+}
+
+// compile returns the validator of a published schema.
+func compile(name schema.Name) *jsonschema.Schema {
+	text, err := schema.Text(name)
+	Expect(err).NotTo(HaveOccurred())
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	Expect(err).NotTo(HaveOccurred())
+	c := jsonschema.NewCompiler()
+	Expect(c.AddResource(string(name), doc)).To(Succeed())
+	s, err := c.Compile(string(name))
+	Expect(err).NotTo(HaveOccurred())
+	return s
+}
+
+func read(file string) map[string]any {
+	data, err := os.ReadFile(file)
+	Expect(err).NotTo(HaveOccurred())
+	var doc map[string]any
+	Expect(json.Unmarshal(data, &doc)).To(Succeed())
+	return doc
+}
+
+var _ = Describe("the published schemas", func() {
+	DescribeTable("accept the examples", func(name schema.Name, pattern string) {
+		files, err := filepath.Glob(pattern)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(files).NotTo(BeEmpty())
+		s := compile(name)
+		for _, file := range files {
+			Expect(s.Validate(read(file))).To(Succeed(), file)
+		}
+	},
+		Entry("manifest", schema.Manifest, "../../examples/*/manifest.json"),
+		Entry("settings", schema.Settings, "../../examples/*/router-*.json"),
+	)
+
+	DescribeTable("refuse", func(name schema.Name, file string, change func(map[string]any)) {
+		doc := read(file)
+		change(doc)
+		Expect(compile(name).Validate(doc)).NotTo(Succeed())
+	},
+		Entry("an unknown field", schema.Manifest, "../../examples/annex/manifest.json", func(d map[string]any) { d["shares"] = 1 }),
+		Entry("no zones", schema.Manifest, "../../examples/annex/manifest.json", func(d map[string]any) { d["zones"] = []any{} }),
+		Entry("a share of 0", schema.Manifest, "../../examples/annex/manifest.json", func(d map[string]any) {
+			d["accounts"].([]any)[0].(map[string]any)["share"] = 0
+		}),
+		Entry("a wild state", schema.Manifest, "../../examples/annex/manifest.json", func(d map[string]any) {
+			d["zones"].([]any)[0].(map[string]any)["state"] = "drained"
+		}),
+		Entry("a missing name", schema.Settings, "../../examples/annex/router-a.json", func(d map[string]any) { delete(d, "name") }),
+		Entry("a number out of range", schema.Settings, "../../examples/annex/router-a.json", func(d map[string]any) { d["verbosity"] = 9 }),
+		Entry("an unsaid mode", schema.Settings, "../../examples/annex/router-a.json", func(d map[string]any) {
+			d["ops_tls"].(map[string]any)["mode"] = "none"
+		}),
+	)
+
+	It("describe every field", func() {
+		for _, name := range []schema.Name{schema.Manifest, schema.Settings} {
+			text, err := schema.Text(name)
+			Expect(err).NotTo(HaveOccurred())
+			var root schema.Node
+			Expect(json.Unmarshal(text, &root)).To(Succeed())
+			expectDescribed(&root, string(name))
+		}
+	})
+
+	It("are two", func() {
+		_, err := schema.Text("orders")
+		Expect(err).To(MatchError(ContainSubstring(`"manifest" or "settings"`)))
+	})
+})
+
+// expectDescribed expects a description at every scalar field below n.
+func expectDescribed(n *schema.Node, path string) {
+	for name, field := range n.Properties {
+		if field.Type != "object" {
+			Expect(field.Description).NotTo(BeEmpty(), path+"."+name)
+		}
+		expectDescribed(field, path+"."+name)
+	}
+	if n.Items != nil {
+		expectDescribed(n.Items, path+"[]")
+	}
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,55 +1,72 @@
 #!/usr/bin/env bash
 # Runs a small fleet on loopback: three routers, the platform's stand-in, two
 # model runners and one order runner; sends the example requests, prints
-# answers, service and time line, and stops everything gracefully.
+# answers, service, time line and one request's story, and stops everything
+# gracefully. It fails if any step fails.
+#
+#   scripts/demo.sh [nile-perch|annex]
+#
+# DEMO_PORTS=24 moves the ports from 19xxx to 24xxx.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 example=${1:-nile-perch}
-dir=examples/$example
+ports=${DEMO_PORTS:-19}
 out=$(mktemp -d)
 bin=$out/bin
+dir=$out/$example
 pids=()
 cleanup() {
+  status=$?
   for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
   wait
+  if [ $status != 0 ]; then echo "The demo failed; the processes' log:"; cat "$out/log"; fi
   rm -rf "$out"
+  exit $status
 }
 trap cleanup EXIT
 mkdir "$bin"
 go build -o "$bin/" ./cmd/...
+cp -r "examples/$example" "$dir"
+sed -i "s/127\.0\.0\.1:19/127.0.0.1:$ports/g" "$dir"/*.json
 start() { "$@" >>"$out/log" 2>&1 & pids+=($!); }
+# ready waits until the last started process listens on a port.
 ready() {
-  for _ in $(seq 100); do
+  for _ in $(seq 300); do
+    if ! kill -0 "${pids[-1]}" 2>/dev/null; then echo "the process for port $1 has ended"; return 1; fi
     if (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; then return 0; fi
     sleep 0.1
   done
-  echo "nothing listens on port $1"; cat "$out/log"; return 1
+  echo "nothing listens on port $1"
+  return 1
 }
-start "$bin/cyclamenwinch-standin" --role platform --listen 127.0.0.1:19000
-start "$bin/cyclamenwinch-standin" --role model --name runner-1 --listen 127.0.0.1:19100
-start "$bin/cyclamenwinch-standin" --role model --name runner-2 --listen 127.0.0.1:19101
-start "$bin/cyclamenwinch-standin" --role order --name orders-1 --fence --listen 127.0.0.1:19200
-for port in 19000 19100 19101 19200; do ready $port; done
+start "$bin/cyclamenwinch-standin" --role platform --listen "127.0.0.1:${ports}000"; ready "${ports}000"
+start "$bin/cyclamenwinch-standin" --role model --name runner-1 --listen "127.0.0.1:${ports}100"; ready "${ports}100"
+start "$bin/cyclamenwinch-standin" --role model --name runner-2 --listen "127.0.0.1:${ports}101"; ready "${ports}101"
+start "$bin/cyclamenwinch-standin" --role order --name orders-1 --fence --listen "127.0.0.1:${ports}200"; ready "${ports}200"
 routers=()
 for r in a b c; do
+  "$bin/cyclamenwinchd" --settings "$dir/router-$r.json" --check >>"$out/log"
   start "$bin/cyclamenwinchd" --settings "$dir/router-$r.json"
   routers+=("${pids[-1]}")
 done
-for port in 19010 19011 19012 19030; do ready $port; done
-export CYCLAMENWINCH_PLATFORM=http://127.0.0.1:19000 CYCLAMENWINCH_OPS=http://127.0.0.1:19030 CYCLAMENWINCH_TOKEN=demo-ops
+export CYCLAMENWINCH_PLATFORM=http://127.0.0.1:${ports}000
+export CYCLAMENWINCH_OPS=http://127.0.0.1:${ports}030,http://127.0.0.1:${ports}031
+export CYCLAMENWINCH_TOKEN=demo-ops
+for port in 030 031 032; do ready "$ports$port"; done
+echo "== Configuration"
 "$bin/cyclamenwinch" check "$dir/manifest.json"
 "$bin/cyclamenwinch" submit "$dir/manifest.json"
-"$bin/cyclamenwinch" wait --generation 1
+"$bin/cyclamenwinch" wait --generation 1 --routers 3
 echo; echo "== Answers"
-"$bin/cyclamenwinch-load" call --router http://127.0.0.1:19010 "$dir/requests.json"
-echo; echo "== Service"
-sleep 1
+"$bin/cyclamenwinch-load" call --router "http://127.0.0.1:${ports}010" "$dir/requests.json"
+echo; echo "== State and service"
 "$bin/cyclamenwinch" status
 echo; echo "== Time line"
-"$bin/cyclamenwinch" timeline
+"$bin/cyclamenwinch" timeline | tee "$out/timeline"
+request=$(awk '$3 == "request_ended" { print $4; exit }' "$out/timeline")
+echo; echo "== Story of request $request"
+"$bin/cyclamenwinch" explain "$request"
 echo; echo "== Stop"
-failed=0
 for pid in "${routers[@]}"; do kill -TERM "$pid"; done
-for pid in "${routers[@]}"; do wait "$pid" || failed=1; done
-[ $failed = 0 ] || { cat "$out/log"; exit 1; }
+for pid in "${routers[@]}"; do wait "$pid"; done
 echo "All routers stopped gracefully."
