--- a/cmd/cyclamenwinch-load/main.go
+++ b/cmd/cyclamenwinch-load/main.go
@@ -1,86 +1,27 @@
-// Command cyclamenwinch-load plays callers. It is for tests, demos and
-// measurements only.
+// Command cyclamenwinch-load plays callers, measures a fleet and judges it
+// from outside. It is for tests, demos and measurements only.
 package main
 
 import (
-	"context"
-	"encoding/json"
-	"fmt"
 	"os"
-	"time"
 
-	"github.com/cockroachdb/errors"
 	flag "github.com/jessevdk/go-flags"
-
-	"github.com/cyclamenwinch/cyclamenwinch/load"
-)
-
-const (
-	callTimeout = 60 * time.Second
-	shownChars  = 72
 )
 
 func main() {
 	parser := flag.NewParser(nil, flag.Default)
-	if _, err := parser.AddCommand("call", "send the requests of a file, each twice if it has a key", "", &callCommand{}); err != nil {
-		panic(err)
+	add := func(name, short string, command any) {
+		if _, err := parser.AddCommand(name, short, "", command); err != nil {
+			panic(err)
+		}
 	}
+	add("call", "send the requests of a file, each twice if it has a key", &callCommand{})
+	add("layout", "write manifest, settings and plans of a fleet on loopback", &layoutCommand{})
+	add("run", "send a plan's requests and report the measures", &runCommand{})
+	add("compare", "compare a report with its baseline's", &compareCommand{})
+	add("plot", "draw reports over time", &plotCommand{})
+	add("check", "judge a fleet by callers' logs, order counts and the platform's history", &checkCommand{})
 	if _, err := parser.Parse(); err != nil {
 		os.Exit(1)
 	}
 }
-
-type callCommand struct {
-	Router string `long:"router" required:"true" description:"address of any router"`
-	Zone   string `long:"zone" description:"availability zone of the caller"`
-	Args   struct {
-		File string `positional-arg-name:"requests.json" required:"yes"`
-	} `positional-args:"yes"`
-}
-
-// Execute sends the requests and fails if any answer is not whole.
-func (c *callCommand) Execute([]string) error {
-	data, err := os.ReadFile(c.Args.File)
-	if err != nil {
-		return errors.Wrap(err, "read requests")
-	}
-	var requests []load.Request
-	if err := json.Unmarshal(data, &requests); err != nil {
-		return errors.Wrap(err, "read requests")
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	caller := load.NewCaller(c.Router, c.Zone)
-	for _, r := range requests {
-		if err := send(ctx, caller, r, false); err != nil {
-			return err
-		}
-		if r.Key == "" {
-			continue
-		}
-		if err := send(ctx, caller, r, true); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func send(ctx context.Context, caller *load.Caller, r load.Request, resend bool) error {
-	router, err := caller.Address(ctx)
-	if err != nil {
-		return err
-	}
-	reply, err := caller.Send(ctx, router, r)
-	if err != nil {
-		return errors.Wrap(err, r.Name)
-	}
-	if !reply.Whole || reply.Replayed != resend {
-		return errors.Newf("%s: status %d, whole %v, replayed %v: %s", r.Name, reply.Status, reply.Whole, reply.Replayed, reply.Text)
-	}
-	text := reply.Text
-	if len(text) > shownChars {
-		text = text[:shownChars] + "..."
-	}
-	fmt.Printf("%-22s %d replayed=%-5v first=%-8v %s\n", r.Name, reply.Status, reply.Replayed, reply.FirstToken.Round(time.Millisecond), text)
-	return nil
-}
--- /dev/null
+++ b/load/control.go
@@ -0,0 +1,68 @@
+package load
+
+import (
+	"fmt"
+	"io"
+)
+
+// The metrics of a router that the report reads.
+const (
+	peerBytes     = "cyclamenwinch_peer_bytes_total"
+	platformCalls = "cyclamenwinch_platform_calls_total"
+	cpuSeconds    = "process_cpu_seconds_total"
+	residentBytes = "process_resident_memory_bytes"
+	goroutines    = "go_goroutines"
+	bytesPerMB    = 1 << 20
+	bytesPerKB    = 1 << 10
+)
+
+// Control is the traffic between the routers and with the platform, and what
+// the routers spent.
+type Control struct {
+	PlatformReads   float64         `json:"platform_reads_per_second"` // by the platform's count
+	PlatformWrites  float64         `json:"platform_writes_per_second"`
+	PlatformWatches float64         `json:"platform_watches_per_second"`
+	Routers         []RouterControl `json:"routers"`
+}
+
+// RouterControl is one router's part.
+type RouterControl struct {
+	Router        string  `json:"router"`
+	PeerKBPerSec  float64 `json:"peer_kb_per_second"` // sent and received; 0: not exported
+	PlatformCalls float64 `json:"platform_calls_per_second"`
+	CorePercent   float64 `json:"core_percent"`
+	ResidentMB    float64 `json:"resident_mb"`
+	Goroutines    float64 `json:"goroutines"`
+}
+
+func (r *Result) control() Control {
+	elapsed := r.After.At.Sub(r.Before.At).Seconds()
+	rate := func(before, after int64) float64 { return float64(after-before) / elapsed }
+	b, a := r.Before.Platform, r.After.Platform
+	c := Control{
+		PlatformReads:   rate(b.Reads, a.Reads),
+		PlatformWrites:  rate(b.Writes, a.Writes),
+		PlatformWatches: rate(b.Watches, a.Watches),
+	}
+	for _, name := range sortedNames(r.After.Routers) {
+		before, after := r.Before.Routers[name], r.After.Routers[name]
+		grown := func(metric string) float64 { return (after.Sum(metric) - before.Sum(metric)) / elapsed }
+		c.Routers = append(c.Routers, RouterControl{
+			Router:        name,
+			PeerKBPerSec:  grown(peerBytes) / bytesPerKB,
+			PlatformCalls: grown(platformCalls),
+			CorePercent:   percentOfWhole * grown(cpuSeconds),
+			ResidentMB:    after[residentBytes] / bytesPerMB,
+			Goroutines:    after[goroutines],
+		})
+	}
+	return c
+}
+
+func (c Control) print(w io.Writer) {
+	fmt.Fprintf(w, "CONTROL\tplatform: %.1f reads, %.1f writes, %.1f watches a second\n", c.PlatformReads, c.PlatformWrites, c.PlatformWatches)
+	for _, r := range c.Routers {
+		fmt.Fprintf(w, "CONTROL\t%s: peers %.2f KB/s, platform %.1f calls/s, %.1f%% of a core, %.0f MB, %.0f goroutines\n",
+			r.Router, r.PeerKBPerSec, r.PlatformCalls, r.CorePercent, r.ResidentMB, r.Goroutines)
+	}
+}
--- /dev/null
+++ b/load/gap.go
@@ -0,0 +1,104 @@
+package load
+
+import "sort"
+
+// Sample is what the callers and the runners showed at one moment.
+type Sample struct {
+	AtMillis   int64              `json:"at_ms"`
+	Service    map[string]float64 `json:"service"`    // tokens received so far
+	Backlogged map[string]bool    `json:"backlogged"` // accounts with waiting work
+	Running    map[string]int     `json:"running"`    // requests at each runner
+}
+
+// Gap is the largest difference of service over share that grew between two
+// accounts in a window in which both were backlogged.
+type Gap struct {
+	Cost       float64 `json:"cost"` // cost units over share
+	Accounts   string  `json:"accounts"`
+	FromMillis int64   `json:"from_ms"`
+	ToMillis   int64   `json:"to_ms"`
+	// PairSeconds is the time over which pairs were compared.
+	PairSeconds float64    `json:"pair_seconds"`
+	Series      []GapPoint `json:"series"`
+}
+
+// GapPoint is the largest gap of any window that is open at a moment.
+type GapPoint struct {
+	AtMillis int64   `json:"at_ms"`
+	Cost     float64 `json:"cost"`
+}
+
+// FairnessGap measures the gap over samples. For a pair, the largest change
+// of the difference in any window within a joint backlog is the range of the
+// difference over that backlog.
+func FairnessGap(samples []Sample, shares map[string]float64) Gap {
+	var gap Gap
+	names := sortedNames(shares)
+	open := map[[2]string]*span{}
+	for _, s := range samples {
+		point := GapPoint{AtMillis: s.AtMillis}
+		for i, a := range names {
+			for _, b := range names[i+1:] {
+				pair := [2]string{a, b}
+				if !s.Backlogged[a] || !s.Backlogged[b] {
+					delete(open, pair)
+					continue
+				}
+				w := open[pair]
+				if w == nil {
+					w = &span{}
+					open[pair] = w
+				}
+				gap.PairSeconds += w.add(s.AtMillis, s.Service[a]/shares[a]-s.Service[b]/shares[b])
+				point.Cost = max(point.Cost, w.width())
+				gap.take(w, a+" and "+b)
+			}
+		}
+		gap.Series = append(gap.Series, point)
+	}
+	return gap
+}
+
+func (g *Gap) take(w *span, accounts string) {
+	if w.width() <= g.Cost {
+		return
+	}
+	g.Cost, g.Accounts = w.width(), accounts
+	g.FromMillis, g.ToMillis = min(w.lowAt, w.highAt), max(w.lowAt, w.highAt)
+}
+
+// span is the range of a difference over one joint backlog.
+type span struct {
+	begun         bool
+	low, high     float64
+	lowAt, highAt int64
+	last          int64
+}
+
+// add widens the range and returns the seconds since the last value.
+func (w *span) add(at int64, difference float64) float64 {
+	if !w.begun {
+		*w = span{begun: true, low: difference, high: difference, lowAt: at, highAt: at, last: at}
+		return 0
+	}
+	if difference < w.low {
+		w.low, w.lowAt = difference, at
+	}
+	if difference > w.high {
+		w.high, w.highAt = difference, at
+	}
+	seconds := float64(at-w.last) / 1000
+	w.last = at
+	return seconds
+}
+
+func (w *span) width() float64 { return w.high - w.low }
+
+func sortedNames[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/load/record.go
@@ -0,0 +1,137 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// End says how a request ended for its caller.
+type End string
+
+// The ends of a request.
+const (
+	Whole   End = "whole"   // the whole answer to this very request
+	Wrong   End = "wrong"   // whole, but not the answer to this request
+	Short   End = "short"   // broke off; the caller could see that
+	Refused End = "refused" // a numbered refusal or failure
+	Left    End = "left"    // the caller's patience ran out
+	Lost    End = "lost"    // no connection, or it broke before any answer
+)
+
+// Record is one line of the callers' log.
+type Record struct {
+	AtMillis    int64   `json:"at_ms"` // since the start of the run
+	Account     string  `json:"account"`
+	Zone        string  `json:"zone"`
+	Router      string  `json:"router"`
+	Key         string  `json:"key,omitempty"`
+	Resend      bool    `json:"resend,omitempty"`
+	End         End     `json:"end"`
+	Status      int     `json:"status,omitempty"`
+	Code        int     `json:"code,omitempty"`
+	NotRun      bool    `json:"not_run,omitempty"`
+	Replayed    bool    `json:"replayed,omitempty"`
+	Tokens      int     `json:"tokens,omitempty"`
+	FirstMillis float64 `json:"first_ms,omitempty"` // 0: no token seen
+	TotalMillis float64 `json:"total_ms"`
+	Answer      string  `json:"answer,omitempty"` // an order's whole answer
+	Error       string  `json:"error,omitempty"`
+}
+
+// judge fills the end of a record from what its caller saw.
+func (r *Record) judge(a Arrival, reply Reply, err error, left bool) {
+	r.Status, r.Replayed, r.Tokens = reply.Status, reply.Replayed, reply.Tokens
+	r.FirstMillis, r.TotalMillis = millis(reply.FirstToken), millis(reply.Total)
+	if reply.Problem != nil {
+		r.Code, r.NotRun = reply.Problem.Code, reply.Problem.NotRun
+	}
+	if err != nil {
+		r.Error = err.Error()
+	}
+	if a.Key != "" && reply.Whole {
+		r.Answer = reply.Text
+	}
+	r.End = end(a, reply, err, left)
+}
+
+func end(a Arrival, reply Reply, err error, left bool) End {
+	switch {
+	case reply.Whole && reply.rightFor(a):
+		return Whole
+	case reply.Whole:
+		return Wrong
+	case left:
+		return Left
+	case reply.Tokens > 0:
+		return Short
+	case reply.Problem != nil:
+		return Refused
+	case err != nil:
+		return Lost
+	}
+	return Short
+}
+
+// Log collects the records of a run. It is safe for concurrent use.
+type Log struct {
+	mu      sync.Mutex
+	records []Record
+}
+
+// Add keeps a record.
+func (l *Log) Add(r Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, r)
+}
+
+// Records returns the records so far.
+func (l *Log) Records() []Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Record(nil), l.records...)
+}
+
+// WriteRecords writes one JSON line for each record.
+func WriteRecords(w io.Writer, records []Record) error {
+	enc := json.NewEncoder(w)
+	for _, r := range records {
+		if err := enc.Encode(r); err != nil {
+			return errors.Wrap(err, "write callers' log")
+		}
+	}
+	return nil
+}
+
+// ReadRecords reads what WriteRecords wrote.
+func ReadRecords(r io.Reader) ([]Record, error) {
+	var records []Record
+	dec := json.NewDecoder(bufio.NewReader(r))
+	for {
+		var record Record
+		err := dec.Decode(&record)
+		if err == io.EOF {
+			return records, nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "read callers' log")
+		}
+		records = append(records, record)
+	}
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// rightFor reports whether a whole answer is the one to this request.
+func (r *Reply) rightFor(a Arrival) bool {
+	if a.Key != "" {
+		return r.Status == http.StatusOK
+	}
+	return r.Text == Answer(a.Prompt, a.Tokens)
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,318 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	highestMicros  = int64(10 * time.Minute / time.Microsecond)
+	figuresKept    = 3
+	msPerSecond    = 1000.0
+	percentOfWhole = 100.0
+)
+
+// Phase is a part of a run, by the state of the zone that moves.
+type Phase string
+
+// The phases of a run.
+const (
+	Before Phase = "before"
+	Out    Phase = "zone out"
+	Back   Phase = "zone back"
+)
+
+// Report holds the users' four measures of one run.
+type Report struct {
+	Policy      Policy           `json:"policy"`
+	Seed        uint64           `json:"seed"`
+	Seconds     float64          `json:"seconds"`
+	Requests    int              `json:"requests"`
+	Gap         Gap              `json:"gap"`
+	GapBound    float64          `json:"gap_bound"` // the formula's value; 0: none given
+	Utilisation []PhaseUse       `json:"utilisation"`
+	Service     []PhaseService   `json:"service"`
+	Control     Control          `json:"control"`
+	Accounts    []AccountService `json:"accounts"`
+	Move        *MoveReport      `json:"zone_move,omitempty"`
+	Ends        map[End]int      `json:"ends"`
+	Codes       map[int]int      `json:"codes"` // of refusals and failures
+	Use         []UsePoint       `json:"use"`
+}
+
+// PhaseUse is the part of the slots' time in use while work waited.
+type PhaseUse struct {
+	Phase         Phase   `json:"phase"`
+	Percent       float64 `json:"percent"`
+	BackloggedSec float64 `json:"backlogged_seconds"`
+}
+
+// UsePoint is the part of the slots in use at a moment.
+type UsePoint struct {
+	AtMillis int64   `json:"at_ms"`
+	Percent  float64 `json:"percent"`
+	Waiting  bool    `json:"waiting"`
+}
+
+// PhaseService is the service of a group of client accounts in a phase.
+type PhaseService struct {
+	Phase   Phase       `json:"phase"`
+	Group   string      `json:"group"` // "flooding" or "others"
+	Sent    int         `json:"sent"`
+	Ends    map[End]int `json:"ends"`
+	FirstMs Percentiles `json:"first_token_ms"`
+}
+
+// Percentiles of a time in milliseconds.
+type Percentiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+}
+
+// AccountService is what one client account received.
+type AccountService struct {
+	Account string      `json:"account"`
+	Share   float64     `json:"share"`
+	Flood   bool        `json:"flood"`
+	Cost    float64     `json:"cost"` // tokens received
+	PerUnit float64     `json:"cost_per_share"`
+	FirstMs Percentiles `json:"first_token_ms"`
+	Ends    map[End]int `json:"ends"`
+}
+
+// MoveReport says what the moved zone's runners did.
+type MoveReport struct {
+	Zone          string  `json:"zone"`
+	OutAtSec      float64 `json:"out_at_seconds"`
+	BackAtSec     float64 `json:"back_at_seconds"`
+	LastBusyMs    int64   `json:"last_busy_ms"`    // after the accepted change; the longest work in progress included
+	CutWhileMoved int     `json:"cut_while_moved"` // answers that broke off from the change to its return
+}
+
+// NewReport computes the measures of a run.
+func NewReport(r *Result) *Report {
+	report := &Report{
+		Policy:   r.Policy,
+		Seed:     r.Plan.Seed,
+		Seconds:  r.Elapsed.Seconds(),
+		Requests: len(r.Records),
+		Ends:     map[End]int{},
+		Codes:    map[int]int{},
+	}
+	counted := r.counted()
+	shares := map[string]float64{}
+	for _, a := range r.Plan.Accounts {
+		shares[a.Name] = a.Share
+	}
+	report.Gap = FairnessGap(counted, shares)
+	report.Utilisation, report.Use = r.utilisation(counted)
+	report.Service = r.service()
+	report.Accounts = r.accounts()
+	report.Control = r.control()
+	report.Move = r.move()
+	for _, record := range r.Records {
+		report.Ends[record.End]++
+		if record.Code != 0 {
+			report.Codes[record.Code]++
+		}
+	}
+	return report
+}
+
+// counted returns the samples after the warm-up and before arrivals end.
+func (r *Result) counted() []Sample {
+	var kept []Sample
+	for _, s := range r.Samples {
+		if s.AtMillis >= int64(r.Plan.WarmupSecs)*1000 && s.AtMillis < int64(r.Plan.Seconds)*1000 {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+func (r *Result) phase(atMillis int64) Phase {
+	switch {
+	case r.OutAt == 0 || atMillis < r.OutAt.Milliseconds():
+		return Before
+	case r.BackAt == 0 || atMillis < r.BackAt.Milliseconds():
+		return Out
+	}
+	return Back
+}
+
+// utilisation counts the slots in use by the runners' own word, in the
+// samples at which some account was backlogged.
+func (r *Result) utilisation(samples []Sample) ([]PhaseUse, []UsePoint) {
+	used, slots, n := map[Phase]int{}, map[Phase]int{}, map[Phase]int{}
+	var points []UsePoint
+	for _, s := range samples {
+		phase := r.phase(s.AtMillis)
+		running, all := r.inUse(s, phase)
+		waiting := len(s.Backlogged) > 0
+		points = append(points, UsePoint{AtMillis: s.AtMillis, Percent: percent(running, all), Waiting: waiting})
+		if waiting {
+			used[phase] += running
+			slots[phase] += all
+			n[phase]++
+		}
+	}
+	var out []PhaseUse
+	for _, phase := range []Phase{Before, Out, Back} {
+		if n[phase] > 0 {
+			out = append(out, PhaseUse{Phase: phase, Percent: percent(used[phase], slots[phase]), BackloggedSec: float64(n[phase]) * sampleEvery.Seconds()})
+		}
+	}
+	return out, points
+}
+
+// inUse returns the running requests and the slots of the runners that may
+// receive new work.
+func (r *Result) inUse(s Sample, phase Phase) (running, slots int) {
+	for _, m := range r.Plan.Fleet.Models {
+		if phase == Out && m.Zone == r.Plan.Move.Zone {
+			continue
+		}
+		running += min(s.Running[m.Name], m.Slots)
+		slots += m.Slots
+	}
+	return running, slots
+}
+
+func (r *Result) service() []PhaseService {
+	flooding := map[string]bool{}
+	for _, a := range r.Plan.Accounts {
+		flooding[a.Name] = a.Flood
+	}
+	var out []PhaseService
+	for _, phase := range []Phase{Before, Out, Back} {
+		for _, group := range []string{"others", "flooding"} {
+			s := PhaseService{Phase: phase, Group: group, Ends: map[End]int{}}
+			h := newHistogram()
+			for _, record := range r.models() {
+				if r.phase(record.AtMillis) == phase && flooding[record.Account] == (group == "flooding") {
+					s.Sent++
+					s.Ends[record.End]++
+					h.add(record)
+				}
+			}
+			s.FirstMs = h.percentiles()
+			if s.Sent > 0 {
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
+
+// models returns the records of model requests after the warm-up.
+func (r *Result) models() []Record {
+	var kept []Record
+	for _, record := range r.Records {
+		if record.Key == "" && record.AtMillis >= int64(r.Plan.WarmupSecs)*1000 {
+			kept = append(kept, record)
+		}
+	}
+	return kept
+}
+
+func (r *Result) accounts() []AccountService {
+	var out []AccountService
+	first, last := map[string]float64{}, map[string]float64{}
+	if counted := r.counted(); len(counted) > 0 {
+		first, last = counted[0].Service, counted[len(counted)-1].Service
+	}
+	for _, a := range r.Plan.Accounts {
+		s := AccountService{Account: a.Name, Share: a.Share, Flood: a.Flood, Cost: last[a.Name] - first[a.Name], Ends: map[End]int{}}
+		s.PerUnit = s.Cost / a.Share
+		h := newHistogram()
+		for _, record := range r.models() {
+			if record.Account == a.Name {
+				s.Ends[record.End]++
+				h.add(record)
+			}
+		}
+		s.FirstMs = h.percentiles()
+		out = append(out, s)
+	}
+	return out
+}
+
+// move finds how long the leaving zone's runners stayed busy and counts
+// answers that broke off.
+func (r *Result) move() *MoveReport {
+	if r.OutAt == 0 {
+		return nil
+	}
+	m := &MoveReport{Zone: r.Plan.Move.Zone, OutAtSec: r.OutAt.Seconds(), BackAtSec: r.BackAt.Seconds()}
+	for _, s := range r.Samples {
+		if r.phase(s.AtMillis) != Out {
+			continue
+		}
+		for _, runner := range r.Plan.Fleet.Models {
+			if runner.Zone == m.Zone && s.Running[runner.Name] > 0 {
+				m.LastBusyMs = s.AtMillis - r.OutAt.Milliseconds()
+			}
+		}
+	}
+	for _, record := range r.Records {
+		if (record.End == Short || record.End == Lost) && r.phase(record.AtMillis) != Before {
+			m.CutWhileMoved++
+		}
+	}
+	return m
+}
+
+type histogram struct{ h *hdrhistogram.Histogram }
+
+func newHistogram() histogram {
+	return histogram{hdrhistogram.New(1, highestMicros, figuresKept)}
+}
+
+func (h histogram) add(r Record) {
+	if r.FirstMillis > 0 {
+		// The range covers the longest run, so no value is refused.
+		_ = h.h.RecordValue(min(highestMicros, int64(r.FirstMillis*msPerSecond)))
+	}
+}
+
+func (h histogram) percentiles() Percentiles {
+	at := func(q float64) float64 { return float64(h.h.ValueAtQuantile(q)) / msPerSecond }
+	return Percentiles{P50: at(50), P95: at(95), P99: at(99)}
+}
+
+func percent(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return percentOfWhole * float64(part) / float64(whole)
+}
+
+// Print writes the report as text.
+func (r *Report) Print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "RUN\tagainst %s, seed %d, %.0f s, %d requests, ends %v, codes %v\n", r.Policy, r.Seed, r.Seconds, r.Requests, r.Ends, r.Codes)
+	fmt.Fprintf(w, "GAP\t%.0f cost units over share, %s, from %.1f s to %.1f s; %.0f pair-seconds compared\n",
+		r.Gap.Cost, r.Gap.Accounts, seconds(r.Gap.FromMillis), seconds(r.Gap.ToMillis), r.Gap.PairSeconds)
+	for _, u := range r.Utilisation {
+		fmt.Fprintf(w, "UTILISATION\t%s: %.1f%% of the slots while work waited (%.0f s)\n", u.Phase, u.Percent, u.BackloggedSec)
+	}
+	for _, s := range r.Service {
+		fmt.Fprintf(w, "SERVICE\t%s, %s: %d sent, %v, first token p50 %.0f p95 %.0f p99 %.0f ms\n", s.Phase, s.Group, s.Sent, s.Ends, s.FirstMs.P50, s.FirstMs.P95, s.FirstMs.P99)
+	}
+	if r.Move != nil {
+		fmt.Fprintf(w, "ZONE MOVE\t%s out at %.1f s, back at %.1f s; its runners last busy %d ms after the change; %d answers cut\n",
+			r.Move.Zone, r.Move.OutAtSec, r.Move.BackAtSec, r.Move.LastBusyMs, r.Move.CutWhileMoved)
+	}
+	r.Control.print(w)
+	for _, a := range r.Accounts {
+		fmt.Fprintf(w, "ACCOUNT\t%s, share %g: %.0f cost units over share, first token p95 %.0f ms, %v\n", a.Account, a.Share, a.PerUnit, a.FirstMs.P95, a.Ends)
+	}
+	return w.Flush()
+}
+
+func seconds(ms int64) float64 { return float64(ms) / msPerSecond }
--- a/load/stream.go
+++ b/load/stream.go
@@ -23,7 +23,7 @@
 }
 
 // readStream reads server-sent events up to the end marker.
-func (r *Reply) readStream(body io.Reader, start time.Time) error {
+func (r *Reply) readStream(body io.Reader, start time.Time, onToken func()) error {
 	var text strings.Builder
 	scanner := bufio.NewScanner(body)
 	for scanner.Scan() {
@@ -35,9 +35,6 @@
 			r.Whole = true
 			break
 		}
-		if r.FirstToken == 0 {
-			r.FirstToken = time.Since(start)
-		}
 		var e streamEvent
 		if err := json.Unmarshal([]byte(data), &e); err != nil {
 			return errors.Wrap(err, "read event")
@@ -45,10 +42,24 @@
 		if e.Error != nil {
 			r.Problem = e.Error
 		}
-		for _, c := range e.Choices {
-			text.WriteString(c.Delta.Content)
+		if r.FirstToken == 0 && e.Error == nil {
+			r.FirstToken = time.Since(start)
 		}
+		r.take(e, &text, onToken)
 	}
 	r.Text = strings.TrimSpace(text.String())
 	return errors.Wrap(scanner.Err(), "read stream")
 }
+
+func (r *Reply) take(e streamEvent, text *strings.Builder, onToken func()) {
+	for _, c := range e.Choices {
+		if c.Delta.Content == "" {
+			continue
+		}
+		text.WriteString(c.Delta.Content)
+		r.Tokens++
+		if onToken != nil {
+			onToken()
+		}
+	}
+}
--- /dev/null
+++ b/load/target.go
@@ -0,0 +1,95 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+)
+
+const (
+	chatPath  = "/v1/chat/completions"
+	orderPath = "/v1/orders"
+)
+
+// Target is what a run sends its requests to.
+type Target interface {
+	// Send sends one request, or a resend of it, and returns the name or
+	// address that it was sent to.
+	Send(ctx context.Context, a Arrival, r Request) (string, Reply, error)
+}
+
+// routersTarget sends to the fleet's routers, as callers do.
+type routersTarget struct {
+	seeds []string
+
+	mu      sync.Mutex
+	callers map[string]*Caller // by zone and account
+}
+
+// NewRoutersTarget returns the target that asks routers for addresses.
+func NewRoutersTarget(f Fleet) Target {
+	t := &routersTarget{callers: map[string]*Caller{}}
+	for _, r := range f.Routers {
+		t.seeds = append(t.seeds, r.CallerURL)
+	}
+	return t
+}
+
+// Send sends through the first address of the caller's kept answer; a resend
+// takes the next one. A failed address makes the caller ask again.
+func (t *routersTarget) Send(ctx context.Context, a Arrival, r Request) (string, Reply, error) {
+	c := t.caller(a.Zone, a.Account)
+	all, err := c.Addresses(ctx)
+	if err != nil {
+		return "", Reply{}, err
+	}
+	n := 0
+	if a.Resend {
+		n = 1 % len(all)
+	}
+	reply, err := c.Send(ctx, all[n].URL, r)
+	if err != nil && ctx.Err() == nil {
+		c.Forget()
+	}
+	return all[n].URL, reply, err
+}
+
+func (t *routersTarget) caller(zone, account string) *Caller {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := zone + " " + account
+	if t.callers[key] == nil {
+		t.callers[key] = NewCallerOf(t.seeds, zone)
+	}
+	return t.callers[key]
+}
+
+// chatBody returns the body of a model request.
+func chatBody(model string, a Arrival) json.RawMessage {
+	type message struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+	body, err := json.Marshal(struct {
+		Model     string    `json:"model"`
+		Messages  []message `json:"messages"`
+		MaxTokens int       `json:"max_tokens"`
+		Stream    bool      `json:"stream"`
+	}{model, []message{{"user", a.Prompt}}, a.Tokens, true})
+	if err != nil {
+		panic(err) // strings and numbers always encode
+	}
+	return body
+}
+
+// orderBody returns the body of an order; a resend has the same.
+func orderBody(a Arrival) json.RawMessage {
+	body, err := json.Marshal(struct {
+		Item     string `json:"item"`
+		Quantity int    `json:"quantity"`
+	}{a.Prompt, a.Tokens})
+	if err != nil {
+		panic(err) // strings and numbers always encode
+	}
+	return body
+}
--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,60 @@
+#!/usr/bin/env bash
+# Redoes the figures of docs/MEASUREMENTS.md: starts 7 routers, 12 model
+# runners, 3 order runners and the platform's stand-in on loopback, sends the
+# seeded plans to the routers and to the baselines, and judges the outcome
+# from outside. It takes under 8 minutes.
+#   scripts/measure.sh [directory for the reports] [seed] [seconds of a run]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+out=${1:-measurements}
+seed=${2:-1}
+seconds=${3:-40}
+example=${EXAMPLE:-nile-perch}
+base=${BASE_PORT:-25000}
+mkdir -p "$out"
+dir=$(mktemp -d)
+pids=()
+cleanup() {
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$dir"
+}
+trap cleanup EXIT
+go build -o "$dir/bin/" ./cmd/...
+load=$dir/bin/cyclamenwinch-load
+"$load" layout --example "examples/$example" --dir "$dir" --base-port "$base" --seed "$seed" --seconds "$seconds"
+while read -r line; do
+  # shellcheck disable=SC2086 # a command line is split into its words
+  "$dir"/bin/$line >>"$dir/log" 2>&1 &
+  pids+=($!)
+done <"$dir/processes"
+platform=http://127.0.0.1:$base
+ops=http://$(sed -n 's/.*"ops_listen": "\(.*\)".*/\1/p' "$dir/router-1.json")
+token=$(sed -n 's/.*"ops_token": "\(.*\)".*/\1/p' "$dir/router-1.json")
+for _ in $(seq 100); do
+  "$dir/bin/cyclamenwinch" submit --platform "$platform" "$dir/manifest.json" 2>/dev/null && break
+  sleep 0.1
+done
+"$dir/bin/cyclamenwinch" wait --ops "$ops" --token "$token" --generation 1
+run() { # name, plan, against
+  echo; echo "== $1"
+  "$load" run --against "$3" --report "$out/$1.json" --log "$dir/$1.jsonl" "$dir/plan-$2.json" | tee "$out/$1.txt"
+}
+pair() { # run, baseline
+  echo; echo "== $1 against $2"
+  "$load" compare "$out/$1.json" "$out/$2.json" | tee "$out/$1-to-$2.txt"
+}
+failed=0
+run contention contention routers
+run fcfs contention fcfs
+run round-robin contention round-robin
+run quiet quiet routers
+run flood flood routers
+run move contention-move routers
+pair contention fcfs
+pair contention round-robin
+pair flood quiet
+"$load" plot --dir "$out" "$out/contention.json" "$out/fcfs.json" "$out/round-robin.json"
+echo; echo "== Promises, from outside"
+"$load" check --plan "$dir/plan-contention.json" "$dir"/{contention,quiet,flood,move}.jsonl | tee "$out/check.txt" || failed=1
+exit $failed
