--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,181 @@
+package load_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/load"
+	"github.com/cyclamenwinch/cyclamenwinch/standin/runner"
+)
+
+func smallPlan(seed uint64) *load.Plan {
+	account := func(name string, rate float64) load.Account {
+		return load.Account{Name: name, Share: 1, Rate: rate, OrderRate: rate / 10, ResendPart: 0.5, MinTokens: 1, MaxTokens: 5, PatienceMillis: 20_000, Spread: []float64{1, 0}}
+	}
+	return &load.Plan{
+		Seed: seed, Seconds: 1, MaxSent: 1000, Model: "m", Zones: []string{"z1", "z2"},
+		Accounts: []load.Account{account("a", 40), account("b", 20)},
+	}
+}
+
+var _ = Describe("arrivals", func() {
+	It("are the same for the same seed and others for another", func() {
+		Expect(smallPlan(7).Arrivals()).To(Equal(smallPlan(7).Arrivals()))
+		Expect(smallPlan(7).Arrivals()).NotTo(Equal(smallPlan(8).Arrivals()))
+	})
+
+	It("are bounded, in order, and spread by weight", func() {
+		p := smallPlan(1)
+		p.MaxSent = 10
+		arrivals := p.Arrivals()
+		Expect(arrivals).To(HaveLen(10))
+		for i, a := range arrivals {
+			Expect(a.Zone).To(Equal("z1"))
+			if i > 0 {
+				Expect(a.At).To(BeNumerically(">=", arrivals[i-1].At))
+			}
+		}
+	})
+
+	It("of one account don't depend on another account's rate", func() {
+		alone, beside := smallPlan(3), smallPlan(3)
+		beside.Accounts[1].Rate *= 10
+		of := func(p *load.Plan) (prompts []string) {
+			for _, a := range p.Arrivals() {
+				if a.Account == "a" {
+					prompts = append(prompts, a.Prompt)
+				}
+			}
+			return prompts
+		}
+		Expect(of(beside)).To(Equal(of(alone)))
+	})
+})
+
+var _ = Describe("a run against a baseline", func() {
+	It("reports every request and never fills a runner over its slots", func(ctx SpecContext) {
+		model := runner.NewServer("r", runner.Options{TokenTime: time.Millisecond, ColdFor: 2, ColdSlots: 1})
+		server := httptest.NewServer(model.Handler())
+		DeferCleanup(server.Close)
+		p := smallPlan(5)
+		p.Accounts[0].OrderRate, p.Accounts[1].OrderRate = 0, 0
+		p.Fleet = load.Fleet{
+			Routers: []load.Router{{Name: "x", Zone: "z1"}, {Name: "y", Zone: "z2"}},
+			Models:  []load.Runner{{Name: "r", Zone: "z1", URL: server.URL, Slots: 4}},
+		}
+		result, err := load.Run(ctx, p, load.FCFS, io.Discard)
+		Expect(err).NotTo(HaveOccurred())
+		report := load.NewReport(result)
+		Expect(report.Requests).To(Equal(len(p.Arrivals())))
+		Expect(report.Ends).To(Equal(map[load.End]int{load.Whole: report.Requests}))
+		Expect(load.RunnerStats(ctx, p.Fleet.Models)["r"].MaxRunning).To(BeNumerically("<=", 2))
+	})
+})
+
+var _ = DescribeTable("the end of a stream, as its caller sees it",
+	func(ctx SpecContext, events []string, want load.End) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			for _, e := range events {
+				fmt.Fprintf(w, "data: %s\n\n", e)
+			}
+		}))
+		DeferCleanup(server.Close)
+		p := smallPlan(5)
+		p.Accounts = p.Accounts[:1]
+		p.Accounts[0].Rate, p.Accounts[0].OrderRate = 500, 0
+		p.Accounts[0].MinTokens, p.Accounts[0].MaxTokens, p.MaxSent = 1, 1, 1
+		target := load.Fleet{
+			Routers: []load.Router{{Name: "x", Zone: "z1", CallerURL: server.URL}},
+		}
+		reply, err := load.NewCaller(server.URL, "z1").Send(ctx, target.Routers[0].CallerURL, load.Request{Path: "/"})
+		Expect(load.EndOf(p.Arrivals()[0], reply, err)).To(Equal(want))
+	},
+	Entry("the right answer with its end marker", []string{`{"choices":[{"delta":{"content":"a#0"}}]}`, "[DONE]"}, load.Whole),
+	Entry("another request's answer", []string{`{"choices":[{"delta":{"content":"b#7"}}]}`, "[DONE]"}, load.Wrong),
+	Entry("no end marker", []string{`{"choices":[{"delta":{"content":"a#0"}}]}`}, load.Short),
+	Entry("an error in mid-stream", []string{`{"choices":[{"delta":{"content":"a#0"}}]}`, `{"error":{"code":3002}}`}, load.Short),
+)
+
+var _ = Describe("evidence", func() {
+	key := load.EndpointKey("a", "k")
+	answered := load.Record{Account: "a", Key: "k", End: load.Whole, Status: 200, Answer: "r1"}
+	refused := load.Record{Account: "a", Key: "k", End: load.Refused, NotRun: true}
+	clean := func() *load.Evidence {
+		return &load.Evidence{
+			Records:     []load.Record{answered, refused, {Account: "a", End: load.Whole, Tokens: 3}},
+			Executions:  map[string]int{key: 1},
+			Ledger:      map[string][]string{key: {"done"}},
+			Generations: []int64{1, 2, 3},
+		}
+	}
+
+	It("of a sound fleet shows no broken promise", func() {
+		Expect(clean().Check()).To(BeEmpty())
+	})
+
+	DescribeTable("shows each broken promise", func(spoil func(*load.Evidence), promise string) {
+		e := clean()
+		spoil(e)
+		found := e.Check()
+		Expect(found).To(HaveLen(1))
+		Expect(found[0].Promise).To(ContainSubstring(promise))
+	},
+		Entry("an order that ran twice", func(e *load.Evidence) { e.Executions[key] = 2 }, "at most once"),
+		Entry("an order that was answered and never ran", func(e *load.Evidence) { delete(e.Executions, key) }, "lost"),
+		Entry("an order without a record", func(e *load.Evidence) { delete(e.Ledger, key) }, "recorded"),
+		Entry("an order with two records", func(e *load.Evidence) { e.Ledger[key] = []string{"done", "claimed"} }, "exactly once"),
+		Entry("a false refusal", func(e *load.Evidence) { e.Records = []load.Record{refused, refused} }, "not run"),
+		Entry("a resend with another answer", func(e *load.Evidence) {
+			other := answered
+			other.Answer = "r2"
+			e.Records = append(e.Records, other)
+		}, "recorded answer"),
+		Entry("a wrong answer", func(e *load.Evidence) { e.Records = append(e.Records, load.Record{End: load.Wrong}) }, "its own request"),
+		Entry("tokens of a request that was not run", func(e *load.Evidence) {
+			e.Records = append(e.Records, load.Record{End: load.Refused, NotRun: true, Tokens: 1})
+		}, "not run"),
+		Entry("a generation that falls", func(e *load.Evidence) { e.Generations = []int64{1, 2, 1} }, "never reverts"),
+	)
+})
+
+var _ = Describe("a comparison", func() {
+	It("names the account whose first token suffered most", func() {
+		report := func(gap, p95 float64) *load.Report {
+			return &load.Report{
+				Gap:      load.Gap{Cost: gap},
+				Accounts: []load.AccountService{{Account: "a", FirstMs: load.Percentiles{P95: 10}}, {Account: "b", FirstMs: load.Percentiles{P95: p95}}},
+			}
+		}
+		c := load.Compare(report(5, 30), report(50, 20))
+		Expect(c.Gap.Ratio).To(Equal(0.1))
+		Expect(c.Worst.Account).To(Equal("b"))
+		Expect(c.Worst.Ratio).To(Equal(1.5))
+	})
+})
+
+var _ = Describe("a caller", func() {
+	It("keeps an address answer for its lifetime and asks again after a failure", func(ctx SpecContext) {
+		asked := 0
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked++
+			fmt.Fprint(w, `{"addresses":[{"url":"http://one"}],"lifetime_sec":60}`)
+		}))
+		DeferCleanup(server.Close)
+		c := load.NewCaller(server.URL, "z1")
+		for range 3 {
+			Expect(c.Address(context.WithoutCancel(ctx))).To(Equal("http://one"))
+		}
+		Expect(asked).To(Equal(1))
+		c.Forget()
+		Expect(c.Address(context.WithoutCancel(ctx))).To(Equal("http://one"))
+		Expect(asked).To(Equal(2))
+	})
+})
--- a/load/record.go
+++ b/load/record.go
@@ -57,17 +57,19 @@
 	if a.Key != "" && reply.Whole {
 		r.Answer = reply.Text
 	}
-	r.End = end(a, reply, err, left)
+	r.End = EndOf(a, reply, err)
+	if left && r.End != Whole && r.End != Wrong {
+		r.End = Left
+	}
 }
 
-func end(a Arrival, reply Reply, err error, left bool) End {
+// EndOf says how a request ended whose caller did not leave.
+func EndOf(a Arrival, reply Reply, err error) End {
 	switch {
 	case reply.Whole && reply.rightFor(a):
 		return Whole
 	case reply.Whole:
 		return Wrong
-	case left:
-		return Left
 	case reply.Tokens > 0:
 		return Short
 	case reply.Problem != nil:
@@ -129,7 +131,7 @@
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 // rightFor reports whether a whole answer is the one to this request.
-func (r *Reply) rightFor(a Arrival) bool {
+func (r Reply) rightFor(a Arrival) bool {
 	if a.Key != "" {
 		return r.Status == http.StatusOK
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -62,6 +62,11 @@
 	if err := p.Check(); err != nil {
 		return nil, err
 	}
+	if policy != Routers {
+		if err := Warm(ctx, p.Model, p.Fleet.Models); err != nil {
+			return nil, err
+		}
+	}
 	r := &run{plan: p, target: targetOf(p.Fleet, policy), keys: map[string]string{}, meter: newMeter(), start: time.Now()}
 	for _, a := range p.Accounts {
 		r.keys[a.Name] = a.APIKey
