A slot goes back only after the endpoint has ended the response

Cause: a stream was closed at its end marker, before the endpoint had ended the response. The slot went back while the endpoint still counted the request, and the next grant put a cold endpoint over its limit.

Ruled out: a fixed pause before the release (idles slots, and no length is right).

Change: Close reads the response to its end after the end marker, bounded by the progress time-out.

Before: the new test fails without the change; after: it passes.

--- /dev/null
+++ b/internal/endpoint/endpoint_suite_test.go
@@ -0,0 +1,42 @@
+package endpoint_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
+)
+
+func TestEndpoint(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Endpoint")
+}
+
+var _ = Describe("a stream", func() {
+	It("is closed only once the endpoint has ended the response", func(ctx SpecContext) {
+		var ended atomic.Bool
+		marker := make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(w, "data: [DONE]\n\n")
+			http.NewResponseController(w).Flush()
+			<-marker
+			ended.Store(true)
+		}))
+		DeferCleanup(server.Close)
+		s, err := endpoint.New(time.Minute).Open(ctx, endpoint.Call{URL: server.URL, Method: http.MethodPost})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.Next()
+		Expect(err).To(Equal(io.EOF))
+		close(marker)
+		s.Close()
+		Expect(ended.Load()).To(BeTrue())
+	})
+})
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -24,6 +24,7 @@
 	id      string
 	tokens  int // total tokens that the endpoint reported; 0: not yet
 	events  int
+	ended   bool // the end marker was read
 }
 
 // chunk is the part of a stream's event that the router reads.
@@ -72,6 +73,7 @@
 			continue
 		}
 		if string(data) == "[DONE]" {
+			s.ended = true
 			return nil, io.EOF
 		}
 		return data, s.check(data)
@@ -106,8 +108,13 @@
 	return s.events
 }
 
-// Close ends the stream; the endpoint cancels what is left of it.
+// Close ends the stream; the endpoint cancels what is left of it. After the
+// end marker it waits until the endpoint has ended the response: the endpoint
+// is busy until then, and the connection can be used again.
 func (s *Stream) Close() {
+	if s.ended {
+		io.Copy(io.Discard, s.watch.reader(s.body))
+	}
 	s.watch.stop()
 	s.body.Close()
 }
