endpoint: the test of a stream's end fails without the change

Change: the endpoint writes 16 MiB after the end marker; only a stream that is read to its end lets that write succeed.

--- a/internal/endpoint/endpoint_suite_test.go
+++ b/internal/endpoint/endpoint_suite_test.go
@@ -23,20 +23,18 @@
 var _ = Describe("a stream", func() {
 	It("is closed only once the endpoint has ended the response", func(ctx SpecContext) {
 		var ended atomic.Bool
-		marker := make(chan struct{})
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			fmt.Fprint(w, "data: [DONE]\n\n")
 			http.NewResponseController(w).Flush()
-			<-marker
-			ended.Store(true)
+			_, err := w.Write(make([]byte, 16<<20)) // more than a connection holds unread
+			ended.Store(err == nil)
 		}))
-		DeferCleanup(server.Close)
 		s, err := endpoint.New(time.Minute).Open(ctx, endpoint.Call{URL: server.URL, Method: http.MethodPost})
 		Expect(err).NotTo(HaveOccurred())
 		_, err = s.Next()
 		Expect(err).To(Equal(io.EOF))
-		close(marker)
 		s.Close()
+		server.Close() // waits for the handler
 		Expect(ended.Load()).To(BeTrue())
 	})
 })
