--- a/core/member/tracker_test.go
+++ b/core/member/tracker_test.go
@@ -16,7 +16,7 @@
 
 func TestMember(t *testing.T) {
 	RegisterFailHandler(Fail)
-	if !flag.Parsed() || flag.Lookup("rapid.seed").Value.String() == "0" {
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
 		flag.Set("rapid.seed", "1") // the same verdict every run
 	}
 	RunSpecs(t, "Membership")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,6 +20,7 @@
 	pingTimeout = 2 * time.Second
 	minPing     = 5 * time.Second
 	backoffMax  = time.Second
+	stopLongest = 3 * time.Second // for calls in progress at a stop
 )
 
 // Handlers answer the calls of other routers.
@@ -40,7 +41,22 @@
 	peerpb.RegisterFleetServer(s, h.Fleet)
 	peerpb.RegisterAdmissionServer(s, h.Admission)
 	peerpb.RegisterOrdersServer(s, h.Orders)
-	stop := context.AfterFunc(ctx, s.Stop)
-	defer stop()
-	return errors.Wrap(s.Serve(countedListener{l}), "peer server")
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		stopGently(s)
+	})
+	err := s.Serve(countedListener{l})
+	if !stop() {
+		<-stopped
+	}
+	return errors.Wrap(err, "peer server")
+}
+
+// stopGently lets calls in progress end. Admission sessions don't end by
+// themselves, so the wait is bounded.
+func stopGently(s *grpc.Server) {
+	force := time.AfterFunc(stopLongest, s.Stop)
+	defer force.Stop()
+	s.GracefulStop()
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -194,3 +194,35 @@
 		Expect(d.Refused(r)).To(BeTrue())
 	})
 })
+
+// slowAnswerer answers once it is let go.
+type slowAnswerer struct {
+	peerpb.UnimplementedFleetServer
+	begun, let chan struct{}
+}
+
+func (a slowAnswerer) Heartbeat(context.Context, *peerpb.HeartbeatMessage) (*peerpb.HeartbeatMessage, error) {
+	close(a.begun)
+	<-a.let
+	return &peerpb.HeartbeatMessage{}, nil
+}
+
+var _ = Describe("the server", func() {
+	It("lets a call in progress end when it stops", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		slow := slowAnswerer{begun: make(chan struct{}), let: make(chan struct{})}
+		ended := make(chan error, 1)
+		go func() { ended <- peer.Serve(ctx, l, insecure.NewCredentials(), peer.Handlers{Fleet: slow}) }()
+		d := peer.NewDialer(insecure.NewCredentials())
+		defer d.Close()
+		answered := make(chan error, 1)
+		go func() { answered <- call(d, member.Router{PeerAddr: l.Addr().String()}, 10*time.Second) }()
+		<-slow.begun
+		cancel()
+		close(slow.let)
+		Eventually(answered).Should(Receive(BeNil()))
+		Eventually(ended).Should(Receive())
+	})
+})
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -37,9 +37,9 @@
 	kind, _ := ctx.Value(kindKey{}).(string)
 	switch m := s.(type) {
 	case *stats.InPayload:
-		count(kind, "in", m.WireLength)
+		count(kind, "received", m.WireLength)
 	case *stats.OutPayload:
-		count(kind, "out", m.WireLength)
+		count(kind, "sent", m.WireLength)
 	}
 }
 
@@ -72,8 +72,8 @@
 }
 
 var (
-	connIn  = metrics.NewCounter(`cyclamenwinch_peer_connection_bytes_total{direction="in"}`)
-	connOut = metrics.NewCounter(`cyclamenwinch_peer_connection_bytes_total{direction="out"}`)
+	received = metrics.NewCounter(`cyclamenwinch_peer_bytes_total{direction="received"}`)
+	sent     = metrics.NewCounter(`cyclamenwinch_peer_bytes_total{direction="sent"}`)
 )
 
 // countedConn counts all bytes of a connection, TLS included.
@@ -82,14 +82,14 @@
 // Read counts what it reads.
 func (c countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	connIn.Add(n)
+	received.Add(n)
 	return n, err
 }
 
 // Write counts what it writes.
 func (c countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	connOut.Add(n)
+	sent.Add(n)
 	return n, err
 }
 
