Golden file of a whole session through every process

Builds the programs, starts three routers, platform, two model runners and an order runner on free ports, and compares the transcript: configuration, streams, refusals, orders with a resend and with lost platform answers, a zone out and back, a graceful stop during a stream and a cut one. Request ids are replaced by the step that sent them; the time line is noted for each request.

Waiting for every router's view to be complete was needed: two routers with different views may differ on the owner of an order, which the time line shows.

--- /dev/null
+++ b/test/session/session_test.go
@@ -0,0 +1,189 @@
+// Package session_test runs a whole session through every process and
+// compares its transcript with a golden file.
+//
+// The verdict does not depend on the machine's speed: conditions are polled,
+// and time bounds are only guards against a hang. After an intended change
+// `go test ./test/session -update` writes the golden file anew.
+package session_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/addresses"
+	"github.com/cyclamenwinch/cyclamenwinch/load"
+)
+
+func TestSession(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Session")
+}
+
+const (
+	hotelKey = "demo-hurghada-hotels"
+	cafeKey  = "demo-alexandria-cafes"
+)
+
+func chat(key string, stream bool, tokens int) load.Request {
+	body, err := json.Marshal(map[string]any{
+		"model": "tender-writer", "stream": stream, "max_tokens": tokens,
+		"messages": []map[string]string{{"role": "user", "content": "four hundred bar stools"}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return load.Request{APIKey: key, Path: "/v1/chat/completions", Body: body}
+}
+
+func placeOrder(idempotencyKey, body string) load.Request {
+	return load.Request{APIKey: hotelKey, Path: "/v1/orders", Key: idempotencyKey, Body: json.RawMessage(body)}
+}
+
+var _ = Describe("a whole session", Ordered, func() {
+	var (
+		f *fleet
+		t *transcript
+	)
+
+	BeforeAll(func() {
+		f = startFleet()
+		t = &transcript{fleet: f, requests: map[string]string{}}
+		f.startRouter("router-a", "eg-north-1")
+		f.startRouter("router-b", "eg-north-2")
+		f.startRouter("router-c", "eg-north-3")
+		f.awaitMembers()
+	})
+
+	It("goes as the golden file tells", func() {
+		file := f.write("manifest.json", f.manifest)
+		t.section("Configuration")
+		t.tool("check manifest.json", "check", file)
+		t.tool("submit manifest.json", "submit", file)
+		t.awaitGeneration("1")
+
+		t.section("Model requests")
+		t.call("stream", "router-b", chat(hotelKey, true, 12))
+		t.call("whole", "router-a", chat(cafeKey, false, 6))
+
+		t.section("Refusals")
+		t.call("unknown key", "router-a", chat("nobody", true, 1))
+		t.call("unknown model", "router-b", load.Request{APIKey: cafeKey, Path: "/v1/chat/completions", Body: json.RawMessage(`{"model":"none","messages":[{"role":"user","content":"x"}]}`)})
+		t.call("unreadable body", "router-c", load.Request{APIKey: cafeKey, Path: "/v1/chat/completions", Body: json.RawMessage(`{`)})
+		t.call("unknown path", "router-c", load.Request{APIKey: cafeKey, Path: "/v2", Body: json.RawMessage(`{}`)})
+		t.call("order without key", "router-a", placeOrder("", `{"quantity":1}`))
+		t.call("large body", "router-a", load.Request{APIKey: cafeKey, Path: "/v1/chat/completions", Body: json.RawMessage(`"` + strings.Repeat("x", 1<<20) + `"`)})
+
+		t.section("Orders")
+		first := t.call("order", "router-a", placeOrder("hotel-1", `{"quantity":400}`))
+		again := t.call("order sent again elsewhere", "router-b", placeOrder("hotel-1", `{"quantity":400}`))
+		Expect(again.Text).To(Equal(first.Text))
+		t.call("key with another order", "router-c", placeOrder("hotel-1", `{"quantity":401}`))
+		setFaults(f.platform, `{"lose_answer":1}`)
+		t.call("order whose records lose their answers", "router-c", placeOrder("hotel-2", `{"quantity":2}`))
+		setFaults(f.platform, `{}`)
+		t.call("the same sent again", "router-a", placeOrder("hotel-2", `{"quantity":2}`))
+		executions := f.executions()
+		slices.Sort(executions)
+		t.note("executions of each key at the order runner: %v", executions)
+
+		t.section("A zone goes out and comes back")
+		t.submitZone(manifest.Out, "2")
+		t.addresses("router-b")
+		t.call("while the zone is out", "router-a", chat(hotelKey, true, 3))
+		t.submitZone(manifest.In, "3")
+		t.addresses("router-b")
+		t.call("after it came back", "router-a", chat(hotelKey, true, 3))
+
+		t.section("Time line")
+		t.timeline()
+
+		t.section("Stop")
+		t.stopDuringStream("router-c")
+		t.cutDuringStream("router-b")
+		f.routers["router-a"].process.Terminate().Wait(hang)
+		t.note("router-a stopped idle: exit %d", f.routers["router-a"].process.ExitCode())
+
+		goldie.New(GinkgoTB()).Assert(GinkgoTB(), "session", []byte(t.String()))
+	})
+})
+
+func (t *transcript) awaitGeneration(generation string) {
+	t.tool("wait --generation "+generation, "wait", "--generation", generation, "--routers", "3", "--seconds", "60")
+}
+
+// submitZone takes the availability zone eg-north-1 out or in.
+func (t *transcript) submitZone(state manifest.State, generation string) {
+	t.fleet.manifest.Zones[0].State = state
+	t.tool("submit manifest.json, with eg-north-1 "+string(state), "submit", t.fleet.write("manifest.json", t.fleet.manifest))
+	t.awaitGeneration(generation)
+}
+
+// addresses notes the zones of the addresses that a router tells callers.
+func (t *transcript) addresses(router string) {
+	resp, err := http.Get(t.fleet.routers[router].callerURL() + "/v1/addresses?zone=eg-north-1")
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var answer addresses.Answer
+	Expect(json.NewDecoder(resp.Body).Decode(&answer)).To(Succeed())
+	var zones []string
+	for _, a := range answer.Addresses {
+		zones = append(zones, a.Zone)
+	}
+	slices.Sort(zones)
+	t.note("addresses in zones %v", zones)
+}
+
+// openStream begins a long stream and returns after its first event.
+func (t *transcript) openStream(router string, tokens int) (*bufio.Reader, func()) {
+	r := chat(hotelKey, true, tokens)
+	ctx, cancel := context.WithTimeout(context.Background(), hang)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, t.fleet.routers[router].callerURL()+r.Path, bytes.NewReader(r.Body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+r.APIKey)
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	body := bufio.NewReader(resp.Body)
+	_, err = body.ReadString('\n')
+	Expect(err).NotTo(HaveOccurred())
+	return body, func() {
+		resp.Body.Close()
+		cancel()
+	}
+}
+
+// stopDuringStream stops a router gracefully while it relays a stream.
+func (t *transcript) stopDuringStream(router string) {
+	body, done := t.openStream(router, 300)
+	defer done()
+	process := t.fleet.routers[router].process.Terminate()
+	rest, err := io.ReadAll(body)
+	Expect(err).NotTo(HaveOccurred())
+	whole := strings.HasSuffix(string(rest), "data: [DONE]\n\n")
+	process.Wait(hang)
+	t.note("%s stopped during a stream: whole=%v exit %d", router, whole, process.ExitCode())
+}
+
+// cutDuringStream sends a router that relays an endless stream two signals.
+func (t *transcript) cutDuringStream(router string) {
+	_, done := t.openStream(router, 1_000_000)
+	defer done()
+	process := t.fleet.routers[router].process
+	process.Signal(syscall.SIGTERM)
+	Eventually(process.Err, hang).Should(gbytes.Say("Stopping"))
+	process.Signal(syscall.SIGTERM)
+	process.Wait(hang)
+	t.note("%s stopped by two signals during a stream: exit %d, says the code: %v", router, process.ExitCode(),
+		bytes.Contains(process.Err.Contents(), []byte("5011 WorkCut")))
+}
