--- a/cmd/cyclamenwinch/main.go
+++ b/cmd/cyclamenwinch/main.go
@@ -56,6 +56,7 @@
 	return []command{
 		{"check", "check a manifest", "Check a manifest file and name every fault. Nothing is sent.", &checkCommand{app: a}},
 		{"submit", "submit a manifest", "Check a manifest file and store it as the next generation. A file that names a generation is refused if another one is stored.", &submitCommand{app: a}},
+		{"diff", "compare a manifest with the stored one", "Show what submitting the file would change.", &diffCommand{app: a}},
 		{"wait", "wait until a generation is in force everywhere", "Wait until every router reports the generation or a higher one.", &waitCommand{app: a}},
 		{"status", "show the state of the fleet", "Show the members, generations, service, endpoints and queues. Routers that don't answer are named.", &statusCommand{app: a}},
 		{"timeline", "show the merged time line of all routers", "Show the events of all routers in one order. Routers that don't answer are named.", &timelineCommand{app: a}},
--- a/cmd/cyclamenwinch/main_test.go
+++ b/cmd/cyclamenwinch/main_test.go
@@ -115,6 +115,19 @@
 		Expect(p.Code).To(Equal(int(code.Conflict)))
 	})
 
+	It("diff shows what a submission would change", func() {
+		exit, out, _ := tool("diff", "--platform", platformURL, exampleManifest)
+		Expect(exit).To(Equal(exitDone))
+		Expect(out).To(And(ContainSubstring("+ accounts/hurghada-hotels"), ContainSubstring("stored generation 0")))
+		tool("submit", "--platform", platformURL, exampleManifest)
+		exit, out, _ = tool("diff", "--platform", platformURL, "--exit-code", "--json", exampleManifest)
+		Expect(exit).To(Equal(exitDone))
+		Expect(out).To(MatchJSON(`{"generation":1,"differences":[]}`))
+		exit, out, _ = tool("diff", "--platform", platformURL, "--exit-code", "../../examples/annex/manifest.json")
+		Expect(exit).To(Equal(exitDifferent))
+		Expect(out).To(ContainSubstring("- accounts/hurghada-hotels"))
+	})
+
 	It("submit says so when the platform does not answer", func() {
 		exit, _, errs := tool("submit", "--platform", "http://127.0.0.1:1", exampleManifest)
 		Expect(exit).To(Equal(exitUnreachable))
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -110,6 +110,9 @@
 	n.Properties = map[string]*Node{}
 	n.Closed = new(bool)
 	for i := range t.NumField() {
+		if !t.Field(i).IsExported() {
+			continue
+		}
 		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
 		at := join(path, name)
 		n.Properties[name] = build(t.Field(i).Type, at, rules)
--- a/internal/schema/schema_test.go
+++ b/internal/schema/schema_test.go
@@ -93,6 +93,7 @@
 // expectDescribed expects a description at every scalar field below n.
 func expectDescribed(n *schema.Node, path string) {
 	for name, field := range n.Properties {
+		Expect(name).NotTo(BeEmpty(), path)
 		if field.Type != "object" {
 			Expect(field.Description).NotTo(BeEmpty(), path+"."+name)
 		}
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -111,6 +111,9 @@
 func fieldsOf(v reflect.Value) map[string]reflect.Value {
 	fields := map[string]reflect.Value{}
 	for i := range v.NumField() {
+		if !v.Type().Field(i).IsExported() {
+			continue
+		}
 		name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ",")
 		fields[name] = v.Field(i)
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -55,6 +55,7 @@
 for port in 030 031 032; do ready "$ports$port"; done
 echo "== Configuration"
 "$bin/cyclamenwinch" check "$dir/manifest.json"
+"$bin/cyclamenwinch" diff "$dir/manifest.json" | tail -1
 "$bin/cyclamenwinch" submit "$dir/manifest.json"
 "$bin/cyclamenwinch" wait --generation 1 --routers 3
 echo; echo "== Answers"
