--- a/core/admission/world_props_test.go
+++ b/core/admission/world_props_test.go
@@ -13,7 +13,7 @@
 // fixSeed makes every run draw the same cases unless a seed is asked for.
 func fixSeed(t *testing.T) {
 	t.Helper()
-	for name, value := range map[string]string{"rapid.seed": "4", "rapid.checks": "300"} {
+	for name, value := range map[string]string{"rapid.seed": "4", "rapid.checks": "1000"} {
 		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
 			if err := flag.Set(name, value); err != nil {
 				t.Fatal(err)
--- a/internal/pool/broker.go
+++ b/internal/pool/broker.go
@@ -49,9 +49,12 @@
 	held     *peerpb.Held
 	proved   uint32
 	granted  time.Time
-	first    time.Duration
-	unsent   bool // progress
 	released *peerpb.Release
+
+	first     time.Duration
+	unsent    bool // progress that the owner should hear of
+	toldKnown float64
+	toldAt    time.Time
 }
 
 type warmth struct {
@@ -98,7 +101,6 @@
 			Account:     req.Account,
 			Model:       req.Model,
 			Estimate:    float64(req.Estimate),
-			Zone:        b.client.fleet.Self().Zone,
 			Prefix:      req.Prefix,
 			Fingerprint: req.Fingerprint,
 			Avoid:       req.Avoid,
@@ -161,11 +163,28 @@
 func (b *broker) progress(seq uint64, known fair.Cost, first time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h := b.held[seq]; h != nil {
-		h.unsent = h.unsent || float64(known) > h.held.Known || first != h.first
-		h.held.Known = max(h.held.Known, float64(known))
-		h.first = first
+	h := b.held[seq]
+	if h == nil {
+		return
+	}
+	h.unsent = h.unsent || h.firstMatters(first) || h.knownMatters(float64(known))
+	h.held.Known = max(h.held.Known, float64(known))
+	h.first = first
+}
+
+// firstMatters reports whether the owner should hear of a first token before
+// the request ends: it has doubts about the endpoint, or should get some.
+func (h *holding) firstMatters(first time.Duration) bool {
+	return h.first == 0 && first > 0 && (h.proved == 0 || first > slowFirst)
+}
+
+// knownMatters reports whether the owner should hear of a cost before the
+// request ends: it is well over the charge, or long not told.
+func (h *holding) knownMatters(known float64) bool {
+	if known > progressFactor*max(h.held.Estimate, h.toldKnown) {
+		return true
 	}
+	return known > h.toldKnown && time.Since(h.toldAt) > progressEvery
 }
 
 func (b *broker) release(seq uint64, o admission.Outcome, cost fair.Cost, first time.Duration) {
@@ -236,6 +255,7 @@
 		},
 		proved:  g.Proved,
 		granted: time.Now(),
+		toldAt:  time.Now(),
 	}
 	p.result <- result{endpoint: g.Endpoint}
 }
@@ -254,9 +274,11 @@
 // report returns the first message of a session: all that this router holds
 // and wants. Releases that could not be sent follow what they release.
 func (b *broker) report(owner ownerID) *peerpb.AdmitRequest {
+	self := b.client.fleet.Self()
 	first := &peerpb.AdmitRequest{
 		Scope:   b.scope,
-		Router:  b.client.fleet.Self().Name,
+		Router:  self.Name,
+		Zone:    self.Zone,
 		Sync:    true,
 		Resumed: b.last == owner,
 		Crashes: crashesTo(b.client.host.Crashes()),
@@ -288,7 +310,7 @@
 	req := &peerpb.AdmitRequest{}
 	for seq, h := range b.held {
 		if h.unsent && h.released == nil {
-			h.unsent = false
+			h.unsent, h.toldKnown, h.toldAt = false, h.held.Known, time.Now()
 			req.Progress = append(req.Progress, &peerpb.Progress{Seq: seq, Known: h.held.Known, FirstTokenMicros: h.first.Microseconds()})
 		}
 	}
--- a/internal/pool/convert.go
+++ b/internal/pool/convert.go
@@ -32,13 +32,13 @@
 	return r
 }
 
-func wantFrom(router string, w *peerpb.Want) admission.Want {
+func wantFrom(router, zone string, w *peerpb.Want) admission.Want {
 	return admission.Want{
 		ID:          admission.ID{Router: router, Seq: w.Seq},
 		Account:     w.Account,
 		Model:       w.Model,
 		Estimate:    fair.Cost(w.Estimate),
-		Zone:        w.Zone,
+		Zone:        zone,
 		Prefix:      w.Prefix,
 		Fingerprint: w.Fingerprint,
 		Avoid:       w.Avoid,
--- a/internal/pool/hosted.go
+++ b/internal/pool/hosted.go
@@ -26,6 +26,7 @@
 type session struct {
 	on     *hosted
 	router string
+	zone   string
 	box    *mailbox[*peerpb.AdmitReply]
 }
 
@@ -68,10 +69,11 @@
 		s.on.host.quarantine.Crashed(now, c)
 	}
 	if req.Sync {
+		s.zone = req.Zone
 		p.Sync(now, reportFrom(s.router, req))
 	}
 	for _, w := range req.Wants {
-		p.Want(now, wantFrom(s.router, w))
+		p.Want(now, wantFrom(s.router, s.zone, w))
 	}
 	for _, seq := range req.Cancels {
 		p.Cancel(admission.ID{Router: s.router, Seq: seq})
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -29,6 +29,14 @@
 	// reportEvery is how often a router tells the progress of its requests
 	// and looks whether the owner is silent.
 	reportEvery = 250 * time.Millisecond
+	// progressEvery is how often it tells the cost of one running request that
+	// is within its estimate.
+	progressEvery = 10 * time.Second
+	// progressFactor is the growth of a cost over the estimate, or over what
+	// was told, that is told before.
+	progressFactor = 1.25
+	// slowFirst is a time to first token that is told before the request ends.
+	slowFirst = time.Second
 	// avoidFor is how long an owner that failed is not tried again.
 	avoidFor = 2 * time.Second
 	// pingEvery is how often a router whose session is with a later one in
--- a/internal/pool/pool_suite_test.go
+++ b/internal/pool/pool_suite_test.go
@@ -31,6 +31,9 @@
 
 const patience = 20 * time.Second // for what has to happen some time
 
+// cleanup runs a function after the test.
+var cleanup = func(f func()) { DeferCleanup(f) }
+
 // wire passes bytes to a listener until it is frozen: then it keeps the
 // connections open and passes nothing.
 type wire struct {
@@ -46,7 +49,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	w := &wire{listener: l, target: target}
-	DeferCleanup(w.close)
+	cleanup(w.close)
 	go w.accept()
 	return w
 }
@@ -190,7 +193,7 @@
 	n.host = pool.NewHost(n, n.events)
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
-	DeferCleanup(stop)
+	cleanup(func() { stop() })
 	go peer.Serve(ctx, l, insecure.NewCredentials(), peer.Handlers{
 		Fleet: peerpb.UnimplementedFleetServer{}, Admission: n.host, Orders: peerpb.UnimplementedOrdersServer{},
 	})
@@ -201,7 +204,7 @@
 func (n *node) start() {
 	dialer := peer.NewDialer(insecure.NewCredentials())
 	n.client = pool.NewClient(n, n.host, dialer)
-	DeferCleanup(func() {
+	cleanup(func() {
 		n.client.Close()
 		dialer.Close()
 	})
