Cold endpoints under removed members and unseen restarts

Causes found one after the other: a removed member whose session had ended was still trusted although another owner had served it since; a pool that came to be owned just after a removal knew nothing of it; answers from before an unseen restart counted towards the proof of warmth. A new spec found that the end of the trust in a lost member was forgotten when another time-out came first.

Change: members keep the time of the last removal; hosts remember removals for later pools; a graceful stop is told apart; idling voids a proof.

Ruled out: resting cold endpoints for 30 s after each start of an owner, which would cost every fresh fleet that time.

--- a/core/admission/admission_suite_test.go
+++ b/core/admission/admission_suite_test.go
@@ -114,6 +114,56 @@
 	})
 })
 
+var _ = Describe("an owner that has lost a member", func() {
+	var b *bench
+	var held admission.ID
+
+	BeforeEach(func() {
+		b = newBench("a", "b")
+		b.configure(open("e", 4, 2))
+		b.Sync(b.now, admission.Report{Router: "a"})
+		b.Sync(b.now, admission.Report{Router: "b"})
+		held = admission.ID{Router: "b", Seq: 1}
+		b.Want(b.now, admission.Want{ID: held, Account: "hotels"})
+		Expect(b.step().Grants).To(HaveLen(1))
+		b.Lose(b.now, "b")
+	})
+
+	// limit is the endpoint's limit some time later.
+	limit := func(later time.Duration) int {
+		b.now = b.now.Add(later)
+		b.step()
+		return b.Endpoints()[0].Limit
+	}
+
+	It("trusts for 15 s what the member held, and then leaves cold endpoints alone", func() {
+		Expect(limit(14 * time.Second)).To(Equal(1))
+		Expect(limit(time.Second)).To(BeZero())
+	})
+
+	It("counts a removed member's slots for 30 s", func() {
+		b.SetMembers(b.now, []string{"a"})
+		Expect(limit(29 * time.Second)).To(Equal(2))
+		Expect(b.Endpoints()[0].Busy).To(Equal(1))
+		limit(time.Second)
+		Expect(b.Endpoints()[0].Busy).To(BeZero())
+	})
+
+	It("takes it at its word that it has stopped gracefully", func() {
+		b.Left("b")
+		b.SetMembers(b.now, []string{"a"})
+		Expect(b.Endpoints()[0].Busy).To(BeZero())
+	})
+
+	It("doubts the warmth of an endpoint that only the lost member uses", func() {
+		b.Sync(b.now, admission.Report{Router: "a", Warmth: []admission.Warmth{{Endpoint: "e", Proved: 4, Age: time.Second}}})
+		Expect(limit(0)).To(Equal(2))
+		Expect(b.Endpoints()[0].Proved).To(Equal(4))
+		limit(3 * time.Second)
+		Expect(b.Endpoints()[0].Proved).To(BeZero())
+	})
+})
+
 var _ = Describe("a pool in use", func() {
 	var b *bench
 
@@ -237,6 +287,16 @@
 		Expect(b.Endpoints()[0].Proved).To(BeZero())
 	})
 
+	It("starts the proof anew for a cold endpoint that idled", func() {
+		b.configure(open("e", 8, 1))
+		b.serve(7, 100*time.Millisecond)
+		b.now = b.now.Add(10 * time.Second)
+		b.serve(1, 100*time.Millisecond)
+		Expect(b.Endpoints()[0].Proved).To(BeZero())
+		b.serve(7, 100*time.Millisecond)
+		Expect(b.Endpoints()[0].Proved).NotTo(BeZero())
+	})
+
 	It("doubts the warmth of an endpoint that idled until one answer at the usual speed", func() {
 		b.configure(open("e", 8, 1))
 		b.serve(30, 100*time.Millisecond)
--- a/core/admission/endpoint.go
+++ b/core/admission/endpoint.go
@@ -57,10 +57,10 @@
 	return !e.alwaysWarm() && (e.ramp <= e.cfg.ColdSlots || !e.lapsed.IsZero())
 }
 
-// lapse puts the warmth of an endpoint in doubt if it may have restarted
+// lapse puts what is proved of an endpoint in doubt if it may have restarted
 // unnoticed. It returns when it should be asked again, or zero.
 func (e *endpoint) lapse(now time.Time) time.Time {
-	if e.cold() || e.alwaysWarm() {
+	if e.alwaysWarm() {
 		return time.Time{}
 	}
 	over := e.proofAt.Add(warmFor)
@@ -70,7 +70,10 @@
 	if now.Before(over) {
 		return over
 	}
-	e.lapsed, e.answers = now, 0
+	e.answers = 0
+	if !e.cold() {
+		e.lapsed = now
+	}
 	return time.Time{}
 }
 
@@ -120,13 +123,9 @@
 	}
 }
 
-// advanced notes progress of a request: a warm endpoint that works has not
+// advanced notes progress of a request: an endpoint that works has not
 // restarted.
-func (e *endpoint) advanced(now time.Time) {
-	if !e.cold() {
-		e.proofAt = now
-	}
-}
+func (e *endpoint) advanced(now time.Time) { e.proofAt = now }
 
 // grow adds a slot if the present limit is in use.
 func (e *endpoint) grow() {
--- a/core/admission/members.go
+++ b/core/admission/members.go
@@ -19,7 +19,8 @@
 type members struct {
 	names     []string // sorted
 	state     map[string]*memberState
-	unknownAt time.Time // a member was lost before it reported
+	buriedAt  time.Time // a member without a session was removed
+	unknownAt time.Time // a member was removed, and what it holds isn't known
 }
 
 type memberState struct {
@@ -90,12 +91,29 @@
 	p.resizeAll(now)
 }
 
+// Removed notes that a member was removed before the pool existed. Nothing is
+// known of what it holds.
+func (p *Pool) Removed(at time.Time) {
+	if at.IsZero() {
+		return
+	}
+	p.members.buriedAt, p.members.unknownAt = at, at
+}
+
+// Left notes that a member has stopped gracefully: it holds nothing.
+func (p *Pool) Left(name string) {
+	p.forget(name)
+	p.replaceHeld(name, nil)
+	delete(p.members.state, name)
+}
+
 // bury turns the slots of a lost member into ghosts.
 func (p *Pool) bury(now time.Time, name string, s *memberState) {
 	p.forget(name)
 	p.attend(name, false)
 	over := now.Add(ghostTime)
 	p.due(over)
+	p.members.buriedAt = now
 	if !s.accounted {
 		p.members.unknownAt = now
 	}
@@ -136,9 +154,10 @@
 	p.resizeAll(now)
 }
 
-// doubtLost ends the trust in what members without a session hold: another
-// owner may have served them meanwhile.
+// doubtLost ends the trust in what members without a session hold, or held
+// when they were removed: another owner may have served them meanwhile.
 func (m *members) doubtLost() {
+	m.unknownAt = m.buriedAt
 	for _, s := range m.state {
 		s.accounted = s.accounted && s.session
 	}
@@ -203,7 +222,6 @@
 	p.forget(router)
 	if s := p.members.state[router]; s != nil && s.session {
 		s.session, s.lostAt = false, now
-		p.due(now.Add(accountedTime))
 	}
 	p.attend(router, false)
 	p.resizeAll(now)
@@ -251,7 +269,21 @@
 	return p.members.allAccounted(now) && (lost.IsZero() || now.Sub(lost) >= ghostTime)
 }
 
+// dueMembers makes Step look again when the trust in a lost member ends, or
+// the time for which a removed one counts.
+func (p *Pool) dueMembers(now time.Time) {
+	for _, s := range p.members.state {
+		if over := s.lostAt.Add(accountedTime); !s.session && over.After(now) {
+			p.due(over)
+		}
+	}
+	if over := p.members.unknownAt.Add(ghostTime); over.After(now) {
+		p.due(over)
+	}
+}
+
 func (p *Pool) resizeAll(now time.Time) {
+	p.dueMembers(now)
 	for _, e := range p.ordered {
 		p.resize(now, e)
 	}
--- a/internal/pool/host.go
+++ b/internal/pool/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
+	"github.com/cyclamenwinch/cyclamenwinch/core/member"
 	"github.com/cyclamenwinch/cyclamenwinch/core/route"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
@@ -23,6 +24,8 @@
 	scopes     map[string]*hosted
 	past       map[string]fair.Cost // of pools that this router owned before
 	quarantine *route.Quarantine
+	members    []member.Router // of the last view
+	removedAt  time.Time       // when one was missing without having stopped
 	usageAt    time.Time
 	signAt     time.Time
 }
@@ -216,8 +219,28 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
+	h.noteRemovals(now)
 	for _, on := range h.scopes {
 		on.configure(now)
 		on.step(now)
 	}
 }
+
+// noteRemovals remembers when a router was last removed, for pools that this
+// one comes to own later. One that stopped gracefully holds nothing.
+func (h *Host) noteRemovals(now time.Time) {
+	view := h.fleet.View()
+	for _, r := range h.members {
+		if _, still := view.Get(r.Name); still {
+			continue
+		}
+		if !r.Leaving {
+			h.removedAt = now
+			continue
+		}
+		for _, on := range h.scopes {
+			on.pool.Left(r.Name)
+		}
+	}
+	h.members = view.Routers
+}
--- a/internal/pool/hosted.go
+++ b/internal/pool/hosted.go
@@ -32,6 +32,7 @@
 
 func newHosted(h *Host, scope string) *hosted {
 	on := &hosted{host: h, scope: scope, pool: admission.NewPool(h.quarantine), sessions: map[string]*session{}}
+	on.pool.Removed(h.removedAt)
 	on.configure(time.Now())
 	return on
 }
