--- a/core/code/code.go
+++ b/core/code/code.go
@@ -48,6 +48,7 @@
 	OutcomeUnknown Code = 4002
 	InProgress     Code = 4003
 	NotRecorded    Code = 4004
+	AnswerNotKept  Code = 4005
 
 	BadManifest    Code = 5001
 	Conflict       Code = 5002
@@ -97,6 +98,7 @@
 	{OutcomeUnknown, "OutcomeUnknown", http.StatusBadGateway, "The order was sent, and its outcome is unknown.", "Ask the operator to settle it; don't use a new key."},
 	{InProgress, "InProgress", http.StatusConflict, "The order is in progress.", "Send the same key again as Retry-After says."},
 	{NotRecorded, "NotRecorded", http.StatusNotFound, "No order is recorded under the key.", "Check the key and the client account."},
+	{AnswerNotKept, "AnswerNotKept", http.StatusBadGateway, "The order was executed; its answer was too large to be recorded.", "Ask the order runner for the answer; don't use a new key."},
 	{BadManifest, "BadManifest", http.StatusUnprocessableEntity, "The manifest has faults.", "Correct every fault named and submit again."},
 	{Conflict, "Conflict", http.StatusConflict, "Another change was accepted first.", "Read the difference and submit again."},
 	{BadSettings, "BadSettings", http.StatusUnprocessableEntity, "The settings have faults.", "Correct every fault named and start again."},
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -1,74 +1,19 @@
-// Package order holds the records of requests that must not be repeated and
-// the rules by which they change.
+// Package order holds the ledger of requests that must not be repeated, as a
+// state machine without input or output.
 //
 // A shard is a chain of segments, each one object of the platform. Claims go
-// to the last segment only. A segment that is sealed takes no more claims, so
-// a writer that has read a segment at some version has seen every claim that
-// can precede its own: the platform's version check is the fence, and no
+// to the last segment only. A segment that is sealed takes no more claims,
+// and the next one is made only after that, so a writer whose copy of the
+// last segment has the version that its write requires has seen every claim
+// that can precede its own. The platform's version check is the fence; no
 // clock or lease is part of the argument.
+//
+// Invariants:
+//   - Of the claims of an account's key, at most one is not in state NotRun.
+//   - A claim is dispatched by its claimant only, after the verdict Won, once.
+//   - A record becomes NotRun only by its claimant before the dispatch, or on
+//     the endpoint's word that a raised fencing number keeps the claim from
+//     being executed ever, or on an operator's word.
+//   - A segment is removed only after the head was moved past it, and the head
+//     is moved past a segment only after the retention of all its records.
 package order
-
-import (
-	"encoding/json"
-	"time"
-)
-
-// State is the state of a record. It only moves to the right.
-type State string
-
-// The states.
-const (
-	Claimed State = "claimed" // may have been sent to an endpoint
-	Done    State = "done"    // the answer is recorded
-	Unknown State = "unknown" // sent, outcome not known
-	NotRun  State = "not_run" // proved never sent
-)
-
-// Record is one order.
-type Record struct {
-	Account   string    `json:"account"`
-	Key       string    `json:"key"`
-	Digest    string    `json:"digest"`   // SHA-256 of path and body, hexadecimal
-	Token     string    `json:"token"`    // the claimant's, unique to the claim
-	Router    string    `json:"router"`   // the claimant
-	Endpoint  string    `json:"endpoint"` // where it was sent, once known
-	State     State     `json:"state"`
-	ClaimedAt time.Time `json:"claimed_at"`
-	Answer    *Answer   `json:"answer,omitempty"`
-}
-
-// Answer is what the endpoint said.
-type Answer struct {
-	Status      int    `json:"status"` // HTTP status
-	ContentType string `json:"content_type"`
-	Body        []byte `json:"body"`
-}
-
-// Segment is the value of one platform object.
-type Segment struct {
-	Seq     int       `json:"seq"` // place in the chain, from 0
-	Sealed  bool      `json:"sealed"`
-	Records []*Record `json:"records"`
-}
-
-// Find returns the record of an account's key, or nil.
-func (s *Segment) Find(account, key string) *Record {
-	for _, r := range s.Records {
-		if r.Account == account && r.Key == key {
-			return r
-		}
-	}
-	return nil
-}
-
-// Encode returns the segment as JSON.
-func (s *Segment) Encode() ([]byte, error) { return json.Marshal(s) }
-
-// Decode reads a segment from JSON.
-func Decode(data []byte) (*Segment, error) {
-	var s Segment
-	if err := json.Unmarshal(data, &s); err != nil {
-		return nil, err
-	}
-	return &s, nil
-}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,60 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/retry"
+)
+
+func TestDelayStaysWithinItsBackoff(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := retry.Backoff{First: 50 * time.Millisecond, Longest: 5 * time.Second}
+		failures := rapid.IntRange(1, 100).Draw(t, "failures")
+		d := b.Delay(failures, rapid.Float64Range(0, 0.999).Draw(t, "random"))
+		if d < b.First/2 || d > b.Longest {
+			t.Fatalf("%d failures: %v", failures, d)
+		}
+	})
+}
+
+func TestGateSpacesRetriesWhileDownAndOpensAtOnce(t *testing.T) {
+	b := retry.Backoff{First: time.Second, Longest: time.Second}
+	g := retry.NewGate(b)
+	now := time.Unix(0, 0)
+	if g.Reserve(now, 0) != 0 {
+		t.Fatal("an open gate delays")
+	}
+	g.Failed()
+	last := time.Duration(0)
+	for range 10 {
+		d := g.Reserve(now, 0.5)
+		if d < last+b.First/2 {
+			t.Fatalf("two retries %v apart", d-last)
+		}
+		last = d
+	}
+	if !g.Succeeded() || g.Reserve(now, 0.5) != 0 {
+		t.Fatal("the gate stays closed after a success")
+	}
+}
+
+func TestBudgetBoundsRetriesByRatio(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := retry.NewBudget(0.1, 10)
+		successes, retries := 0, 0
+		for range rapid.IntRange(0, 1000).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "success") {
+				b.Succeeded()
+				successes++
+			} else if b.Take() {
+				retries++
+			}
+		}
+		if float64(retries) > 10+0.1*float64(successes)+1e-9 {
+			t.Fatalf("%d retries for %d successes", retries, successes)
+		}
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,6 +114,7 @@
 	err = d.drain()
 	stopWork()
 	<-ended
+	d.ledger.Close()
 	d.pools.Close()
 	d.dialer.Close()
 	klog.InfoS("daemon: Stopped", "router", d.settings.Name)
@@ -144,6 +145,7 @@
 	root.Add(&part{name: "heartbeats", serve: d.fleet.KeepHeartbeats})
 	root.Add(&part{name: "manifest", serve: d.fleet.WatchManifest})
 	root.Add(&part{name: "pools", serve: d.host.Serve})
+	root.Add(&part{name: "orders", serve: d.ledger.Serve})
 	root.Add(&part{name: "peers", serve: func(ctx context.Context) error {
 		return peer.Serve(ctx, shared(l.peers), d.creds, peer.Handlers{Fleet: d.fleet, Admission: d.host, Orders: d.ledger})
 	}})
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -9,9 +9,10 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
-	"net/http"
+	"fmt"
 	"strconv"
 	"sync"
 	"time"
@@ -20,23 +21,38 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
-	"github.com/cyclamenwinch/cyclamenwinch/core/admission"
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/core/member"
 	"github.com/cyclamenwinch/cyclamenwinch/core/order"
+	"github.com/cyclamenwinch/cyclamenwinch/core/retry"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peer"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
-	"github.com/cyclamenwinch/cyclamenwinch/internal/platform"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/pool"
 )
 
 const (
-	placeTimeout  = 30 * time.Second // one order, all steps
-	recordTimeout = 60 * time.Second // tries to record an outcome
-	orderCost     = 1                // cost units of one order
+	// placeTimeout bounds the time until an order is claimed and sent.
+	placeTimeout = 30 * time.Second
+	// dispatchTimeout bounds the time that an endpoint has for an order.
+	dispatchTimeout = 30 * time.Second
+	// recordWait is how long a caller waits for the record of its answer. The
+	// record is tried on until it is committed.
+	recordWait = 2 * time.Second
+	// pauseTime is between two looks at what another router or the endpoint
+	// is still busy with.
+	pauseTime = 500 * time.Millisecond
+	// fleetWrites is the rate of ledger writes of the whole fleet, in writes
+	// a second, that the spacing of a shard's writes allows.
+	fleetWrites = 200
+	orderCost   = 1 // cost units of one order
+	maxTries    = 3 // claims for one request, each but the last proved not run
+	retryRatio  = 0.1
+	retryMost   = 20
+	flushPoll   = 20 * time.Millisecond
+	maxRunning  = 4096 // orders run here at once
 )
 
 // Fleet is what this package needs to know of the fleet.
@@ -46,10 +62,13 @@
 	Manifest() *manifest.Manifest
 }
 
+// Slot is the right to run one order at one endpoint.
+type Slot = pool.Slot
+
 // Options configure a Ledger.
 type Options struct {
 	Fleet     Fleet
-	Platform  *platform.Client
+	Platform  Store
 	Pools     *pool.Client
 	Endpoints *endpoint.Client
 	Dialer    *peer.Dialer
@@ -76,180 +95,173 @@
 // Ledger is safe for concurrent use.
 type Ledger struct {
 	peerpb.UnimplementedOrdersServer
-	opts Options
+	opts    Options
+	ctx     context.Context
+	stop    context.CancelFunc
+	started time.Time
 
-	mu     sync.Mutex
-	shards map[int]*shard
-	open   sync.WaitGroup
+	mu      sync.Mutex
+	shards  map[int]*shard
+	running map[order.ID]chan struct{} // closed when the run here ends
+	retries *retry.Budget
+	open    sync.WaitGroup
 }
 
-// New returns a ledger that has read nothing yet.
+// New returns a ledger that has read nothing yet. Close ends its work.
 func New(opts Options) *Ledger {
-	return &Ledger{opts: opts, shards: map[int]*shard{}}
+	ctx, stop := context.WithCancel(context.Background())
+	return &Ledger{
+		opts:    opts,
+		ctx:     ctx,
+		stop:    stop,
+		started: time.Now(),
+		shards:  map[int]*shard{},
+		running: map[order.ID]chan struct{}{},
+		retries: retry.NewBudget(retryRatio, retryMost),
+	}
 }
 
+// Close ends all work at once. Wait comes first in a graceful stop.
+func (l *Ledger) Close() { l.stop() }
+
 // Place runs an order at its home router, or here if that can't be reached.
 // The error is a *code.Error.
 func (l *Ledger) Place(ctx context.Context, o Order) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
-	n, err := l.shardOf(o)
+	n, err := l.shardOf(o.Account, o.Key)
 	if err != nil {
 		return Result{}, err
 	}
-	self := l.opts.Fleet.Self().Name
-	home, ok := l.opts.Fleet.View().Owner("orders/" + strconv.Itoa(n))
-	if !ok || home.Name == self {
+	home, ok := l.home(n)
+	if !ok || home.Name == l.opts.Fleet.Self().Name {
 		return l.Run(ctx, o)
 	}
 	result, err := l.forward(ctx, home, o)
 	var failure *code.Error
 	if err != nil && !errors.As(err, &failure) {
 		klog.V(1).InfoS("orders: Home router not reached", "home", home.Name, "err", err)
-		return l.Run(ctx, o)
+		return l.runInstead(ctx, o)
 	}
 	return result, err
 }
 
-// Wait returns when no order is being run here any more.
-func (l *Ledger) Wait() { l.open.Wait() }
+// runInstead runs an order that the home router may have received. It never
+// says "not run": the home router may run it yet.
+func (l *Ledger) runInstead(ctx context.Context, o Order) (Result, error) {
+	result, err := l.Run(ctx, o)
+	var failure *code.Error
+	if errors.As(err, &failure) && failure.NotRun {
+		doubt := *failure
+		doubt.NotRun = false
+		return result, &doubt
+	}
+	return result, err
+}
+
+// Wait returns when no order is being run here any more and every outcome is
+// recorded.
+func (l *Ledger) Wait() {
+	l.open.Wait()
+	ticker := time.NewTicker(flushPoll)
+	defer ticker.Stop()
+	for l.pending() {
+		<-ticker.C
+	}
+}
 
-// Run runs an order at this router.
+// Run runs an order at this router. A resend of an order that is being run
+// here waits for that run and gets its answer.
 func (l *Ledger) Run(ctx context.Context, o Order) (Result, error) {
 	l.open.Add(1)
 	defer l.open.Done()
-	n, err := l.shardOf(o)
+	n, err := l.shardOf(o.Account, o.Key)
 	if err != nil {
 		return Result{}, err
 	}
-	s := l.shard(n)
-	found, err := s.find(ctx, o.Account, o.Key)
+	done, err := l.enter(ctx, order.NewID(o.Account, o.Key))
 	if err != nil {
-		return Result{}, code.Refuse(code.PlatformDown, err.Error())
+		return Result{}, err
 	}
-	if found != nil && found.State != order.NotRun {
-		return l.replay(ctx, s, found, o)
+	r := &run{ledger: l, shard: l.shard(n), order: o, since: time.Now().Round(0).UTC(), sent: make(chan struct{})}
+	outcome := make(chan ended, 1)
+	l.open.Add(1)
+	go func() {
+		defer l.open.Done()
+		defer done()
+		result, err := r.tries(ctx)
+		outcome <- ended{result, err}
+	}()
+	select {
+	case e := <-outcome:
+		return e.result, e.err
+	case <-ctx.Done():
 	}
-	return l.runNew(ctx, s, o)
+	return l.left(r, outcome)
 }
 
-// runNew waits for a slot, claims, sends and records.
-func (l *Ledger) runNew(ctx context.Context, s *shard, o Order) (Result, error) {
-	slot, err := l.opts.Pools.Acquire(ctx, o.Pool, pool.Request{Account: o.Account, Estimate: orderCost})
-	if err != nil {
-		return Result{}, err
-	}
-	outcome := admission.Cancelled
-	defer func() { slot.Release(outcome, orderCost, 0) }()
-	claim := &order.Record{
-		Account:   o.Account,
-		Key:       o.Key,
-		Digest:    digest(o),
-		Token:     newToken(l.opts.Fleet.Self()),
-		Router:    l.opts.Fleet.Self().Name,
-		Endpoint:  slot.Endpoint,
-		State:     order.Claimed,
-		ClaimedAt: time.Now().UTC(),
-	}
-	held, err := s.claim(ctx, claim)
-	if err != nil {
-		// The claim may be committed, but it is never sent now: not run.
-		return Result{}, code.Refuse(code.PlatformDown, err.Error())
-	}
-	if held.Token != claim.Token {
-		return l.replay(ctx, s, held, o)
-	}
-	l.opts.Events.Add(eventlog.Event{Kind: eventlog.OrderClaimed, Request: o.RequestID, Account: o.Account, Endpoint: slot.Endpoint, Detail: o.Key})
-	answer, err := l.dispatch(ctx, claim, o)
-	outcome = outcomeOf(err)
-	return l.finish(ctx, s, claim, answer, err)
+// ended is the end of a run.
+type ended struct {
+	result Result
+	err    error
 }
 
-// dispatch sends a claimed order once, and looks it up if its answer is
-// lost.
-func (l *Ledger) dispatch(ctx context.Context, claim *order.Record, o Order) (order.Answer, error) {
-	e, ok := l.findEndpoint(claim.Endpoint)
-	if !ok {
-		return order.Answer{}, code.Refuse(code.NoEndpoint, claim.Endpoint+" is not declared any more")
-	}
-	key := endpointKey(o.Account, o.Key)
-	answer, err := l.opts.Endpoints.Do(ctx, endpoint.Call{
-		URL:         e.URL + o.Path,
-		Method:      http.MethodPost,
-		RequestID:   o.RequestID,
-		Key:         key,
-		Fence:       1,
-		ContentType: o.ContentType,
-		Body:        o.Body,
-	})
-	if err == nil {
-		return order.Answer(answer), nil
+// left answers a caller whose time is over. A run that has not claimed ends
+// at once; one that has goes on without its caller.
+func (l *Ledger) left(r *run, outcome <-chan ended) (Result, error) {
+	select {
+	case e := <-outcome:
+		return e.result, e.err
+	case <-r.sent:
+		failure := code.Fail(code.InProgress, "the order goes on")
+		failure.RetryAfter = time.Second
+		return Result{}, failure
 	}
-	var failure *code.Error
-	if errors.As(err, &failure) && failure.NotRun {
-		return order.Answer{}, err
-	}
-	if found, ok := l.lookUp(ctx, e, key, o.RequestID); ok {
-		return found, nil
-	}
-	return order.Answer{}, code.Fail(code.OutcomeUnknown, err.Error())
 }
 
-// lookUp asks the endpoint for the answer of an order that it executed.
-func (l *Ledger) lookUp(ctx context.Context, e manifest.Endpoint, key, requestID string) (order.Answer, bool) {
-	if !e.Lookup {
-		return order.Answer{}, false
-	}
-	answer, err := l.opts.Endpoints.Do(context.WithoutCancel(ctx), endpoint.Call{
-		URL:       e.URL + "/executions/" + key,
-		Method:    http.MethodGet,
-		RequestID: requestID,
-		Fresh:     true,
-	})
-	if err != nil || answer.Status != http.StatusOK {
-		return order.Answer{}, false
+// enter waits until no run of the same order is under way here. The returned
+// function ends the run.
+func (l *Ledger) enter(ctx context.Context, id order.ID) (func(), error) {
+	for {
+		l.mu.Lock()
+		other, busy := l.running[id]
+		if !busy && len(l.running) >= maxRunning {
+			l.mu.Unlock()
+			return nil, code.Refuse(code.TooManyRequests, "too many orders run at this router")
+		}
+		if !busy {
+			done := make(chan struct{})
+			l.running[id] = done
+			l.mu.Unlock()
+			return func() { l.leave(id, done) }, nil
+		}
+		l.mu.Unlock()
+		select {
+		case <-other:
+		case <-ctx.Done():
+			failure := code.Fail(code.InProgress, "the order is being run")
+			failure.RetryAfter = time.Second
+			return nil, failure
+		}
 	}
-	return order.Answer(answer), true
 }
 
-// finish records the outcome. A caller gets an answer even if its record has
-// to be tried again.
-func (l *Ledger) finish(ctx context.Context, s *shard, claim *order.Record, answer order.Answer, cause error) (Result, error) {
-	done := *claim
-	var failure *code.Error
-	switch {
-	case cause == nil:
-		done.State = order.Done
-		done.Answer = &answer
-	case errors.As(cause, &failure) && failure.NotRun:
-		done.State = order.NotRun
-	default:
-		done.State = order.Unknown
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
-	defer cancel()
-	if err := s.record(ctx, &done); err != nil {
-		klog.ErrorS(err, "orders: Outcome not recorded", "key", claim.Key, "state", done.State)
-	}
-	l.opts.Events.Add(eventlog.Event{Kind: eventlog.OrderRecorded, Account: claim.Account, Endpoint: claim.Endpoint, Detail: claim.Key + " " + string(done.State)})
-	return Result{Answer: answer}, cause
+func (l *Ledger) leave(id order.ID, done chan struct{}) {
+	l.mu.Lock()
+	delete(l.running, id)
+	l.mu.Unlock()
+	close(done)
 }
 
-// replay answers a resend from the record.
-func (l *Ledger) replay(ctx context.Context, s *shard, r *order.Record, o Order) (Result, error) {
-	if r.Digest != digest(o) {
-		return Result{}, code.Fail(code.KeyReused, "")
-	}
-	l.opts.Events.Add(eventlog.Event{Kind: eventlog.OrderReplayed, Request: o.RequestID, Account: o.Account, Detail: o.Key + " " + string(r.State)})
-	switch r.State {
-	case order.Done:
-		return Result{Answer: *r.Answer, Replayed: true}, nil
-	case order.Unknown:
-		return Result{}, code.Fail(code.OutcomeUnknown, "")
+func (l *Ledger) pending() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.shards {
+		if s.pending() {
+			return true
+		}
 	}
-	failure := code.Fail(code.InProgress, "claimed by router "+r.Router)
-	failure.RetryAfter = time.Second
-	return Result{}, failure
+	return false
 }
 
 func (l *Ledger) findEndpoint(name string) (manifest.Endpoint, bool) {
@@ -261,12 +273,17 @@
 	return manifest.Endpoint{}, false
 }
 
-func (l *Ledger) shardOf(o Order) (int, error) {
+// home returns the router that usually runs a shard's orders.
+func (l *Ledger) home(n int) (member.Router, bool) {
+	return l.opts.Fleet.View().Owner("orders/" + strconv.Itoa(n))
+}
+
+func (l *Ledger) shardOf(account, key string) (int, error) {
 	m := l.opts.Fleet.Manifest()
 	if m == nil {
 		return 0, code.Refuse(code.NoManifest, "")
 	}
-	return int(xxhash.Sum64String(o.Account+"\x00"+o.Key) % uint64(m.Orders.Shards)), nil
+	return int(xxhash.Sum64String(account+"\x00"+key) % uint64(m.Orders.Shards)), nil
 }
 
 func (l *Ledger) shard(n int) *shard {
@@ -274,12 +291,23 @@
 	defer l.mu.Unlock()
 	s, ok := l.shards[n]
 	if !ok {
-		s = &shard{platform: l.opts.Platform, prefix: "orders/" + strconv.Itoa(n) + "/"}
+		s = newShard(l.ctx, l.opts.Platform, l.config(n))
 		l.shards[n] = s
 	}
 	return s
 }
 
+// config spaces the writes of the shards so that all of them together stay
+// within fleetWrites.
+func (l *Ledger) config(n int) order.Config {
+	orders := l.opts.Fleet.Manifest().Orders
+	return order.Config{
+		Number:    n,
+		Spacing:   time.Duration(orders.Shards) * time.Second / fleetWrites,
+		Retention: time.Duration(orders.RetentionHours) * time.Hour,
+	}
+}
+
 // forward sends an order to its home router. An error that is no *code.Error
 // means that the home router could not be reached.
 func (l *Ledger) forward(ctx context.Context, home member.Router, o Order) (Result, error) {
@@ -332,25 +360,14 @@
 	}, nil
 }
 
-func outcomeOf(err error) admission.Outcome {
-	var failure *code.Error
-	switch {
-	case err == nil:
-		return admission.Done
-	case errors.As(err, &failure) && failure.Code == code.Unreachable:
-		return admission.Unreachable
-	}
-	return admission.Crashed
+// newToken returns a claim token that no other claim has.
+func newToken(self member.Router) string {
+	random := make([]byte, 8)
+	rand.Read(random)
+	return fmt.Sprintf("%s-%d-%s", self.Name, self.Incarnation, hex.EncodeToString(random))
 }
 
 func digest(o Order) string {
 	sum := sha256.Sum256(append([]byte(o.Path+"\x00"), o.Body...))
 	return hex.EncodeToString(sum[:])
 }
-
-// endpointKey is the key that the endpoint sees; two client accounts may use
-// the same key.
-func endpointKey(account, key string) string {
-	sum := sha256.Sum256([]byte(account + "\x00" + key))
-	return hex.EncodeToString(sum[:16])
-}
--- /dev/null
+++ b/internal/ledger/run.go
@@ -0,0 +1,351 @@
+package ledger
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/admission"
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/core/order"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/pool"
+)
+
+// run takes the steps that a core run asks for.
+type run struct {
+	ledger *Ledger
+	shard  *shard
+	order  Order
+	since  time.Time
+	avoid  []string
+
+	core    *order.Run
+	slot    *pool.Slot
+	outcome admission.Outcome
+	whole   *endpoint.Answer // the endpoint's, also if the record keeps no body
+
+	sent     chan struct{} // closed once a claim may be dispatched
+	sentOnce sync.Once
+}
+
+// errStep ends a run with a refusal.
+type errStep struct{ failure *code.Error }
+
+// tries runs the order until it is answered, or refused for good. Only a try
+// that is proved not run is repeated.
+func (r *run) tries(ctx context.Context) (Result, error) {
+	for try := 1; ; try++ {
+		result, err := r.once(ctx)
+		if err == nil {
+			r.ledger.note(true)
+			return result, nil
+		}
+		var failure *code.Error
+		again := errors.As(err, &failure) && failure.NotRun && failure.Code == code.Unreachable
+		if !again || try == maxTries || ctx.Err() != nil || !r.ledger.note(false) {
+			return result, err
+		}
+		r.ledger.opts.Events.Add(eventlog.Event{Kind: eventlog.RequestRetried, Request: r.order.RequestID, Account: r.order.Account, Detail: failure.Error()})
+	}
+}
+
+// note takes in a success, or asks the budget for a retry.
+func (l *Ledger) note(ok bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ok {
+		l.retries.Succeeded()
+		return true
+	}
+	return l.retries.Take()
+}
+
+func (r *run) once(ctx context.Context) (Result, error) {
+	r.core = order.NewRun(r.ledger, r.ledger.opts.Fleet.Self().Name, digest(r.order))
+	reply, stopped := r.steps(ctx, r.core.Start())
+	r.release()
+	if stopped != nil {
+		return Result{}, stopped.failure
+	}
+	return r.answer(reply)
+}
+
+// steps takes steps until the reply.
+func (r *run) steps(ctx context.Context, step order.Step) (order.Reply, *errStep) {
+	for {
+		var stopped *errStep
+		switch step.Kind {
+		case order.StepLook:
+			step, stopped = r.look(ctx, step)
+		case order.StepClaim:
+			step, stopped = r.claim(ctx)
+		case order.StepDispatch:
+			step = r.dispatch(step.Record)
+		case order.StepLookUp:
+			step = r.lookUp(step)
+		case order.StepChange:
+			step = r.change(step.Change)
+		case order.StepPause:
+			step = r.pause(ctx)
+		case order.StepReply:
+			return step.Reply, nil
+		}
+		if stopped != nil {
+			return order.Reply{}, stopped
+		}
+	}
+}
+
+func (r *run) look(ctx context.Context, step order.Step) (order.Step, *errStep) {
+	v, err := r.shard.await(ctx, func(s *order.Shard) order.Op { return s.Look(r.order.Account, r.order.Key, step.Fresh) })
+	if err != nil && step.Fresh {
+		// A record of the key is known, so an earlier try may have run.
+		return step, &errStep{code.Fail(code.PlatformDown, "the order's record can't be read")}
+	}
+	if err != nil {
+		return step, &errStep{code.Refuse(code.PlatformDown, "the ledger can't be read")}
+	}
+	return r.core.Looked(v), nil
+}
+
+// claim waits for a slot and claims. A refusal from here is not run: the
+// claim, if it is committed at all, is never dispatched.
+func (r *run) claim(ctx context.Context) (order.Step, *errStep) {
+	slot, err := r.ledger.opts.Pools.Acquire(ctx, r.order.Pool, pool.Request{Account: r.order.Account, Estimate: orderCost, Avoid: r.avoid})
+	if err != nil {
+		return order.Step{}, &errStep{asError(err)}
+	}
+	r.slot, r.outcome = slot, admission.Cancelled
+	self := r.ledger.opts.Fleet.Self()
+	v, givenUp := r.shard.claim(ctx, order.Record{
+		Account:     r.order.Account,
+		Key:         r.order.Key,
+		Digest:      digest(r.order),
+		Token:       newToken(self),
+		Router:      self.Name,
+		Incarnation: self.Incarnation,
+		Endpoint:    slot.Endpoint,
+		Fence:       1,
+		ClaimedAt:   r.since,
+	})
+	if givenUp {
+		return order.Step{}, &errStep{code.Refuse(code.PlatformDown, "the claim could not be recorded")}
+	}
+	if v.Kind == order.Won && ctx.Err() != nil {
+		return r.core.Cancelled(v, code.Refuse(code.CallerLeft, "")), nil
+	}
+	if v.Kind != order.Won {
+		r.release()
+	}
+	return r.core.Claimed(v), nil
+}
+
+// dispatch sends a claimed order, once. The caller's leaving does not stop
+// it.
+func (r *run) dispatch(claim order.Record) order.Step {
+	r.sentOnce.Do(func() { close(r.sent) })
+	r.event(eventlog.OrderClaimed, claim, r.order.Key)
+	e, ok := r.ledger.findEndpoint(claim.Endpoint)
+	if !ok {
+		return r.core.Dispatched(order.NotSent, nil, code.Refuse(code.NoEndpoint, claim.Endpoint+" is not declared any more"))
+	}
+	ctx, cancel := context.WithTimeout(r.ledger.ctx, dispatchTimeout)
+	defer cancel()
+	answer, err := r.ledger.opts.Endpoints.Do(ctx, endpoint.Call{
+		URL:         e.URL + r.order.Path,
+		Method:      http.MethodPost,
+		RequestID:   r.order.RequestID,
+		Key:         claim.ID().String(),
+		Fence:       claim.Fence,
+		ContentType: r.order.ContentType,
+		Body:        r.order.Body,
+	})
+	sent, cause := judge(answer, err, e.Fence)
+	r.outcome = outcomeOf(cause)
+	if sent != order.Answered {
+		r.avoid = append(r.avoid, claim.Endpoint)
+		return r.core.Dispatched(sent, nil, cause)
+	}
+	r.whole = &answer
+	return r.core.Dispatched(sent, order.NewAnswer(answer.Status, answer.ContentType, answer.Body), nil)
+}
+
+// judge says what is known after a dispatch. An endpoint that answers with a
+// server error may have executed the order all the same.
+func judge(answer endpoint.Answer, err error, fence bool) (order.Sent, error) {
+	var failure *code.Error
+	switch {
+	case errors.As(err, &failure) && failure.NotRun:
+		return order.NotSent, err
+	case err != nil:
+		return order.Doubt, err
+	case fence && answer.Status == http.StatusPreconditionFailed:
+		return order.NotSent, code.Refuse(code.EndpointError, "the endpoint refused the fencing number")
+	case answer.Status >= http.StatusInternalServerError || answer.Status == http.StatusTooManyRequests:
+		return order.Doubt, code.Fail(code.EndpointError, "the endpoint answered "+http.StatusText(answer.Status))
+	}
+	return order.Answered, nil
+}
+
+// lookUp asks the endpoint what it knows of an order.
+func (r *run) lookUp(step order.Step) order.Step {
+	seen, answer := r.ledger.ask(step)
+	if seen != order.Executed {
+		return r.core.LookedUp(seen, nil)
+	}
+	r.whole = &answer
+	return r.core.LookedUp(seen, order.NewAnswer(answer.Status, answer.ContentType, answer.Body))
+}
+
+// ask asks an endpoint for an execution, under a raised fence if the step
+// says so.
+func (l *Ledger) ask(step order.Step) (order.Seen, endpoint.Answer) {
+	e, ok := l.findEndpoint(step.Record.Endpoint)
+	if !ok {
+		return order.Silent, endpoint.Answer{}
+	}
+	key := step.Record.ID().String()
+	call := endpoint.Call{URL: e.URL + "/executions/" + key, Method: http.MethodGet, RequestID: step.Record.Token, Fresh: true}
+	if step.Raise {
+		call = endpoint.Call{URL: e.URL + "/fences/" + key, Method: http.MethodPut, RequestID: step.Record.Token, Key: key, Fence: step.Record.Fence}
+	}
+	answer, err := l.opts.Endpoints.Do(l.ctx, call)
+	if err != nil {
+		return order.Silent, answer
+	}
+	switch answer.Status {
+	case http.StatusOK:
+		return order.Executed, answer
+	case http.StatusAccepted:
+		return order.Running, answer
+	case http.StatusNotFound:
+		return order.Never, answer
+	}
+	return order.Silent, answer
+}
+
+// change records an outcome. If that takes long the caller is answered
+// without it: the shard goes on until it is committed.
+func (r *run) change(c order.Change) order.Step {
+	ctx, cancel := context.WithTimeout(r.ledger.ctx, recordWait)
+	defer cancel()
+	v, err := r.shard.await(ctx, func(s *order.Shard) order.Op { return s.Change(c) })
+	if err == nil {
+		r.event(eventlog.OrderRecorded, v.Record, c.Key+" "+string(v.Record.State))
+		return r.core.Changed(v)
+	}
+	klog.InfoS("orders: Outcome not recorded yet", "account", c.Account, "key", c.Key, "state", c.To)
+	return r.core.Unrecorded()
+}
+
+func (r *run) pause(ctx context.Context) order.Step {
+	select {
+	case <-ctx.Done():
+		return r.core.TimedOut()
+	case <-r.ledger.ctx.Done():
+		return r.core.TimedOut()
+	case <-time.After(pauseTime):
+		return r.core.Paused()
+	}
+}
+
+// release gives the slot back, once.
+func (r *run) release() {
+	if r.slot == nil {
+		return
+	}
+	r.slot.Release(r.outcome, orderCost, 0)
+	r.slot = nil
+}
+
+// answer turns the reply into what the caller gets.
+func (r *run) answer(reply order.Reply) (Result, error) {
+	switch reply.Kind {
+	case order.ReplyAnswer:
+		return r.wholeAnswer(reply)
+	case order.ReplyReused:
+		return Result{}, code.Fail(code.KeyReused, "")
+	case order.ReplyNotRun:
+		return Result{}, refused(reply.Cause)
+	case order.ReplyInProgress:
+		failure := code.Fail(code.InProgress, "another router runs it")
+		failure.RetryAfter = time.Second
+		return Result{}, failure
+	}
+	detail := ""
+	if reply.Cause != nil {
+		detail = reply.Cause.Error()
+	}
+	return Result{}, code.Fail(code.OutcomeUnknown, detail)
+}
+
+// wholeAnswer returns the whole answer. Of one that was too large for its record
+// the endpoint is asked again.
+func (r *run) wholeAnswer(reply order.Reply) (Result, error) {
+	answer := *reply.Answer
+	if reply.Replayed {
+		r.ledger.opts.Events.Add(eventlog.Event{Kind: eventlog.OrderReplayed, Request: r.order.RequestID, Account: r.order.Account, Detail: r.order.Key})
+	}
+	if !answer.Kept() && r.whole == nil {
+		r.fetch(answer)
+	}
+	if !answer.Kept() && r.whole != nil {
+		answer.Body = r.whole.Body
+	}
+	if !answer.Kept() {
+		return Result{}, code.Fail(code.AnswerNotKept, "status "+http.StatusText(answer.Status)+", SHA-256 "+answer.Digest)
+	}
+	return Result{Answer: answer, Replayed: reply.Replayed}, nil
+}
+
+// fetch looks up an answer that was too large for its record.
+func (r *run) fetch(want order.Answer) {
+	v, err := r.shard.await(r.ledger.ctx, func(s *order.Shard) order.Op { return s.Look(r.order.Account, r.order.Key, false) })
+	if err != nil || !r.ledger.Ability(v.Record.Endpoint).Lookup {
+		return
+	}
+	seen, answer := r.ledger.ask(order.Step{Record: v.Record})
+	if seen == order.Executed && order.NewAnswer(answer.Status, answer.ContentType, answer.Body).Digest == want.Digest {
+		r.whole = &answer
+	}
+}
+
+func (r *run) event(kind eventlog.Kind, record order.Record, detail string) {
+	r.ledger.opts.Events.Add(eventlog.Event{Kind: kind, Request: r.order.RequestID, Account: record.Account, Endpoint: record.Endpoint, Detail: detail})
+}
+
+// refused returns a refusal that is proved not run, with the cause's code.
+func refused(cause error) *code.Error {
+	var failure *code.Error
+	if !errors.As(cause, &failure) {
+		return code.Refuse(code.PlatformDown, "the order waited too long")
+	}
+	return code.Refuse(failure.Code, failure.Detail)
+}
+
+func asError(err error) *code.Error {
+	var failure *code.Error
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return code.Fail(code.Internal, err.Error())
+}
+
+func outcomeOf(err error) admission.Outcome {
+	var failure *code.Error
+	switch {
+	case err == nil:
+		return admission.Done
+	case errors.As(err, &failure) && failure.Code == code.Unreachable:
+		return admission.Unreachable
+	case errors.As(err, &failure) && failure.Code == code.EndpointError:
+		return admission.Failed
+	}
+	return admission.Crashed
+}
--- /dev/null
+++ b/internal/ledger/settle.go
@@ -0,0 +1,223 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/core/order"
+)
+
+const (
+	// sweepEvery is between two searches for claims of lost routers.
+	sweepEvery = 5 * time.Second
+	// unknownEvery is between two look-ups of an unknown outcome.
+	unknownEvery = time.Minute
+	// settleMost bounds the records that one sweep settles in a shard.
+	settleMost = 32
+	// viewTime is how long a new router believes all claimants alive: its
+	// view of the fleet is not yet complete.
+	viewTime = 10 * time.Second
+	// unusedFor is how long a shard of another home is kept in memory.
+	unusedFor = 5 * time.Minute
+)
+
+// Lost reports whether a claimant is gone, as far as this router knows.
+func (l *Ledger) Lost(router string, incarnation int64) bool {
+	if time.Since(l.started) < viewTime {
+		return false
+	}
+	r, ok := l.opts.Fleet.View().Get(router)
+	return !ok || r.Incarnation != incarnation
+}
+
+// Ability returns what an endpoint offers for settling orders.
+func (l *Ledger) Ability(name string) order.Ability {
+	e, ok := l.findEndpoint(name)
+	if !ok {
+		return order.Ability{}
+	}
+	return order.Ability{Lookup: e.Lookup, Fence: e.Fence}
+}
+
+// Serve keeps the shards of which this router is the home: it reads them
+// ahead, settles claims of lost routers and looks up unknown outcomes, until
+// the context ends.
+func (l *Ledger) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	lookedUp := time.Now()
+	for {
+		unknown := time.Since(lookedUp) >= unknownEvery
+		if unknown {
+			lookedUp = time.Now()
+		}
+		l.sweep(ctx, unknown)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (l *Ledger) sweep(ctx context.Context, unknown bool) {
+	m := l.opts.Fleet.Manifest()
+	if m == nil {
+		return
+	}
+	self := l.opts.Fleet.Self().Name
+	for n := range m.Orders.Shards {
+		home, ok := l.home(n)
+		if !ok || home.Name != self {
+			l.forget(n)
+			continue
+		}
+		s := l.shard(n)
+		for _, record := range l.lost(s, unknown) {
+			l.settle(ctx, s, record)
+		}
+		s.refresh()
+	}
+}
+
+// lost returns the records to settle.
+func (l *Ledger) lost(s *shard, unknown bool) []order.Record {
+	records, loaded := s.records()
+	if !loaded {
+		return nil
+	}
+	var lost []order.Record
+	for _, r := range records {
+		settle := r.State == order.Claimed && l.Lost(r.Router, r.Incarnation)
+		settle = settle || unknown && r.State == order.Unknown && l.Ability(r.Endpoint).Lookup
+		if settle && len(lost) < settleMost {
+			lost = append(lost, r)
+		}
+	}
+	return lost
+}
+
+// settle settles a record unless a caller's run of the same order is at it.
+func (l *Ledger) settle(ctx context.Context, s *shard, record order.Record) {
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	done, err := l.enter(ctx, record.ID())
+	if err != nil {
+		return
+	}
+	defer done()
+	r := &run{ledger: l, shard: s, order: Order{Account: record.Account, Key: record.Key}, sent: make(chan struct{})}
+	r.core = order.NewSettle(l, l.opts.Fleet.Self().Name)
+	if _, stopped := r.steps(ctx, r.core.Start()); stopped != nil {
+		klog.V(1).InfoS("orders: Lost claim not settled", "account", record.Account, "key", record.Key, "err", stopped.failure)
+	}
+}
+
+// forget drops a shard of another home that was not used for a while.
+func (l *Ledger) forget(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.shards[n]
+	if ok && s.unused() {
+		delete(l.shards, n)
+	}
+}
+
+func (s *shard) unused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.running && !s.core.Pending() && time.Since(s.used) > unusedFor
+}
+
+// Unknown returns all orders of unknown outcome. It reads every shard. The
+// error is a *code.Error.
+func (l *Ledger) Unknown(ctx context.Context) ([]order.Record, error) {
+	m := l.opts.Fleet.Manifest()
+	if m == nil {
+		return nil, code.Refuse(code.NoManifest, "")
+	}
+	var unknown []order.Record
+	for n := range m.Orders.Shards {
+		records, err := l.read(ctx, l.shard(n))
+		if err != nil {
+			return nil, code.Refuse(code.PlatformDown, "the ledger can't be read")
+		}
+		for _, r := range records {
+			if r.State == order.Unknown {
+				unknown = append(unknown, r)
+			}
+		}
+	}
+	return unknown, nil
+}
+
+// read reads a shard again and returns its claimed and unknown records.
+func (l *Ledger) read(ctx context.Context, s *shard) ([]order.Record, error) {
+	s.refresh()
+	ticker := time.NewTicker(flushPoll)
+	defer ticker.Stop()
+	for {
+		if records, loaded := s.records(); loaded {
+			return records, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// Lookup returns the record of an order as the platform holds it. The error
+// is a *code.Error: NotRecorded if there is none.
+func (l *Ledger) Lookup(ctx context.Context, account, key string) (order.Record, error) {
+	n, err := l.shardOf(account, key)
+	if err != nil {
+		return order.Record{}, err
+	}
+	v, err := l.shard(n).await(ctx, func(s *order.Shard) order.Op { return s.Look(account, key, true) })
+	if err != nil {
+		return order.Record{}, code.Refuse(code.PlatformDown, "the ledger can't be read")
+	}
+	if v.Kind == order.Missing {
+		return order.Record{}, code.Refuse(code.NotRecorded, "")
+	}
+	return v.Record, nil
+}
+
+// Settle records an operator's word about an order of unknown outcome: Done,
+// or NotRun, after which a resend runs it. The endpoint is asked first, under
+// a raised fence where it checks fencing numbers; if it knows, its word
+// counts. Settle returns the record as it stands then. The error is a
+// *code.Error: Conflict if the record is not of unknown outcome.
+func (l *Ledger) Settle(ctx context.Context, account, key string, outcome order.State) (order.Record, error) {
+	if !outcome.Final() {
+		return order.Record{}, code.Refuse(code.BadRequest, "the outcome is done or not_run")
+	}
+	record, err := l.Lookup(ctx, account, key)
+	if err != nil {
+		return record, err
+	}
+	n, _ := l.shardOf(account, key)
+	s := l.shard(n)
+	l.settle(ctx, s, record)
+	v, err := s.await(ctx, func(s *order.Shard) order.Op {
+		c := order.Change{Account: account, Key: key, Token: record.Token, To: outcome, By: "operator", OnlyUnknown: true}
+		if outcome == order.Done {
+			c.Answer = order.NewAnswer(204, "", nil)
+		}
+		return s.Change(c)
+	})
+	switch {
+	case err != nil:
+		return record, code.Fail(code.PlatformDown, "the platform did not confirm the change")
+	case v.Kind == order.Missing:
+		return record, code.Refuse(code.NotRecorded, "")
+	case v.Kind == order.Refused && !v.Record.State.Final():
+		return v.Record, code.Fail(code.Conflict, "the order is "+string(v.Record.State))
+	}
+	return v.Record, nil
+}
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -2,216 +2,215 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
-	"fmt"
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
-	"github.com/cyclamenwinch/cyclamenwinch/core/member"
 	"github.com/cyclamenwinch/cyclamenwinch/core/order"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/platform"
 )
 
-const (
-	maxRecords   = 200 // of one segment
-	retryFirst   = 50 * time.Millisecond
-	retryLongest = 2 * time.Second
-)
+// Store is the part of the platform that the ledger uses.
+type Store interface {
+	Get(ctx context.Context, key string) (platform.Object, error)
+	Put(ctx context.Context, key string, value []byte, version int64) (int64, error)
+	Delete(ctx context.Context, key string, version int64) error
+	// Pause waits until a call that failed may be tried again.
+	Pause(ctx context.Context) error
+}
 
-// shard is this router's copy of one shard of the ledger. Its lock is held
-// over platform calls, so one write is under way at a time.
+// shard makes the platform calls that a core shard asks for, one after the
+// other, and hands its verdicts to those who wait for them. It runs a
+// goroutine only while there is work.
 type shard struct {
-	platform *platform.Client
-	prefix   string
+	ctx   context.Context // ends with the ledger
+	store Store
+
+	mu      sync.Mutex
+	core    *order.Shard
+	waiting map[order.Op]chan order.Verdict // buffered
+	running bool
+	used    time.Time
+}
 
-	mu       sync.Mutex
-	segments []*loaded // seq order, the last one unsealed
+func newShard(ctx context.Context, store Store, cfg order.Config) *shard {
+	return &shard{ctx: ctx, store: store, core: order.NewShard(cfg), waiting: map[order.Op]chan order.Verdict{}}
 }
 
-// loaded is a segment with the version at which it was read.
-type loaded struct {
-	segment *order.Segment
-	version int64
+// begin hands work to the core; the verdict arrives on the channel.
+func (s *shard) begin(work func(*order.Shard) order.Op) (order.Op, chan order.Verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	op := work(s.core)
+	verdict := make(chan order.Verdict, 1)
+	s.waiting[op] = verdict
+	s.start()
+	return op, verdict
 }
 
-// newToken returns a claim token that no other claim has.
-func newToken(self member.Router) string {
-	random := make([]byte, 8)
-	rand.Read(random)
-	return fmt.Sprintf("%s-%d-%s", self.Name, self.Incarnation, hex.EncodeToString(random))
+// await begins work and waits for its verdict. If the context ends first,
+// the work goes on.
+func (s *shard) await(ctx context.Context, work func(*order.Shard) order.Op) (order.Verdict, error) {
+	_, verdict := s.begin(work)
+	select {
+	case v := <-verdict:
+		return v, nil
+	case <-ctx.Done():
+		return order.Verdict{}, ctx.Err()
+	}
 }
 
-// find returns the record of a key as the platform holds it, or nil.
-func (s *shard) find(ctx context.Context, account, key string) (*order.Record, error) {
+// claim waits for a claim's verdict. If the context ends first, it withdraws
+// the claim; given up is true if the claim will never be dispatched.
+func (s *shard) claim(ctx context.Context, r order.Record) (v order.Verdict, givenUp bool) {
+	op, verdict := s.begin(func(core *order.Shard) order.Op { return core.Claim(r) })
+	select {
+	case v = <-verdict:
+		return v, false
+	case <-ctx.Done():
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if r := s.known(account, key); r != nil && r.State != order.Claimed && r.State != order.NotRun {
-		return r, nil
+	givenUp = s.core.GiveUp(op)
+	if givenUp {
+		delete(s.waiting, op)
 	}
-	if err := s.read(ctx); err != nil {
-		return nil, err
+	s.mu.Unlock()
+	if givenUp {
+		return order.Verdict{}, true
 	}
-	return s.known(account, key), nil
+	return <-verdict, false
 }
 
-// claim commits a claim, unless the key has a record already; it returns the
-// record that holds the key.
-func (s *shard) claim(ctx context.Context, claim *order.Record) (*order.Record, error) {
+// refresh has the core read again what may have changed.
+func (s *shard) refresh() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return retry(ctx, func() (*order.Record, error) {
-		if err := s.read(ctx); err != nil {
-			return nil, err
-		}
-		held := s.known(claim.Account, claim.Key)
-		if held != nil && (held.State != order.NotRun || held.Token == claim.Token) {
-			return held, nil
-		}
-		if held != nil {
-			return claim, s.replace(ctx, held, claim)
-		}
-		return claim, s.add(ctx, claim)
-	})
+	s.core.Refresh()
+	s.start()
 }
 
-// record commits a claim's outcome.
-func (s *shard) record(ctx context.Context, done *order.Record) error {
+// records returns the claimed and unknown records, and whether the shard has
+// been read.
+func (s *shard) records() ([]order.Record, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, err := retry(ctx, func() (*order.Record, error) {
-		held := s.known(done.Account, done.Key)
-		if held != nil && held.Token == done.Token && held.State == done.State {
-			return held, nil
-		}
-		if held == nil || held.Token != done.Token {
-			return nil, backoff.Permanent(errors.New("the claim is gone"))
-		}
-		err := s.replace(ctx, held, done)
-		if err != nil {
-			return nil, errors.CombineErrors(err, s.reread(ctx, done))
-		}
-		return done, nil
-	})
-	return err
-}
-
-// replace writes a record in the place of one that was read.
-func (s *shard) replace(ctx context.Context, held, next *order.Record) error {
-	for _, l := range s.segments {
-		for i, r := range l.segment.Records {
-			if r != held {
-				continue
-			}
-			changed := copySegment(l.segment)
-			changed.Records[i] = next
-			return s.write(ctx, l, changed)
-		}
-	}
-	return errors.New("the record is gone")
+	return s.core.Open(), s.core.Loaded()
 }
 
-// add appends a claim to the last segment; a full one is sealed first.
-func (s *shard) add(ctx context.Context, claim *order.Record) error {
-	last := s.segments[len(s.segments)-1]
-	changed := copySegment(last.segment)
-	if len(changed.Records) < maxRecords {
-		changed.Records = append(changed.Records, claim)
-		return s.write(ctx, last, changed)
-	}
-	changed.Sealed = true
-	if err := s.write(ctx, last, changed); err != nil {
-		return err
-	}
-	next := &loaded{segment: &order.Segment{Seq: changed.Seq + 1, Records: []*order.Record{claim}}}
-	if err := s.write(ctx, next, next.segment); err != nil {
-		return err
-	}
-	s.segments = append(s.segments, next)
-	return nil
+func (s *shard) pending() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Pending()
 }
 
-func (s *shard) write(ctx context.Context, l *loaded, changed *order.Segment) error {
-	value, err := changed.Encode()
-	if err != nil {
-		return errors.Wrap(err, "encode segment")
+// start runs the loop unless it runs. The caller holds mu.
+func (s *shard) start() {
+	s.used = time.Now()
+	if s.running {
+		return
 	}
-	version, err := s.platform.Put(ctx, s.key(changed.Seq), value, l.version)
-	if err != nil {
-		return err
-	}
-	l.segment, l.version = changed, version
-	return nil
+	s.running = true
+	go s.run()
 }
 
-// read brings the copy up to date: the last known segment and what follows.
-func (s *shard) read(ctx context.Context) error {
-	if len(s.segments) == 0 {
-		s.segments = append(s.segments, &loaded{segment: &order.Segment{}})
-	}
+func (s *shard) run() {
 	for {
-		last := s.segments[len(s.segments)-1]
-		if err := s.load(ctx, last); err != nil {
-			return err
+		call, ok, wait := s.next()
+		switch {
+		case ok:
+			s.make(call)
+		case wait > 0:
+			s.sleep(wait)
+		default:
+			return
 		}
-		if !last.segment.Sealed {
-			return nil
-		}
-		s.segments = append(s.segments, &loaded{segment: &order.Segment{Seq: last.segment.Seq + 1}})
 	}
 }
 
-// reread brings the segment of a record up to date.
-func (s *shard) reread(ctx context.Context, r *order.Record) error {
-	for _, l := range s.segments {
-		if l.segment.Find(r.Account, r.Key) != nil {
-			return s.load(ctx, l)
-		}
+// next returns the next platform call, or how long to wait for one. If it
+// returns neither, the loop has ended.
+func (s *shard) next() (order.Call, bool, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	call, ok := s.core.Next(now)
+	for !ok && s.deliver() {
+		call, ok = s.core.Next(now)
+	}
+	if ok {
+		s.deliver()
+		return call, true, 0
 	}
-	return nil
+	at, more := s.core.WakeAt()
+	if s.ctx.Err() != nil || !more {
+		s.running = false
+		return order.Call{}, false, 0
+	}
+	return order.Call{}, false, max(at.Sub(now), time.Millisecond)
 }
 
-func (s *shard) load(ctx context.Context, l *loaded) error {
-	o, err := s.platform.Get(ctx, s.key(l.segment.Seq))
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil
-	}
-	if err != nil {
-		return err
+// make makes one call and hands its result to the core. A call that failed is
+// followed by a pause.
+func (s *shard) make(call order.Call) {
+	result, err := s.call(call)
+	s.mu.Lock()
+	if bad := s.core.Done(result); bad != nil {
+		klog.ErrorS(bad, "orders: Platform holds an unreadable object", "object", call.Object)
+		err = bad
 	}
-	segment, err := order.Decode(o.Value)
+	s.deliver()
+	s.mu.Unlock()
 	if err != nil {
-		return errors.Wrap(err, "decode segment")
+		klog.V(1).InfoS("orders: Platform call failed", "object", call.Object, "err", err)
+		s.store.Pause(s.ctx)
 	}
-	l.segment, l.version = segment, o.Version
-	return nil
 }
 
-func (s *shard) known(account, key string) *order.Record {
-	for _, l := range s.segments {
-		if r := l.segment.Find(account, key); r != nil {
-			return r
-		}
+// call returns an error only if the result is uncertain or failed.
+func (s *shard) call(call order.Call) (order.Result, error) {
+	switch call.Verb {
+	case order.Get:
+		o, err := s.store.Get(s.ctx, call.Object)
+		return result(order.Result{Status: order.OK, Version: o.Version, Value: o.Value}, err)
+	case order.Put:
+		version, err := s.store.Put(s.ctx, call.Object, call.Value, call.Version)
+		return result(order.Result{Status: order.OK, Version: version}, err)
 	}
-	return nil
+	return result(order.Result{Status: order.OK}, s.store.Delete(s.ctx, call.Object, call.Version))
 }
 
-func (s *shard) key(seq int) string { return fmt.Sprintf("%s%08d", s.prefix, seq) }
+func result(ok order.Result, err error) (order.Result, error) {
+	switch {
+	case err == nil:
+		return ok, nil
+	case errors.Is(err, platform.ErrNotFound):
+		return order.Result{Status: order.NotFound}, nil
+	case errors.Is(err, platform.ErrConflict):
+		return order.Result{Status: order.Conflict}, nil
+	case errors.Is(err, platform.ErrUncertain):
+		return order.Result{Status: order.Uncertain}, err
+	}
+	return order.Result{Status: order.Failed}, err
+}
 
-func copySegment(s *order.Segment) *order.Segment {
-	c := *s
-	c.Records = append([]*order.Record(nil), s.Records...)
-	return &c
+// deliver hands out verdicts; it reports whether there were any. The caller
+// holds mu.
+func (s *shard) deliver() bool {
+	verdicts := s.core.Verdicts()
+	for _, v := range verdicts {
+		if ch, ok := s.waiting[v.Op]; ok {
+			ch <- v
+			delete(s.waiting, v.Op)
+		}
+	}
+	return len(verdicts) > 0
 }
 
-// retry calls op until it succeeds or the context ends, with jittered
-// exponential backoff.
-func retry[T any](ctx context.Context, op func() (T, error)) (T, error) {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = retryFirst
-	b.MaxInterval = retryLongest
-	return backoff.Retry(ctx, op, backoff.WithBackOff(b))
+func (s *shard) sleep(d time.Duration) {
+	select {
+	case <-s.ctx.Done():
+	case <-time.After(d):
+	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -30,10 +30,18 @@
 	ErrGone     = errors.New("the watch version is too old")
 	// ErrUncertain marks a write that may or may not have taken effect.
 	ErrUncertain = errors.New("the write may have taken effect")
+	// ErrBusy marks a call that the platform refused because of its rates;
+	// it had no effect.
+	ErrBusy = errors.New("the platform is at its rate limit")
+
+	errSilent = errors.New("the watch went silent")
 )
 
 const (
-	callTimeout   = 2 * time.Second
+	callTimeout = 2 * time.Second
+	// watchSilence is how long a watch may bring nothing. The platform sends
+	// an empty event each second.
+	watchSilence  = 4 * time.Second
 	maxValueBytes = 1 << 20
 )
 
@@ -67,6 +75,7 @@
 	base  string
 	http  *http.Client
 	watch *http.Client
+	pace  *pace
 }
 
 // New returns a client of the API at base, for example "http://10.0.0.9:8080".
@@ -75,6 +84,7 @@
 		base:  strings.TrimSuffix(base, "/"),
 		http:  &http.Client{Timeout: callTimeout},
 		watch: &http.Client{},
+		pace:  newPace(),
 	}
 }
 
@@ -144,9 +154,13 @@
 }
 
 // Watch calls deliver for each change under prefix after the given version,
-// until the context ends, the connection breaks or the version is too old
-// (ErrGone).
+// until the context ends, the connection breaks, goes silent for longer than
+// watchSilence or the version is too old (ErrGone).
 func (c *Client) Watch(ctx context.Context, prefix string, from int64, deliver func(Event)) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(watchSilence, func() { cancel(errSilent) })
+	defer silence.Stop()
 	u := fmt.Sprintf("%s/v1/watch?prefix=%s&from=%d", c.base, url.QueryEscape(prefix), from)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 	if err != nil {
@@ -155,7 +169,7 @@
 	countCall("watch")
 	resp, err := c.watch.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "watch")
+		return errors.Wrap(watchError(ctx, err), "watch")
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -165,14 +179,23 @@
 	for {
 		var e Event
 		if err := dec.Decode(&e); err != nil {
-			return errors.Wrap(err, "watch")
+			return errors.Wrap(watchError(ctx, err), "watch")
 		}
+		silence.Reset(watchSilence)
 		if e.Object.Key != "" { // an empty event keeps the connection alive
 			deliver(e)
 		}
 	}
 }
 
+// watchError names the silence that ended a watch.
+func watchError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
+		return cause
+	}
+	return err
+}
+
 func (c *Client) getJSON(ctx context.Context, u string, into any) error {
 	resp, err := c.call(ctx, http.MethodGet, u, nil, nil)
 	if err != nil {
@@ -199,9 +222,14 @@
 	}
 	countCall(strings.ToLower(method))
 	resp, err := c.http.Do(req)
+	c.pace.note(err == nil && resp.StatusCode < http.StatusInternalServerError && resp.StatusCode != http.StatusTooManyRequests)
 	return resp, errors.Wrap(err, "platform call")
 }
 
+// Pause waits until a call that failed may be tried again. All users of the
+// client share one gate, so that a returning platform is not trampled.
+func (c *Client) Pause(ctx context.Context) error { return c.pace.wait(ctx) }
+
 func countCall(method string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamenwinch_platform_calls_total{method=%q}`, method)).Inc()
 }
@@ -226,6 +254,8 @@
 		return ErrConflict
 	case http.StatusGone:
 		return ErrGone
+	case http.StatusTooManyRequests:
+		return ErrBusy
 	}
 	return code.Fail(code.PlatformError, "platform answered "+resp.Status)
 }
--- a/standin/orders/orders.go
+++ b/standin/orders/orders.go
@@ -44,11 +44,21 @@
 	name string
 	opts Options
 
-	mu     sync.Mutex
-	counts map[string]int
-	done   map[string]Receipt
-	fence  map[string]int64
-	faults Faults
+	mu      sync.Mutex
+	counts  map[string]int     // executions by key
+	begun   map[string]int     // accepted executions by key
+	done    map[string]Receipt // of ended executions
+	fence   map[string]int64   // highest fencing number seen by key
+	refused int                // for an old fencing number
+	faults  Faults
+}
+
+// Stats are the runner's own counts, for the tests' oracle.
+type Stats struct {
+	Keys     int `json:"keys"`       // executed keys
+	Executed int `json:"executed"`   // executions
+	MaxByKey int `json:"max_by_key"` // executions of the key with the most
+	Refused  int `json:"refused"`    // for an old fencing number
 }
 
 // NewServer returns a runner with the given name.
@@ -57,18 +67,23 @@
 		name:   name,
 		opts:   opts,
 		counts: map[string]int{},
+		begun:  map[string]int{},
 		done:   map[string]Receipt{},
 		fence:  map[string]int64{},
 	}
 }
 
 // Handler returns the runner's API: POST of an order to any path, GET
-// /executions/{key} to look one up, GET /counts for the tests' oracle.
+// /executions/{key} to look one up, PUT /fences/{key} to raise the key's
+// fencing number and look it up in one step, GET /counts and /stats for the
+// tests' oracle.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /executions/{key}", s.lookUp)
+	mux.HandleFunc("PUT /fences/{key}", s.raise)
 	mux.HandleFunc("GET /counts", s.getCounts)
+	mux.HandleFunc("GET /stats", s.getStats)
 	mux.HandleFunc("PUT /faults", s.putFaults)
 	mux.HandleFunc("POST /", s.run)
 	return mux
@@ -82,20 +97,17 @@
 	}
 	key := r.Header.Get(KeyHeader)
 	fence, _ := strconv.ParseInt(r.Header.Get(FenceHeader), 10, 64)
-	s.mu.Lock()
-	faults := s.faults
-	stale := s.opts.CheckFence && fence < s.fence[key]
-	s.mu.Unlock()
+	faults := s.currentFaults()
 	if faults.Refuse {
 		http.Error(w, "not executed", http.StatusServiceUnavailable)
 		return
 	}
-	if stale {
+	if !s.accept(key, fence) {
 		http.Error(w, "old fencing number", http.StatusPreconditionFailed)
 		return
 	}
 	time.Sleep(s.opts.Delay)
-	receipt := s.execute(key, fence, len(body))
+	receipt := s.execute(key, len(body))
 	if faults.Silent {
 		<-r.Context().Done()
 		return
@@ -107,27 +119,78 @@
 	writeJSON(w, receipt)
 }
 
-func (s *Server) execute(key string, fence int64, size int) Receipt {
+func (s *Server) currentFaults() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts[key]++
+	return s.faults
+}
+
+// accept checks the fencing number and notes that the order will be
+// executed, in one step.
+func (s *Server) accept(key string, fence int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.opts.CheckFence && fence < s.fence[key] {
+		s.refused++
+		return false
+	}
 	s.fence[key] = max(fence, s.fence[key])
+	s.begun[key]++
+	return true
+}
+
+func (s *Server) execute(key string, size int) Receipt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[key]++
 	receipt := Receipt{Key: key, Receipt: fmt.Sprintf("%s-%d", s.name, len(s.done)+1), Bytes: size}
 	s.done[key] = receipt
 	return receipt
 }
 
 func (s *Server) lookUp(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tell(w, r.PathValue("key"))
+}
+
+func (s *Server) raise(w http.ResponseWriter, r *http.Request) {
+	fence, err := strconv.ParseInt(r.Header.Get(FenceHeader), 10, 64)
+	if err != nil || !s.opts.CheckFence {
+		http.Error(w, "no fencing number, or none is checked", http.StatusBadRequest)
+		return
+	}
 	key := r.PathValue("key")
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.fence[key] = max(fence, s.fence[key])
+	s.tell(w, key)
+}
+
+// tell answers with the receipt of a key: 202 while the execution is under
+// way, 404 if none was accepted. The caller holds mu.
+func (s *Server) tell(w http.ResponseWriter, key string) {
 	receipt, ok := s.done[key]
-	if !ok {
+	switch {
+	case ok:
+		w.Header().Set(KeyHeader, key)
+		writeJSON(w, receipt)
+	case s.begun[key] > 0:
+		w.WriteHeader(http.StatusAccepted)
+	default:
 		http.Error(w, "never executed", http.StatusNotFound)
-		return
 	}
-	w.Header().Set(KeyHeader, key)
-	writeJSON(w, receipt)
+}
+
+func (s *Server) getStats(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stats := Stats{Keys: len(s.counts), Refused: s.refused}
+	for _, n := range s.counts {
+		stats.Executed += n
+		stats.MaxByKey = max(stats.MaxByKey, n)
+	}
+	writeJSON(w, stats)
 }
 
 func (s *Server) getCounts(w http.ResponseWriter, r *http.Request) {
