--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -137,6 +137,7 @@
 	err = d.drain(l)
 	stopWork()
 	<-ended
+	d.ledger.Close()
 	d.pools.Close()
 	d.dialer.Close()
 	klog.InfoS("daemon: Stopped", "router", d.fleet.Self().Name)
