--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -73,6 +73,9 @@
 	Endpoints *endpoint.Client
 	Dialer    *peer.Dialer
 	Events    *eventlog.Log
+	// ViewTime is how long a new router believes all claimants alive, since
+	// its view of the fleet is not yet complete; 0: the default.
+	ViewTime time.Duration
 }
 
 // Order is one request that must not be repeated.
@@ -109,6 +112,9 @@
 
 // New returns a ledger that has read nothing yet. Close ends its work.
 func New(opts Options) *Ledger {
+	if opts.ViewTime == 0 {
+		opts.ViewTime = viewTime
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	return &Ledger{
 		opts:    opts,
@@ -264,15 +270,6 @@
 	return false
 }
 
-func (l *Ledger) findEndpoint(name string) (manifest.Endpoint, bool) {
-	for _, e := range l.opts.Fleet.Manifest().Endpoints {
-		if e.Name == name {
-			return e, true
-		}
-	}
-	return manifest.Endpoint{}, false
-}
-
 // home returns the router that usually runs a shard's orders.
 func (l *Ledger) home(n int) (member.Router, bool) {
 	return l.opts.Fleet.View().Owner("orders/" + strconv.Itoa(n))
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,193 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/core/order"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/ledger"
+	"github.com/cyclamenwinch/cyclamenwinch/standin/orders"
+)
+
+func failure(err error) *code.Error {
+	GinkgoHelper()
+	var f *code.Error
+	Expect(errors.As(err, &f)).To(BeTrue(), "%v", err)
+	return f
+}
+
+// claimedBy writes the claim of a router that is gone.
+func (r *rig) claimedBy(router, key string) {
+	GinkgoHelper()
+	shard := order.NewShard(order.Config{})
+	o := placed(key)
+	shard.Claim(order.Record{Account: o.Account, Key: key, Digest: ledger.Digest(o), Token: "lost", Router: router, Incarnation: 7, Endpoint: "e", Fence: 1, ClaimedAt: time.Now()})
+	for {
+		call, ok := shard.Next(time.Now())
+		if !ok {
+			return
+		}
+		result := order.Result{Status: order.OK}
+		switch call.Verb {
+		case order.Get:
+			result.Status = order.NotFound
+		case order.Put:
+			version, err := r.store.Store.Put(call.Object, call.Value, call.Version)
+			Expect(err).NotTo(HaveOccurred())
+			result.Version = version
+		}
+		Expect(shard.Done(result)).To(Succeed())
+	}
+}
+
+var _ = Describe("the ledger", func() {
+	It("runs an order once and replays its answer at every router", func(ctx SpecContext) {
+		r := newRig(orders.Options{}, false, "a", "b")
+		first, err := r.routes[0].Run(ctx, placed("k"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.Replayed).To(BeFalse())
+		for _, l := range r.routes {
+			again, err := l.Run(ctx, placed("k"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(again.Replayed).To(BeTrue())
+			Expect(again.Answer.Body).To(Equal(first.Answer.Body))
+		}
+		other := placed("k")
+		other.Body = []byte("another")
+		_, err = r.routes[1].Run(ctx, other)
+		Expect(failure(err).Code).To(Equal(code.KeyReused))
+		Expect(r.stats()).To(Equal(orders.Stats{Keys: 1, Executed: 1, MaxByKey: 1}))
+	})
+
+	It("lets a resend wait for the run in progress", func(ctx SpecContext) {
+		r := newRig(orders.Options{Delay: 50 * time.Millisecond}, false, "a")
+		var wait sync.WaitGroup
+		replayed := make(chan bool, 8)
+		for range 8 {
+			wait.Go(func() {
+				defer GinkgoRecover()
+				result, err := r.routes[0].Run(ctx, placed("k"))
+				Expect(err).NotTo(HaveOccurred())
+				replayed <- result.Replayed
+			})
+		}
+		wait.Wait()
+		close(replayed)
+		first := 0
+		for again := range replayed {
+			if !again {
+				first++
+			}
+		}
+		Expect(first).To(Equal(1))
+		Expect(r.stats().Executed).To(Equal(1))
+	})
+
+	It("executes every order once while the platform loses answers", func(ctx SpecContext) {
+		r := newRig(orders.Options{}, true, "a", "b", "c")
+		r.store.lose = 0.2
+		var wait sync.WaitGroup
+		for i := range 120 {
+			wait.Go(func() {
+				defer GinkgoRecover()
+				l := r.routes[i%len(r.routes)]
+				Eventually(func() error {
+					_, err := l.Run(ctx, placed(fmt.Sprintf("k%d", i/2))) // two callers each
+					return err
+				}).WithContext(ctx).Should(Succeed())
+			})
+		}
+		wait.Wait()
+		Expect(r.stats()).To(Equal(orders.Stats{Keys: 60, Executed: 60, MaxByKey: 1}))
+	}, SpecTimeout(time.Minute))
+
+	It("says truthfully that an order was not run while the platform is down", func(ctx SpecContext) {
+		r := newRig(orders.Options{}, false, "a")
+		r.store.setDown(true)
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		_, err := r.routes[0].Run(short, placed("k"))
+		Expect(failure(err).NotRun).To(BeTrue())
+		r.store.setDown(false)
+		r.routes[0].Wait()
+		Expect(r.stats().Executed).To(BeZero())
+		again, err := r.routes[0].Run(ctx, placed("k"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Replayed).To(BeFalse())
+	})
+
+	It("answers without the record in an outage and records it afterwards", func(ctx SpecContext) {
+		r := newRig(orders.Options{}, false, "a", "b")
+		r.onOrder = func() { r.store.setDown(true) }
+		_, err := r.routes[0].Run(ctx, placed("k"))
+		Expect(err).NotTo(HaveOccurred())
+		r.store.setDown(false)
+		r.routes[0].Wait()
+		record, err := r.routes[1].Lookup(ctx, "hotels", "k")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(record.State).To(Equal(order.Done))
+	})
+
+	It("looks up an answer that was lost", func(ctx SpecContext) {
+		r := newRig(orders.Options{}, true, "a")
+		r.faults(orders.Faults{LoseAnswer: true})
+		result, err := r.routes[0].Run(ctx, placed("k"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Answer.Status).To(Equal(200))
+		Expect(r.stats().Executed).To(Equal(1))
+	})
+
+	It("reports an unknown outcome, which an operator settles", func(ctx SpecContext) {
+		r := newRig(orders.Options{}, false, "a", "b")
+		r.faults(orders.Faults{LoseAnswer: true})
+		_, err := r.routes[0].Run(ctx, placed("k"))
+		Expect(failure(err).Code).To(Equal(code.OutcomeUnknown))
+		Expect(failure(err).NotRun).To(BeFalse())
+		unknown, err := r.routes[1].Unknown(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(unknown).To(HaveLen(1))
+		record, err := r.routes[1].Settle(ctx, "hotels", "k", order.Done)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(record.SettledBy).To(Equal("operator"))
+		_, err = r.routes[0].Settle(ctx, "hotels", "k", order.NotRun)
+		Expect(err).NotTo(HaveOccurred())
+		result, err := r.routes[0].Run(ctx, placed("k"))
+		Expect(err).NotTo(HaveOccurred(), "the first operator's word stands")
+		Expect(result.Replayed).To(BeTrue())
+	})
+
+	DescribeTable("settles the claim of a lost router for a resend",
+		func(ctx SpecContext, fence, lookup bool, want code.Code) {
+			r := newRig(orders.Options{CheckFence: fence}, lookup)
+			r.claimedBy("gone", "k")
+			result, err := r.add("a").Run(ctx, placed("k"))
+			if want == code.OK {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(result.Replayed).To(BeFalse())
+				return
+			}
+			Expect(failure(err).Code).To(Equal(want))
+			Expect(failure(err).NotRun).To(BeFalse())
+			Expect(r.stats().Executed).To(BeZero())
+		},
+		Entry("that is fenced off and runs anew", true, true, code.OK),
+		Entry("that can't be fenced off", false, true, code.OutcomeUnknown),
+		Entry("that can't be looked up", false, false, code.OutcomeUnknown),
+	)
+
+	It("refuses the late dispatch of a router that was fenced off", func(ctx SpecContext) {
+		r := newRig(orders.Options{CheckFence: true}, true)
+		r.claimedBy("gone", "k")
+		_, err := r.add("a").Run(ctx, placed("k"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.dispatch("k", 1)).To(Equal(412))
+		Expect(r.stats()).To(Equal(orders.Stats{Keys: 1, Executed: 1, MaxByKey: 1, Refused: 1}))
+	})
+})
--- /dev/null
+++ b/internal/ledger/rig_test.go
@@ -0,0 +1,189 @@
+package ledger_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
+	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
+	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+	"github.com/cyclamenwinch/cyclamenwinch/core/order"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/ledger"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/platform"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/pool"
+	"github.com/cyclamenwinch/cyclamenwinch/standin/objects"
+	"github.com/cyclamenwinch/cyclamenwinch/standin/orders"
+)
+
+func TestLedger(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Ledger")
+}
+
+// store is a platform with faults, without a network.
+type store struct {
+	*objects.Store
+	mu   sync.Mutex
+	rng  *rand.Rand
+	lose float64 // part of writes whose answer is lost, half of them with effect
+	down bool
+}
+
+func (s *store) fate() (down, lost, effect bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down, s.rng.Float64() < s.lose, s.rng.IntN(2) == 0
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *store) Get(_ context.Context, key string) (platform.Object, error) {
+	if down, _, _ := s.fate(); down {
+		return platform.Object{}, platform.ErrBusy
+	}
+	o, ok := s.Store.Get(key)
+	if !ok {
+		return o, platform.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *store) Put(_ context.Context, key string, value []byte, version int64) (int64, error) {
+	down, lost, effect := s.fate()
+	if down || lost && !effect {
+		return 0, platform.ErrUncertain
+	}
+	version, err := s.Store.Put(key, value, version)
+	if lost {
+		return 0, platform.ErrUncertain
+	}
+	return version, err
+}
+
+func (s *store) Delete(_ context.Context, key string, version int64) error {
+	return s.Store.Delete(key, version)
+}
+
+func (s *store) Pause(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Millisecond):
+	}
+	return nil
+}
+
+// fleet is what one router knows of the fleet.
+type fleet struct {
+	self     member.Router
+	manifest *manifest.Manifest
+}
+
+func (f fleet) Self() member.Router               { return f.self }
+func (f fleet) View() member.View                 { return member.NewView([]member.Router{f.self}) }
+func (f fleet) Manifest() *manifest.Manifest      { return f.manifest }
+func (f fleet) RemoteUsage() map[string]fair.Cost { return nil }
+func (f fleet) Subscribe(func())                  {}
+
+// rig is a platform, an order runner and routers that each believe to be
+// alone.
+type rig struct {
+	store   *store
+	runner  *httptest.Server
+	ends    manifest.Endpoint
+	routes  []*ledger.Ledger
+	onOrder func() // called when an order arrives at the runner
+}
+
+func newRig(options orders.Options, lookup bool, routers ...string) *rig {
+	r := &rig{
+		store:   &store{Store: objects.NewStore(), rng: rand.New(rand.NewPCG(1, 1))},
+		onOrder: func() {},
+	}
+	runner := orders.NewServer("runner", options).Handler()
+	r.runner = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Method == http.MethodPost {
+			r.onOrder()
+		}
+		runner.ServeHTTP(w, req)
+	}))
+	DeferCleanup(r.runner.Close)
+	r.ends = manifest.Endpoint{Name: "e", Pool: "orders", URL: r.runner.URL, Zone: "z", State: manifest.In, Slots: 64, ColdSlots: 64, Fence: options.CheckFence, Lookup: lookup}
+	for _, name := range routers {
+		r.add(name)
+	}
+	return r
+}
+
+func (r *rig) add(name string) *ledger.Ledger {
+	f := fleet{self: member.Router{Name: name, Incarnation: 1, Zone: "z", Region: "r"}, manifest: &manifest.Manifest{
+		Generation: 1,
+		Zones:      []manifest.Zone{{Name: "z", Region: "r", State: manifest.In}},
+		Accounts:   []manifest.Account{{Name: "hotels", Share: 1, MaxQueue: 1000, MaxWaitMillis: 10_000}},
+		Pools:      []manifest.Pool{{Name: "orders", Kind: manifest.Order, Path: "/v1/orders"}},
+		Endpoints:  []manifest.Endpoint{r.ends},
+		Orders:     manifest.Orders{Shards: 1, RetentionHours: 24},
+	}}
+	events := eventlog.New(name, 1000)
+	host := pool.NewHost(f, events)
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go host.Serve(ctx)
+	pools := pool.NewClient(f, host, nil)
+	DeferCleanup(pools.Close)
+	l := ledger.New(ledger.Options{Fleet: f, Platform: r.store, Pools: pools, Endpoints: endpoint.New(200 * time.Millisecond), Events: events, ViewTime: time.Nanosecond})
+	DeferCleanup(l.Close)
+	r.routes = append(r.routes, l)
+	return l
+}
+
+func placed(key string) ledger.Order {
+	return ledger.Order{Account: "hotels", Key: key, Pool: "orders", Path: "/v1/orders", ContentType: "application/json", Body: []byte("{}"), RequestID: "request-" + key}
+}
+
+// faults sets what the runner does wrong.
+func (r *rig) faults(f orders.Faults) {
+	body, err := json.Marshal(f)
+	Expect(err).NotTo(HaveOccurred())
+	r.send(http.MethodPut, "/faults", body, nil)
+}
+
+// stats reads the runner's counts.
+func (r *rig) stats() orders.Stats {
+	var s orders.Stats
+	r.send(http.MethodGet, "/stats", nil, &s)
+	return s
+}
+
+func (r *rig) send(method, path string, body []byte, into any) {
+	req, err := http.NewRequest(method, r.runner.URL+path, bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	if into != nil {
+		Expect(json.NewDecoder(resp.Body).Decode(into)).To(Succeed())
+	}
+}
+
+// dispatch sends an order as a router does that was paused after its claim.
+func (r *rig) dispatch(key string, fence int64) int {
+	answer, err := endpoint.New(time.Second).Do(context.Background(), endpoint.Call{URL: r.runner.URL + "/v1/orders", Method: http.MethodPost, Key: order.NewID("hotels", key).String(), Fence: fence})
+	Expect(err).NotTo(HaveOccurred())
+	return answer.Status
+}
--- a/internal/ledger/run.go
+++ b/internal/ledger/run.go
@@ -51,7 +51,7 @@
 		if !again || try == maxTries || ctx.Err() != nil || !r.ledger.note(false) {
 			return result, err
 		}
-		r.ledger.opts.Events.Add(eventlog.Event{Kind: eventlog.RequestRetried, Request: r.order.RequestID, Account: r.order.Account, Detail: failure.Error()})
+		r.event(eventlog.Event{Kind: eventlog.RequestRetried, Code: int(failure.Code), Detail: failure.Error()})
 	}
 }
 
@@ -150,8 +150,8 @@
 // it.
 func (r *run) dispatch(claim order.Record) order.Step {
 	r.sentOnce.Do(func() { close(r.sent) })
-	r.event(eventlog.OrderClaimed, claim, r.order.Key)
-	e, ok := r.ledger.findEndpoint(claim.Endpoint)
+	r.event(eventlog.Event{Kind: eventlog.OrderClaimed, Endpoint: claim.Endpoint, Detail: r.order.Key})
+	e, ok := r.ledger.opts.Fleet.Manifest().Endpoint(claim.Endpoint)
 	if !ok {
 		return r.core.Dispatched(order.NotSent, nil, code.Refuse(code.NoEndpoint, claim.Endpoint+" is not declared any more"))
 	}
@@ -206,7 +206,7 @@
 // ask asks an endpoint for an execution, under a raised fence if the step
 // says so.
 func (l *Ledger) ask(step order.Step) (order.Seen, endpoint.Answer) {
-	e, ok := l.findEndpoint(step.Record.Endpoint)
+	e, ok := l.opts.Fleet.Manifest().Endpoint(step.Record.Endpoint)
 	if !ok {
 		return order.Silent, endpoint.Answer{}
 	}
@@ -237,7 +237,7 @@
 	defer cancel()
 	v, err := r.shard.await(ctx, func(s *order.Shard) order.Op { return s.Change(c) })
 	if err == nil {
-		r.event(eventlog.OrderRecorded, v.Record, c.Key+" "+string(v.Record.State))
+		r.recorded(v.Record)
 		return r.core.Changed(v)
 	}
 	klog.InfoS("orders: Outcome not recorded yet", "account", c.Account, "key", c.Key, "state", c.To)
@@ -290,7 +290,7 @@
 func (r *run) wholeAnswer(reply order.Reply) (Result, error) {
 	answer := *reply.Answer
 	if reply.Replayed {
-		r.ledger.opts.Events.Add(eventlog.Event{Kind: eventlog.OrderReplayed, Request: r.order.RequestID, Account: r.order.Account, Detail: r.order.Key})
+		r.event(eventlog.Event{Kind: eventlog.OrderReplayed, Detail: r.order.Key})
 	}
 	if !answer.Kept() && r.whole == nil {
 		r.fetch(answer)
@@ -316,8 +316,19 @@
 	}
 }
 
-func (r *run) event(kind eventlog.Kind, record order.Record, detail string) {
-	r.ledger.opts.Events.Add(eventlog.Event{Kind: kind, Request: r.order.RequestID, Account: record.Account, Endpoint: record.Endpoint, Detail: detail})
+// recorded notes an outcome on the time line.
+func (r *run) recorded(record order.Record) {
+	e := eventlog.Event{Kind: eventlog.OrderRecorded, Endpoint: record.Endpoint, Detail: r.order.Key + " " + string(record.State)}
+	if record.State == order.Unknown {
+		e.Code = int(code.OutcomeUnknown)
+	}
+	r.event(e)
+}
+
+func (r *run) event(e eventlog.Event) {
+	e.Request = r.order.RequestID
+	e.Account = r.order.Account
+	r.ledger.opts.Events.Add(e)
 }
 
 // refused returns a refusal that is proved not run, with the cause's code.
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -17,8 +17,7 @@
 	unknownEvery = time.Minute
 	// settleMost bounds the records that one sweep settles in a shard.
 	settleMost = 32
-	// viewTime is how long a new router believes all claimants alive: its
-	// view of the fleet is not yet complete.
+	// viewTime is the default of Options.ViewTime.
 	viewTime = 10 * time.Second
 	// unusedFor is how long a shard of another home is kept in memory.
 	unusedFor = 5 * time.Minute
@@ -26,7 +25,7 @@
 
 // Lost reports whether a claimant is gone, as far as this router knows.
 func (l *Ledger) Lost(router string, incarnation int64) bool {
-	if time.Since(l.started) < viewTime {
+	if time.Since(l.started) < l.opts.ViewTime {
 		return false
 	}
 	r, ok := l.opts.Fleet.View().Get(router)
@@ -35,7 +34,7 @@
 
 // Ability returns what an endpoint offers for settling orders.
 func (l *Ledger) Ability(name string) order.Ability {
-	e, ok := l.findEndpoint(name)
+	e, ok := l.opts.Fleet.Manifest().Endpoint(name)
 	if !ok {
 		return order.Ability{}
 	}
