Fleet of any size keeps few connections; capacity measured by a program

Cause: with 20 routers as processes the changing partner would in time have met every router, with a connection kept to each. Change: beyond a full mesh a router talks to its two successors and, in turn, to the routers at powers of two around the ring; accounts without cost take no record; part names are shorter; large fleets poll the root more seldom.

--- a/core/manifest/parts.go
+++ b/core/manifest/parts.go
@@ -16,7 +16,9 @@
 	// partItems is the mean number of accounts or endpoints in a part. Small
 	// parts cost few bytes to change, and the root grows with their number.
 	partItems   = 64
-	digestBytes = 16
+	digestBytes = 12
+	// refTokenLen is how much of its token a submission puts into names.
+	refTokenLen = 8
 	// tokensKept is how many submissions a root remembers, so that the author
 	// of a submission whose answer was lost learns what became of it.
 	tokensKept = 16
@@ -55,7 +57,7 @@
 	if prev == nil {
 		prev = &Root{}
 	}
-	s := splitter{token: token, known: map[string]Ref{}, parts: Parts{}}
+	s := splitter{token: token[:min(len(token), refTokenLen)], known: map[string]Ref{}, parts: Parts{}}
 	for _, ref := range prev.Refs() {
 		s.known[ref.digest()] = ref
 	}
--- a/core/member/spread.go
+++ b/core/member/spread.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"math/bits"
 	"slices"
 	"time"
@@ -70,22 +71,20 @@
 
 // Partners returns the names of the routers to exchange heartbeats with at
 // the given round: all of them in a small fleet; else the successors on the
-// region's ring and one more that changes with each round.
+// region's ring and, in turn, one of the routers at distances 1, 2, 4, 8 and
+// so on around the whole fleet's ring. News crosses the fleet in a number of
+// exchanges that grows with the logarithm of its size, and so does the number
+// of connections that a router keeps.
 func (t *Tracker) Partners(round int) []string {
-	names := make([]string, 0, len(t.members))
-	for name := range t.members {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	if len(names) <= t.limits.Mesh {
-		return names
+	if len(t.members) <= t.limits.Mesh {
+		return slices.Sorted(maps.Keys(t.members))
 	}
 	partners := t.successors(t.self, t.limits.Fanout)
-	// A stride by the own hash spreads the routers' choices over the fleet.
-	offset := int(xxhash.Sum64String(t.self.Name) % uint64(len(names)))
-	extra := names[(offset+round)%len(names)]
-	if !slices.Contains(partners, extra) {
-		partners = append(partners, extra)
+	ring := t.ringAfter(t.View(), t.self.Name)
+	distance := 1 << (round % bits.Len(uint(len(ring))))
+	far := ring[distance-1]
+	if !slices.Contains(partners, far) {
+		partners = append(partners, far)
 	}
 	return partners
 }
@@ -177,13 +176,19 @@
 	if len(ring.Routers) <= n {
 		ring = all
 	}
-	at := xxhash.Sum64String(r.Name)
-	names := ring.Names()
-	names = slices.DeleteFunc(names, func(name string) bool { return name == r.Name })
+	names := t.ringAfter(ring, r.Name)
+	return names[:min(n, len(names))]
+}
+
+// ringAfter returns the names of a view's other routers in order of their
+// hashes, beginning after the named one.
+func (t *Tracker) ringAfter(v View, name string) []string {
+	at := xxhash.Sum64String(name)
+	names := slices.DeleteFunc(v.Names(), func(other string) bool { return other == name })
 	slices.SortFunc(names, func(a, b string) int {
 		return compare(xxhash.Sum64String(a)-at, xxhash.Sum64String(b)-at)
 	})
-	return names[:min(n, len(names))]
+	return names
 }
 
 // spread queues a notice in place of older ones of the same router.
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -56,6 +56,9 @@
 // SetOwn takes in this incarnation's own cumulative totals.
 func (b *Book) SetOwn(totals map[string]fair.Cost) {
 	for account, cost := range totals {
+		if cost == 0 {
+			continue
+		}
 		b.Take(Part{Router: b.self, Incarnation: b.incarnation, Account: account, Cost: cost})
 	}
 }
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -144,3 +145,19 @@
 		Expect(parts).To(BeEmpty())
 	})
 })
+
+func BenchmarkSince(b *testing.B) {
+	for _, accounts := range []int{16, 220, 2200} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			book := usage.NewBook("self", 1)
+			totals := map[string]fair.Cost{}
+			for b.Loop() {
+				for i := range accounts {
+					totals[fmt.Sprint("account-", i)]++
+				}
+				book.SetOwn(totals)
+				book.Since(book.Seq()-uint64(accounts), 0, 16)
+			}
+		})
+	}
+}
--- a/internal/fleet/usage.go
+++ b/internal/fleet/usage.go
@@ -1,6 +1,9 @@
 package fleet
 
 import (
+	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
 	"github.com/cyclamenwinch/cyclamenwinch/core/member"
 	"github.com/cyclamenwinch/cyclamenwinch/core/usage"
@@ -14,6 +17,12 @@
 	leastRecords    = 4
 )
 
+// The usage within heartbeats.
+var (
+	usageRecords = metrics.NewCounter("cyclamenwinch_usage_records_sent_total")
+	usageSent    = metrics.NewCounter("cyclamenwinch_usage_bytes_sent_total")
+)
+
 // progress is how far a router's incarnation has been told of usage.
 type progress struct {
 	incarnation int64
@@ -44,8 +53,10 @@
 		if p.Router != f.opts.Self.Name {
 			part.Router = p.Router
 		}
+		usageSent.Add(proto.Size(part))
 		out = append(out, part)
 	}
+	usageRecords.Add(len(out))
 	return out, mark
 }
 
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -16,7 +16,8 @@
 	watchers      = 2                // routers of each region that watch the platform
 	watchPause    = time.Second      // between looks at who watches, and after a broken watch
 	watchLongest  = time.Minute      // then the roles are looked at again
-	pollWatcher   = 5 * time.Second  // a watch may have gone silent
+	pollWatcher   = 4 * time.Second  // a watch may have gone silent
+	pollLarge     = 10 * time.Second // the same in a large fleet, whose roots are large
 	pollOther     = 60 * time.Second // the others hear from peers; this is the last resort
 	pollFirst     = 500 * time.Millisecond
 	fetchParallel = 8 // parts read from the platform at a time
@@ -49,8 +50,10 @@
 	switch {
 	case f.Manifest() == nil:
 		return pollFirst
-	case f.watches():
+	case f.watches() && len(f.View().Routers) <= meshSize:
 		return pollWatcher
+	case f.watches():
+		return pollLarge
 	}
 	return pollOther
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -71,10 +71,11 @@
 
 // New returns a client of the API at base, for example "http://10.0.0.9:8080".
 func New(base string) *Client {
+	transport := countedTransport()
 	return &Client{
 		base:  strings.TrimSuffix(base, "/"),
-		http:  &http.Client{Timeout: callTimeout},
-		watch: &http.Client{},
+		http:  &http.Client{Timeout: callTimeout, Transport: transport},
+		watch: &http.Client{Transport: transport},
 	}
 }
 
