--- a/core/manifest/manifest_test.go
+++ b/core/manifest/manifest_test.go
@@ -200,3 +200,19 @@
 		})
 	}
 }
+
+func BenchmarkCheck(b *testing.B) {
+	m := sized(2200, 12000)
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Check()
+	}
+}
+
+func BenchmarkIndex(b *testing.B) {
+	m := sized(2200, 12000)
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Index()
+	}
+}
