A refusal after a failed try no longer says that nothing ran

Fault: when the first try at an endpoint failed and no other endpoint was free, callers got the refusal of the second try, with not_run true although the first endpoint may have run the request.

Change: an earlier try that may have run decides the result; the later refusal is told in the detail and gives Retry-After. Plain calls now leave the same events as chat completions, each end of a try is logged with request and code at -v 2, answers are counted by code, and the open requests of a client account at a router are bounded (max_account_open).

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -43,6 +43,9 @@
 	Events       *eventlog.Log
 	Addresses    http.Handler
 	MaxBodyBytes int64
+	// MaxAccountRequests bounds the open requests of one client account at
+	// this router, so that a flood can't take all of its memory.
+	MaxAccountRequests int
 }
 
 // API serves callers. It is safe for concurrent use.
@@ -50,6 +53,9 @@
 	opts Options
 	open atomic.Int64
 	idle sync.WaitGroup
+
+	mu        sync.Mutex
+	byAccount map[string]int // open requests
 }
 
 // call is one request of a caller.
@@ -60,7 +66,7 @@
 }
 
 // New returns an API.
-func New(opts Options) *API { return &API{opts: opts} }
+func New(opts Options) *API { return &API{opts: opts, byAccount: map[string]int{}} }
 
 // Open returns the number of open requests.
 func (a *API) Open() int { return int(a.open.Load()) }
@@ -86,7 +92,7 @@
 		defer a.idle.Done()
 		a.open.Add(1)
 		defer a.open.Add(-1)
-		c := call{id: requestID(r)}
+		c := call{id: newRequestID()}
 		w.Header().Set(endpoint.RequestIDHeader, c.id)
 		account, err := a.authenticate(r)
 		if err != nil {
@@ -94,6 +100,11 @@
 			return
 		}
 		c.account = account
+		if !a.enter(account.Name) {
+			a.refuse(w, c, tooMany())
+			return
+		}
+		defer a.leave(account.Name)
 		c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, a.opts.MaxBodyBytes))
 		if err != nil {
 			a.refuse(w, c, bodyError(err))
@@ -111,15 +122,11 @@
 		return manifest.Account{}, code.Refuse(code.NoManifest, "")
 	}
 	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-	digest := manifest.KeyDigest(key)
-	for _, account := range m.Accounts {
-		for _, known := range account.KeyDigests {
-			if known == digest {
-				return account, nil
-			}
-		}
+	account, ok := m.AccountByKeyDigest(manifest.KeyDigest(key))
+	if !ok {
+		return manifest.Account{}, code.Refuse(code.UnknownKey, "")
 	}
-	return manifest.Account{}, code.Refuse(code.UnknownKey, "")
+	return account, nil
 }
 
 func (a *API) health(w http.ResponseWriter, r *http.Request) {
@@ -164,6 +171,8 @@
 	if result.Replayed {
 		w.Header().Set("Idempotency-Replayed", "true")
 	}
+	klog.V(2).InfoS("caller: Order answered", "request", c.id, "account", c.account.Name, "key", key, "replayed", result.Replayed, "code", 0)
+	countAnswer(code.OK)
 	writeAnswer(w, result.Answer.Status, result.Answer.ContentType, result.Answer.Body)
 }
 
@@ -176,57 +185,27 @@
 
 const maxKeyBytes = 255
 
-// Problem is the body of a refusal or failure (RFC 9457).
-type Problem struct {
-	Type      string `json:"type"`
-	Title     string `json:"title"`
-	Status    int    `json:"status"`
-	Detail    string `json:"detail,omitempty"`
-	Code      int    `json:"code"`
-	NotRun    bool   `json:"not_run"` // true: no endpoint ran any part of it
-	RequestID string `json:"request_id"`
-	Next      string `json:"next"`
-}
+// Problem is the body of a refusal or failure.
+type Problem = code.Problem
 
 func (a *API) refuse(w http.ResponseWriter, c call, err error) {
-	failure := asError(err)
+	failure := code.As(err)
 	a.note(c, failure)
 	if failure.RetryAfter > 0 {
 		seconds := int(math.Ceil(failure.RetryAfter.Seconds()))
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
-	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set("Content-Type", code.ProblemType)
 	w.WriteHeader(failure.Code.Info().Status)
-	json.NewEncoder(w).Encode(problem(c, failure))
+	json.NewEncoder(w).Encode(code.NewProblem(failure, c.id))
 }
 
 func (a *API) note(c call, failure *code.Error) {
 	klog.V(2).InfoS("caller: Request refused", "request", c.id, "account", c.account.Name, "code", int(failure.Code), "detail", failure.Detail)
+	countAnswer(failure.Code)
 	a.opts.Events.Add(eventlog.Event{Kind: eventlog.RequestRefused, Request: c.id, Account: c.account.Name, Code: int(failure.Code), Detail: failure.Detail})
 }
 
-func problem(c call, failure *code.Error) Problem {
-	info := failure.Code.Info()
-	return Problem{
-		Type:      "https://cyclamenwinch.example/codes#" + strconv.Itoa(int(failure.Code)),
-		Title:     info.Text,
-		Status:    info.Status,
-		Detail:    failure.Detail,
-		Code:      int(failure.Code),
-		NotRun:    failure.NotRun,
-		RequestID: c.id,
-		Next:      info.Next,
-	}
-}
-
-func asError(err error) *code.Error {
-	var failure *code.Error
-	if errors.As(err, &failure) {
-		return failure
-	}
-	return code.Fail(code.Internal, err.Error())
-}
-
 func bodyError(err error) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -235,9 +214,8 @@
 	return code.Refuse(code.BadRequest, err.Error())
 }
 
-// requestID returns the caller's id if it is usable, or a new one. The id is
-// extended so that two callers can't choose the same one.
-func requestID(r *http.Request) string {
+// newRequestID returns a random id: two callers can't choose the same one.
+func newRequestID() string {
 	random := make([]byte, 8)
 	rand.Read(random)
 	return hex.EncodeToString(random)
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -15,7 +15,6 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
-	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/pool"
 )
 
@@ -77,11 +76,14 @@
 func (c *chatRun) serve() {
 	var err error
 	for try := range maxTries {
-		err = c.try(try > 0)
-		if err == nil || c.begun || c.r.Context().Err() != nil || !retryable(err) {
+		last := c.try(try > 0)
+		err = joinTries(err, last)
+		if last == nil || c.begun || c.r.Context().Err() != nil || !retryable(last) {
 			break
 		}
-		c.api.opts.Events.Add(eventlog.Event{Kind: eventlog.RequestRetried, Request: c.call.id, Account: c.call.account.Name, Detail: err.Error()})
+		if try+1 < maxTries {
+			c.api.retried(c.call, last)
+		}
 	}
 	if err != nil {
 		c.fail(err)
@@ -99,13 +101,13 @@
 	if err != nil {
 		return err
 	}
-	c.api.opts.Events.Add(eventlog.Event{Kind: eventlog.RequestGranted, Request: c.call.id, Account: c.call.account.Name, Endpoint: slot.Endpoint})
+	c.api.granted(c.call, slot.Endpoint)
 	start := time.Now()
 	var first time.Duration
 	c.tokens = 0
 	err = c.relay(slot.Endpoint, fresh, func() { first = time.Since(start) })
 	slot.Release(outcome(err), fair.Cost(c.tokens), first)
-	c.api.opts.Events.Add(eventlog.Event{Kind: eventlog.RequestEnded, Request: c.call.id, Account: c.call.account.Name, Endpoint: slot.Endpoint, Code: codeOf(err), Detail: fmt.Sprintf("tokens=%d", c.tokens)})
+	c.api.tried(c.call, slot.Endpoint, err, fmt.Sprintf("tokens=%d", c.tokens))
 	if err != nil {
 		c.avoid = append(c.avoid, slot.Endpoint)
 	}
@@ -192,10 +194,10 @@
 		c.api.refuse(c.w, c.call, err)
 		return
 	}
-	failure := asError(err)
+	failure := code.As(err)
 	failure.NotRun = false
 	c.api.note(c.call, failure)
-	if data, err := json.Marshal(map[string]Problem{"error": problem(c.call, failure)}); err == nil {
+	if data, err := json.Marshal(map[string]Problem{"error": code.NewProblem(failure, c.call.id)}); err == nil {
 		fmt.Fprintf(c.w, "data: %s\n\n", data)
 		http.NewResponseController(c.w).Flush()
 	}
@@ -241,6 +243,22 @@
 	return false
 }
 
+// joinTries returns the result of a request from that of its earlier tries
+// and of the last one. A refusal of the last try does not make it "not run"
+// if an earlier one may have run: then that one's failure stands.
+func joinTries(earlier, last error) error {
+	if earlier == nil || last == nil {
+		return last
+	}
+	before, refusal := code.As(earlier), code.As(last)
+	if before.NotRun || !refusal.NotRun {
+		return last
+	}
+	joined := code.Fail(before.Code, before.Detail+"; no other try: "+refusal.Error())
+	joined.RetryAfter = refusal.RetryAfter
+	return joined
+}
+
 func outcome(err error) admission.Outcome {
 	var failure *code.Error
 	if err == nil || !errors.As(err, &failure) {
@@ -256,10 +274,3 @@
 	}
 	return admission.Failed
 }
-
-func codeOf(err error) int {
-	if err == nil {
-		return 0
-	}
-	return int(asError(err).Code)
-}
--- a/internal/callerapi/fuzz_test.go
+++ b/internal/callerapi/fuzz_test.go
@@ -59,7 +59,7 @@
 	events := eventlog.New("router-a", 100)
 	client := pool.NewClient(fleet, pool.NewHost(fleet, events), nil)
 	f.Cleanup(client.Close)
-	h := callerapi.New(callerapi.Options{Fleet: fleet, Pools: client, Events: events, Addresses: http.NotFoundHandler(), MaxBodyBytes: 4096}).Handler()
+	h := callerapi.New(callerapi.Options{Fleet: fleet, Pools: client, Events: events, Addresses: http.NotFoundHandler(), MaxBodyBytes: 4096, MaxAccountRequests: 1}).Handler()
 
 	f.Fuzz(func(t *testing.T, path, key string, body []byte) {
 		r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(string(body)))
--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -12,17 +12,19 @@
 func (a *API) plain(w http.ResponseWriter, r *http.Request, c call, p manifest.Pool) {
 	var avoid []string
 	var err error
-	for range maxTries {
-		var answer endpoint.Answer
-		var name string
-		name, answer, err = a.plainOnce(r, c, p, avoid)
-		if err == nil {
+	for try := range maxTries {
+		name, answer, last := a.plainOnce(r, c, p, avoid)
+		if last == nil {
 			writeAnswer(w, answer.Status, answer.ContentType, answer.Body)
 			return
 		}
-		if !retryable(err) {
+		err = joinTries(err, last)
+		if !retryable(last) || r.Context().Err() != nil {
 			break
 		}
+		if try+1 < maxTries {
+			a.retried(c, last)
+		}
 		avoid = append(avoid, name)
 	}
 	a.refuse(w, c, err)
@@ -33,6 +35,7 @@
 	if err != nil {
 		return "", endpoint.Answer{}, err
 	}
+	a.granted(c, slot.Endpoint)
 	url, _ := a.endpointURL(slot.Endpoint)
 	answer, err := a.opts.Endpoints.Do(r.Context(), endpoint.Call{
 		URL:         url + r.URL.Path,
@@ -43,5 +46,6 @@
 		Fresh:       len(avoid) > 0,
 	})
 	slot.Release(outcome(err), 1, 0)
+	a.tried(c, slot.Endpoint, err, "")
 	return slot.Endpoint, answer, err
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,7 +81,7 @@
 	d.callers = callerapi.New(callerapi.Options{
 		Fleet: d.fleet, Pools: d.pools, Endpoints: endpoints, Ledger: d.ledger, Events: d.events,
 		Addresses:    addresses.New(d.fleet, time.Duration(s.AddressSeconds)*time.Second),
-		MaxBodyBytes: int64(s.MaxBodyBytes),
+		MaxBodyBytes: int64(s.MaxBodyBytes), MaxAccountRequests: s.MaxAccountOpen,
 	})
 	d.ops = opsapi.New(opsapi.Options{Fleet: d.fleet, Events: d.events, Token: s.OpsToken, Open: d.callers.Open, Usage: d.host.Usage})
 	d.callerWeb = newWebServer("callers", s.CallerTLS, d.callerHandler())
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -57,6 +57,7 @@
 	{Path: "stop_seconds", Text: "Seconds that a graceful stop may take", Low: 1, High: 3600},
 	{Path: "progress_millis", Text: "Milliseconds of silence after which an endpoint's answer has failed", Low: 100, High: 600_000},
 	{Path: "max_body_bytes", Text: "Bytes of the largest request body", Low: 1024, High: 64 << 20},
+	{Path: "max_account_open", Text: "Open requests of one client account at this router", Low: 1, High: 100_000},
 	{Path: "verbosity", Text: "Level of the log; changed by SIGHUP without a restart", Low: 0, High: 4},
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,7 @@
 	StopSeconds     int       `json:"stop_seconds"`
 	ProgressMillis  int       `json:"progress_millis"`
 	MaxBodyBytes    int       `json:"max_body_bytes"`
+	MaxAccountOpen  int       `json:"max_account_open"`
 	Verbosity       int       `json:"verbosity"`
 }
 
@@ -73,6 +74,7 @@
 		StopSeconds:     120,
 		ProgressMillis:  5000,
 		MaxBodyBytes:    1 << 20,
+		MaxAccountOpen:  1000,
 	}
 }
 
