Platform stand-in with rates, late and lost writes, lagging instance list

Cause: the stand-in could lose an answer only after the effect; it bore any rate, and its instance list never lagged.

Change: writes may be lost without effect or take effect later, rates answer 429, watches may go silent, the instance list lags, GET /history tells the newest changes for checks from outside.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -76,16 +76,19 @@
 	http  *http.Client
 	watch *http.Client
 	pace  *pace
+	// silence is how long a watch may bring nothing.
+	silence time.Duration
 }
 
 // New returns a client of the API at base, for example "http://10.0.0.9:8080".
 func New(base string) *Client {
 	transport := countedTransport()
 	return &Client{
-		base:  strings.TrimSuffix(base, "/"),
-		http:  &http.Client{Timeout: callTimeout, Transport: transport},
-		watch: &http.Client{Transport: transport},
-		pace:  newPace(),
+		base:    strings.TrimSuffix(base, "/"),
+		http:    &http.Client{Timeout: callTimeout, Transport: transport},
+		watch:   &http.Client{Transport: transport},
+		pace:    newPace(),
+		silence: watchSilence,
 	}
 }
 
@@ -160,7 +163,7 @@
 func (c *Client) Watch(ctx context.Context, prefix string, from int64, deliver func(Event)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(watchSilence, func() { cancel(errSilent) })
+	silence := time.AfterFunc(c.silence, func() { cancel(errSilent) })
 	defer silence.Stop()
 	u := fmt.Sprintf("%s/v1/watch?prefix=%s&from=%d", c.base, url.QueryEscape(prefix), from)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
@@ -182,7 +185,7 @@
 		if err := dec.Decode(&e); err != nil {
 			return errors.Wrap(watchError(ctx, err), "watch")
 		}
-		silence.Reset(watchSilence)
+		silence.Reset(c.silence)
 		if e.Object.Key != "" { // an empty event keeps the connection alive
 			deliver(e)
 		}
--- a/standin/objects/server.go
+++ b/standin/objects/server.go
@@ -1,6 +1,8 @@
 package objects
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -11,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/cyclamenwinch/cyclamenwinch/internal/platform"
 )
@@ -20,11 +23,24 @@
 	watchKeepAlive = time.Second
 )
 
-// Faults are what the stand-in does wrong, set by PUT /faults.
+// Faults are what the stand-in does wrong, set by PUT /faults. The seed of
+// the server drives the random ones.
 type Faults struct {
-	Down       bool    `json:"down"`        // every call fails with 503
-	DelayMs    int     `json:"delay_ms"`    // added to every call
-	LoseAnswer float64 `json:"lose_answer"` // part of writes that take effect and answer 503
+	Down          bool    `json:"down"`            // every call fails with 503
+	DelayMs       int     `json:"delay_ms"`        // added to every call
+	LoseAnswer    float64 `json:"lose_answer"`     // part of writes that take effect and answer 503
+	LoseWrite     float64 `json:"lose_write"`      // part of writes that answer 503 without effect
+	LateWrite     float64 `json:"late_write"`      // part of writes that answer 503 and take effect later
+	LateMs        int     `json:"late_ms"`         // how much later
+	SilentWatch   bool    `json:"silent_watch"`    // watches stay open and bring nothing
+	InstanceLagMs int     `json:"instance_lag_ms"` // how old the instance list is
+}
+
+// Rates are the calls a second that the platform bears, set by PUT /rates;
+// it answers 429 to more. 0 stands for any number.
+type Rates struct {
+	Writes float64 `json:"writes"`
+	Reads  float64 `json:"reads"` // watches among them
 }
 
 // Counts are the calls served since the start.
@@ -32,6 +48,13 @@
 	Reads   int64 `json:"reads"`
 	Writes  int64 `json:"writes"`
 	Watches int64 `json:"watches"`
+	Refused int64 `json:"refused"` // for the rates, counted above too
+}
+
+// instanceList is the instance list from some time on.
+type instanceList struct {
+	since     time.Time
+	instances []platform.Instance
 }
 
 // Server serves a Store over HTTP.
@@ -42,7 +65,9 @@
 	rng       *rand.Rand
 	faults    Faults
 	counts    Counts
-	instances []platform.Instance
+	instances []instanceList // oldest first
+	writes    *rate.Limiter
+	reads     *rate.Limiter
 }
 
 // NewServer returns a server of an empty store; seed drives its faults.
@@ -50,7 +75,9 @@
 	return &Server{
 		store:     NewStore(),
 		rng:       rand.New(rand.NewPCG(seed, seed)),
-		instances: []platform.Instance{},
+		instances: []instanceList{{instances: []platform.Instance{}}},
+		writes:    rate.NewLimiter(rate.Inf, 0),
+		reads:     rate.NewLimiter(rate.Inf, 0),
 	}
 }
 
@@ -65,22 +92,27 @@
 	mux.HandleFunc("GET /v1/instances", s.guard(s.getInstances))
 	mux.HandleFunc("PUT /instances", s.putInstances)
 	mux.HandleFunc("PUT /faults", s.putFaults)
+	mux.HandleFunc("PUT /rates", s.putRates)
+	mux.HandleFunc("GET /history", s.getHistory)
 	mux.HandleFunc("GET /counts", s.getCounts)
 	return mux
 }
 
-// guard counts the call and applies the faults.
+// guard counts the call and applies rates and faults.
 func (s *Server) guard(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		f := s.count(r)
+		write := r.Method == http.MethodPut || r.Method == http.MethodDelete
+		f, ok := s.count(r, write)
+		if !ok {
+			http.Error(w, "too many calls", http.StatusTooManyRequests)
+			return
+		}
 		time.Sleep(time.Duration(f.DelayMs) * time.Millisecond)
 		if f.Down {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
 		}
-		write := r.Method == http.MethodPut || r.Method == http.MethodDelete
-		if write && s.lose(f) {
-			next(discard{}, r)
+		if write && s.spoil(f, next, r) {
 			http.Error(w, "answer lost", http.StatusServiceUnavailable)
 			return
 		}
@@ -88,24 +120,52 @@
 	}
 }
 
-func (s *Server) count(r *http.Request) Faults {
+// spoil applies the faults of writes; it reports whether the answer is lost.
+func (s *Server) spoil(f Faults, next http.HandlerFunc, r *http.Request) bool {
+	switch {
+	case s.happens(f.LoseWrite):
+		return true
+	case s.happens(f.LoseAnswer):
+		next(discard{}, r)
+		return true
+	case s.happens(f.LateWrite):
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return true
+		}
+		late := r.Clone(context.WithoutCancel(r.Context()))
+		late.Body = io.NopCloser(bytes.NewReader(body))
+		time.AfterFunc(time.Duration(f.LateMs)*time.Millisecond, func() { next(discard{}, late) })
+		return true
+	}
+	return false
+}
+
+// count counts the call; it reports whether the rates allow it.
+func (s *Server) count(r *http.Request, write bool) (Faults, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	limiter := s.reads
 	switch {
 	case r.URL.Path == "/v1/watch":
 		s.counts.Watches++
-	case r.Method == http.MethodGet:
-		s.counts.Reads++
-	default:
+	case write:
 		s.counts.Writes++
+		limiter = s.writes
+	default:
+		s.counts.Reads++
+	}
+	ok := limiter.Allow()
+	if !ok {
+		s.counts.Refused++
 	}
-	return s.faults
+	return s.faults, ok
 }
 
-func (s *Server) lose(f Faults) bool {
+func (s *Server) happens(part float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return f.LoseAnswer > 0 && s.rng.Float64() < f.LoseAnswer
+	return part > 0 && s.rng.Float64() < part
 }
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
@@ -167,6 +227,10 @@
 		if err != nil || s.isDown() {
 			return
 		}
+		if s.isSilent() {
+			<-r.Context().Done()
+			return
+		}
 		for _, e := range events {
 			enc.Encode(e)
 		}
@@ -190,10 +254,24 @@
 	return s.faults.Down
 }
 
+func (s *Server) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.SilentWatch
+}
+
+// getInstances answers with the list as it was InstanceLagMs ago.
 func (s *Server) getInstances(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(w, s.instances)
+	at := time.Now().Add(-time.Duration(s.faults.InstanceLagMs) * time.Millisecond)
+	list := s.instances[0]
+	for _, l := range s.instances {
+		if !l.since.After(at) {
+			list = l
+		}
+	}
+	writeJSON(w, list.instances)
 }
 
 func (s *Server) putInstances(w http.ResponseWriter, r *http.Request) {
@@ -204,7 +282,32 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.instances = instances
+	s.instances = append(s.instances, instanceList{since: time.Now(), instances: instances})
+}
+
+func (s *Server) putRates(w http.ResponseWriter, r *http.Request) {
+	var rates Rates
+	if err := json.NewDecoder(r.Body).Decode(&rates); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes, s.reads = limiter(rates.Writes), limiter(rates.Reads)
+}
+
+// limiter bears a tenth of a second's calls at once.
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/10)))
+}
+
+// getHistory answers with the newest changes under a prefix, oldest first,
+// for checks from outside.
+func (s *Server) getHistory(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, s.store.History(r.URL.Query().Get("prefix")))
 }
 
 func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
--- a/standin/objects/store.go
+++ b/standin/objects/store.go
@@ -101,6 +101,19 @@
 	return events, s.version, s.changed, nil
 }
 
+// History returns the newest changes under a prefix, oldest first.
+func (s *Store) History(prefix string) []platform.Event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	events := []platform.Event{}
+	for _, e := range s.history {
+		if strings.HasPrefix(e.Object.Key, prefix) {
+			events = append(events, e)
+		}
+	}
+	return events
+}
+
 func (s *Store) record(e platform.Event) {
 	s.history = append(s.history, e)
 	if len(s.history) > maxHistory {
