Answers of endpoints: whole, own and resumable, without parsing each event

Cause: each streamed event was parsed as JSON; a body without a length counted as whole; a rejection of the request by an endpoint was turned into a failure and tried elsewhere; a cut stream could not be resumed; a kept connection whose other end was lost was noticed only after the progress time.

Change: an event that begins with the request's id and reports no usage is passed without parsing. A body must state its length or be chunked. A 4xx of the endpoint is handed on whole as Rejected. Call.ResumeFrom and the header Resumed continue a stream. TCP keep-alive after two seconds of idleness.

--- /dev/null
+++ b/internal/endpoint/answers_test.go
@@ -0,0 +1,193 @@
+package endpoint_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
+)
+
+const event = `data: {"id":"r1","object":"chat.completion.chunk","model":"m","choices":[{"index":0,"delta":{"role":"assistant","content":"a \"usage\": word"},"finish_reason":null}]}` + "\n\n"
+
+func serve(handler http.HandlerFunc) string {
+	server := httptest.NewServer(handler)
+	DeferCleanup(server.Close)
+	return server.URL
+}
+
+func codeOf(err error) code.Code {
+	var f *code.Error
+	if errors.As(err, &f) {
+		return f.Code
+	}
+	return code.OK
+}
+
+// read returns how many events came and how the stream ended.
+func read(ctx context.Context, call endpoint.Call) (int, error) {
+	s, err := endpoint.New(time.Second).Open(ctx, call)
+	if err != nil {
+		return 0, err
+	}
+	defer s.Close()
+	for {
+		if _, err := s.Next(); err != nil {
+			return s.Events(), err
+		}
+	}
+}
+
+var _ = Describe("an answer", func() {
+	call := func(url string) endpoint.Call {
+		return endpoint.Call{URL: url, Method: http.MethodPost, RequestID: "r1"}
+	}
+
+	DescribeTable("of a stream",
+		func(ctx SpecContext, body string, events int, want code.Code) {
+			url := serve(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, body) })
+			n, err := read(ctx, call(url))
+			Expect(n).To(Equal(events))
+			if want == code.OK {
+				Expect(err).To(Equal(io.EOF))
+				return
+			}
+			Expect(codeOf(err)).To(Equal(want))
+		},
+		Entry("is whole with its end marker", event+event+"data: [DONE]\n\n", 2, code.OK),
+		Entry("may leave out the space", strings.Replace(event, "data: ", "data:", 1)+"data:[DONE]\n\n", 1, code.OK),
+		Entry("is truncated without it", event+event, 2, code.Truncated),
+		Entry("is crossed if an event names another request", event+strings.Replace(event, "r1", "r2", 1), 1, code.CrossedAnswer),
+		Entry("is crossed if another id begins alike", strings.Replace(event, `"r1"`, `"r12"`, 1), 0, code.CrossedAnswer),
+		Entry("is broken if an event is cut", event[:60]+"\n\n", 0, code.EndpointError),
+	)
+
+	It("counts the usage that an event reports", func(ctx SpecContext) {
+		url := serve(func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(w, event, `data: {"id":"r1","choices":[],"usage":null}`, "\n\n")
+			fmt.Fprint(w, `data: {"id":"r1","choices":[],"usage":{"total_tokens":42}}`, "\n\ndata: [DONE]\n\n")
+		})
+		s, err := endpoint.New(time.Second).Open(ctx, call(url))
+		Expect(err).NotTo(HaveOccurred())
+		defer s.Close()
+		for err == nil {
+			_, err = s.Next()
+		}
+		Expect(s.Cost()).To(Equal(42))
+		Expect(s.Events()).To(Equal(3))
+	})
+
+	It("is resumed only by an endpoint that says so", func(ctx SpecContext) {
+		url := serve(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/resumes" && r.Header.Get("Resume-From") == "5" {
+				w.Header().Set("Resumed", "true")
+			}
+			fmt.Fprint(w, event, "data: [DONE]\n\n")
+		})
+		again := call(url + "/resumes")
+		again.ResumeFrom = 5
+		n, err := read(ctx, again)
+		Expect(err).To(Equal(io.EOF))
+		Expect(n).To(Equal(6))
+		again.URL = url + "/begins-anew"
+		_, err = read(ctx, again)
+		Expect(codeOf(err)).To(Equal(code.Truncated))
+	})
+
+	It("that rejects the request is passed on whole", func(ctx SpecContext) {
+		url := serve(func(w http.ResponseWriter, r *http.Request) { http.Error(w, "no such adapter", http.StatusNotFound) })
+		_, err := read(ctx, call(url))
+		var rejected *endpoint.Rejected
+		Expect(errors.As(err, &rejected)).To(BeTrue())
+		Expect(rejected.Answer.Status).To(Equal(http.StatusNotFound))
+		Expect(string(rejected.Answer.Body)).To(Equal("no such adapter\n"))
+	})
+
+	DescribeTable("that is not whole is refused",
+		func(ctx SpecContext, header string, want code.Code) {
+			url := serve(func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				Expect(err).NotTo(HaveOccurred())
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\nhalf", header)
+				conn.Close()
+			})
+			_, err := endpoint.New(time.Second).Do(ctx, call(url))
+			Expect(codeOf(err)).To(Equal(want))
+		},
+		Entry("shorter than its length", "Content-Length: 8\r\n", code.Truncated),
+		Entry("without the last chunk", "Transfer-Encoding: chunked\r\n", code.Truncated),
+		Entry("without a length", "", code.Truncated),
+	)
+
+	It("of another request costs the connection", func(ctx SpecContext) {
+		var connections atomic.Int64
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(endpoint.RequestIDHeader, "another")
+			fmt.Fprint(w, "late")
+		}))
+		server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+			if s == http.StateNew {
+				connections.Add(1)
+			}
+		}
+		server.Start()
+		DeferCleanup(server.Close)
+		client := endpoint.New(time.Second)
+		for range 3 {
+			_, err := client.Do(ctx, call(server.URL))
+			Expect(codeOf(err)).To(Equal(code.CrossedAnswer))
+		}
+		Expect(connections.Load()).To(Equal(int64(3)))
+	})
+
+	It("is not waited for by an endpoint that is silent or a caller that left", func(ctx SpecContext) {
+		gone := make(chan struct{}, 2)
+		url := serve(func(w http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			gone <- struct{}{}
+		})
+		_, err := endpoint.New(20*time.Millisecond).Do(ctx, call(url))
+		Expect(codeOf(err)).To(Equal(code.Silent))
+		left, leave := context.WithCancel(ctx)
+		time.AfterFunc(20*time.Millisecond, leave)
+		_, err = endpoint.New(time.Minute).Do(left, call(url))
+		Expect(codeOf(err)).To(Equal(code.CallerLeft))
+		Eventually(gone).WithContext(ctx).Should(Receive())
+		Eventually(gone).WithContext(ctx).Should(Receive())
+	}, SpecTimeout(10*time.Second))
+})
+
+func BenchmarkStreamedEvent(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for range b.N {
+			io.WriteString(w, event)
+		}
+		io.WriteString(w, "data: [DONE]\n\n")
+	}))
+	defer server.Close()
+	s, err := endpoint.New(time.Minute).Open(b.Context(), endpoint.Call{URL: server.URL, Method: http.MethodPost, RequestID: "r1"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for {
+		if _, err := s.Next(); err != nil {
+			break
+		}
+	}
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -31,6 +31,11 @@
 	dialTimeout    = time.Second
 	idleTimeout    = 30 * time.Second
 	maxAnswerBytes = 8 << 20
+	// A kept connection whose other end is lost is noticed by the system
+	// after idle + interval * count, before it is used if it was idle so long.
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
 )
 
 // Client calls endpoints. It is safe for concurrent use.
@@ -50,6 +55,7 @@
 	ContentType string
 	Body        []byte
 	Fresh       bool // use a new connection
+	ResumeFrom  int  // events of the stream already received
 }
 
 // Answer is a whole answer.
@@ -62,11 +68,15 @@
 // New returns a client. An endpoint that sends nothing for the given time
 // has failed.
 func New(progress time.Duration) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+	}
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true, // answers are passed on as they come
 	}
 	fresh := transport.Clone()
 	fresh.DisableKeepAlives = true
@@ -86,6 +96,15 @@
 	if err := checkIdentity(resp, call); err != nil {
 		return Answer{}, err
 	}
+	return readWhole(ctx, watch, resp)
+}
+
+// readWhole reads the body. A body whose end can't be told from a cut
+// connection is not taken as whole.
+func readWhole(ctx context.Context, watch *progressWatch, resp *http.Response) (Answer, error) {
+	if resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return Answer{}, code.Fail(code.Truncated, "the answer states no length")
+	}
 	body, err := io.ReadAll(io.LimitReader(watch.reader(resp.Body), maxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, failure(ctx, err)
@@ -105,6 +124,9 @@
 		req.Header.Set("Content-Type", call.ContentType)
 	}
 	req.Header.Set(RequestIDHeader, call.RequestID)
+	if call.ResumeFrom > 0 {
+		req.Header.Set(ResumeHeader, strconv.Itoa(call.ResumeFrom))
+	}
 	client := c.http
 	if call.Key != "" {
 		req.Header.Set(KeyHeader, call.Key)
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 
@@ -15,6 +16,19 @@
 
 const maxEventBytes = 256 << 10
 
+var (
+	dataField  = []byte("data:")
+	space      = []byte(" ")
+	usageField = []byte(`"usage"`)
+	noUsage    = []byte(":null")
+)
+
+// The header fields of a resumed stream.
+const (
+	ResumeHeader  = "Resume-From" // request: events already received
+	ResumedHeader = "Resumed"     // answer: "true" if the stream goes on from there
+)
+
 // Stream is a streamed chat completion. Close must be called.
 type Stream struct {
 	ctx     context.Context
@@ -22,9 +36,10 @@
 	body    io.ReadCloser
 	scanner *bufio.Scanner
 	id      string
-	tokens  int // total tokens that the endpoint reported; 0: not yet
-	events  int
-	ended   bool // the end marker was read
+	start   []byte // how an event of this request usually begins
+	tokens  int    // total tokens that the endpoint reported; 0: not yet
+	events  int    // received, those before a resume among them
+	ended   bool   // the end marker was read
 }
 
 // chunk is the part of a stream's event that the router reads.
@@ -35,8 +50,26 @@
 	} `json:"usage"`
 }
 
-// Open sends a chat completion that is to be streamed. The error is a
-// *code.Error as for Do.
+// Rejected is an endpoint's whole answer that is a fault of the request: it
+// is the caller's, and another endpoint would say the same.
+type Rejected struct{ Answer Answer }
+
+// Error returns the status.
+func (r *Rejected) Error() string { return "the endpoint answered " + strconv.Itoa(r.Answer.Status) }
+
+// IsRejection reports whether a status is a fault of the request, and not one
+// of the endpoint's state.
+func IsRejection(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooEarly, http.StatusTooManyRequests:
+		return false
+	}
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError
+}
+
+// Open sends a chat completion that is to be streamed, or resumed after
+// Call.ResumeFrom events. The error is a *code.Error as for Do, or a
+// *Rejected.
 func (c *Client) Open(ctx context.Context, call Call) (*Stream, error) {
 	ctx, watch := watchProgress(ctx, c.progress)
 	resp, err := c.send(ctx, call)
@@ -44,7 +77,8 @@
 		defer watch.stop()
 		return nil, failure(ctx, err)
 	}
-	s := &Stream{ctx: ctx, watch: watch, body: resp.Body, id: call.RequestID}
+	s := &Stream{ctx: ctx, watch: watch, body: resp.Body, id: call.RequestID, events: call.ResumeFrom}
+	s.start = []byte(`{"id":"` + call.RequestID + `",`)
 	if err := s.accept(resp, call); err != nil {
 		s.Close()
 		return nil, err
@@ -58,9 +92,19 @@
 	if err := checkIdentity(resp, call); err != nil {
 		return err
 	}
+	if IsRejection(resp.StatusCode) {
+		answer, err := readWhole(s.ctx, s.watch, resp)
+		if err != nil {
+			return err
+		}
+		return &Rejected{Answer: answer}
+	}
 	if resp.StatusCode != http.StatusOK {
 		return code.Fail(code.EndpointError, "the endpoint answered "+resp.Status)
 	}
+	if call.ResumeFrom > 0 && resp.Header.Get(ResumedHeader) != "true" {
+		return code.Fail(code.Truncated, "the endpoint does not resume the stream")
+	}
 	return nil
 }
 
@@ -68,10 +112,11 @@
 // marker, and a *code.Error if the stream ends without it.
 func (s *Stream) Next() ([]byte, error) {
 	for s.scanner.Scan() {
-		data, ok := bytes.CutPrefix(s.scanner.Bytes(), []byte("data: "))
+		data, ok := bytes.CutPrefix(s.scanner.Bytes(), dataField)
 		if !ok {
 			continue
 		}
+		data = bytes.TrimPrefix(data, space)
 		if string(data) == "[DONE]" {
 			s.ended = true
 			return nil, io.EOF
@@ -84,8 +129,15 @@
 	return nil, code.Fail(code.Truncated, "the stream ended without its end marker")
 }
 
-// check reads what the router needs from an event.
+// check reads what the router needs from an event. An event that begins with
+// the request's id and reports no usage needs no parsing: a quote within a
+// JSON string is escaped, so the two can't be part of the answer's text.
 func (s *Stream) check(data []byte) error {
+	whole := len(data) > 0 && data[len(data)-1] == '}'
+	if whole && bytes.HasPrefix(data, s.start) && !reportsUsage(data) {
+		s.events++
+		return nil
+	}
 	var c chunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return code.Fail(code.EndpointError, errors.Wrap(err, "unreadable event").Error())
@@ -100,6 +152,14 @@
 	return nil
 }
 
+func reportsUsage(data []byte) bool {
+	i := bytes.Index(data, usageField)
+	return i >= 0 && !bytes.HasPrefix(data[i+len(usageField):], noUsage)
+}
+
+// Events returns the events received, those before a resume among them.
+func (s *Stream) Events() int { return s.events }
+
 // Cost returns the tokens reported, or the events seen if there is no report.
 func (s *Stream) Cost() int {
 	if s.tokens > 0 {
