Pools in status, quarantine by command line, progress told to the owner

/status shows what the owner of a pool knows: state, busy slots and limit of its endpoints, waiting requests of each client account. The command quarantine lists what the routers remember and lifts it at every one of them; a refusal names the fingerprint. The relay tells the pool's owner of tokens and time to first token while a stream runs.

--- a/cmd/cyclamenwinch/main.go
+++ b/cmd/cyclamenwinch/main.go
@@ -62,6 +62,7 @@
 		{"timeline", "show the merged time line of all routers", "Show the events of all routers in one order. Routers that don't answer are named.", &timelineCommand{app: a}},
 		{"explain", "tell why a request went where it went", "Tell from the time line of all routers what happened to a request, or why it was refused.", &explainCommand{app: a}},
 		{"orders", "look up, list or settle orders", "Look up an order by client account and key, list the orders of unknown outcome, or settle one of these.", &ordersCommand{app: a}},
+		{"quarantine", "list or lift quarantined requests", "List the requests that crashed endpoints, or let one through again at every router.", &quarantineCommand{app: a}},
 		{"schema", "print a JSON Schema", "Print the JSON Schema of the manifest or of the daemon's settings.", &schemaCommand{app: a}},
 		{"completion", "print the shell completion for bash", "Print a script that completes commands and options in bash: source <(cyclamenwinch completion).", &completionCommand{app: a}},
 		{"version", "print the version", "Print the version of this tool.", &versionCommand{app: a}},
--- a/cmd/cyclamenwinch/main_test.go
+++ b/cmd/cyclamenwinch/main_test.go
@@ -15,6 +15,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+	"github.com/cyclamenwinch/cyclamenwinch/core/route"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/opsapi"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/opsclient"
@@ -35,6 +36,13 @@
 	manifest *manifest.Manifest
 	events   *eventlog.Log
 	server   *httptest.Server
+	crashes  []route.Crash
+}
+
+func (f *fakeRouter) Crashes() []route.Crash { return f.crashes }
+func (f *fakeRouter) Lift(uint64) bool {
+	f.crashes = nil
+	return true
 }
 
 func (f *fakeRouter) Self() member.Router               { return f.self }
@@ -55,7 +63,7 @@
 		f := &fakeRouter{self: r, manifest: m, events: eventlog.New(r.Name, 100)}
 		f.server = httptest.NewServer(opsapi.New(opsapi.Options{
 			Fleet: f, Events: f.events, Token: "t",
-			Open:  func() int { return 0 },
+			Open: func() int { return 0 }, Quarantine: f,
 			Usage: func() map[string]fair.Cost { return nil },
 		}).Handler())
 		DeferCleanup(f.server.Close)
@@ -207,6 +215,22 @@
 		Expect(line.Events[0].Request).To(Equal("1"))
 	})
 
+	It("quarantine merges what the routers remember, and lifts it at all of them", func() {
+		a.crashes = []route.Crash{{Fingerprint: 10, Endpoint: "runner-1"}}
+		b.crashes = []route.Crash{{Fingerprint: 10, Endpoint: "runner-1"}, {Fingerprint: 10, Endpoint: "runner-2"}}
+		exit, out, _ := fleetTool("quarantine")
+		Expect(exit).To(Equal(exitDone))
+		Expect(out).To(MatchRegexp(`000000000000000a +refused +runner-1 runner-2`))
+		exit, _, _ = fleetTool("quarantine", "--lift", "wrong")
+		Expect(exit).To(Equal(exitFaults))
+		Expect(b.crashes).To(HaveLen(2))
+		exit, out, _ = fleetTool("quarantine", "--lift", "000000000000000a")
+		Expect(exit).To(Equal(exitDone))
+		Expect(out).To(ContainSubstring("Lifted at 2 routers"))
+		Expect(a.crashes).To(BeEmpty())
+		Expect(b.crashes).To(BeEmpty())
+	})
+
 	It("explain tells a refusal and what to do", func() {
 		a.events.Add(eventlog.Event{Kind: eventlog.ManifestInForce, Detail: "generation=3"})
 		a.events.Add(eventlog.Event{Kind: eventlog.RequestRefused, Request: "7", Account: "sales-desk", Code: int(code.QueueFull)})
--- a/cmd/cyclamenwinch/orders.go
+++ b/cmd/cyclamenwinch/orders.go
@@ -74,12 +74,15 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	s := opsapi.Settlement{Account: c.Account, Key: c.Key, Outcome: order.State(c.Settle)}
-	if err := client.Settle(ctx, s); err != nil {
+	record, err := client.Settle(ctx, opsapi.Settlement{Account: c.Account, Key: c.Key, Outcome: order.State(c.Settle)})
+	if err != nil {
 		return err
 	}
-	return c.app.print(c.JSON, s, func() {
-		fmt.Fprintf(c.app.out, "Order %s of %s is settled as %s.\n", c.Key, c.Account, c.Settle)
+	return c.app.print(c.JSON, record, func() {
+		c.show([]order.Record{record})
+		if string(record.State) != c.Settle {
+			fmt.Fprintln(c.app.out, "\nThe order runner knew the outcome; its word counts.")
+		}
 	})
 }
 
--- a/cmd/cyclamenwinch/status.go
+++ b/cmd/cyclamenwinch/status.go
@@ -103,7 +103,7 @@
 		}
 		state, slots := "?", "?"
 		if load, ok := loads[e.Endpoint]; ok {
-			state, slots = load.State, fmt.Sprintf("%d/%d", load.Busy, load.Limit)
+			state, slots = string(load.State), fmt.Sprintf("%d/%d", load.Busy, load.Limit)
 		}
 		t.row(e.Endpoint, e.Pool, e.Zone, string(declared), state, slots)
 	}
--- a/cmd/cyclamenwinch/timeline.go
+++ b/cmd/cyclamenwinch/timeline.go
@@ -92,9 +92,7 @@
 
 // showGaps says what the time line may lack.
 func showGaps(out io.Writer, line opsclient.Timeline) {
-	for _, u := range line.Unreached {
-		fmt.Fprintf(out, "Not reached, so its events are missing: %s (%s)\n", u.Router, u.Error)
-	}
+	showUnreached(out, "its events are missing", line.Unreached)
 	for _, router := range line.Cut {
 		fmt.Fprintf(out, "Older events of %s are left out; raise --limit or narrow the span.\n", router)
 	}
--- a/core/admission/state.go
+++ b/core/admission/state.go
@@ -37,3 +37,15 @@
 	}
 	return waiting
 }
+
+// WaitingByAccount returns the number of requests that wait for each declared
+// client account.
+func (p *Pool) WaitingByAccount() map[string]int {
+	waiting := map[string]int{}
+	for name, a := range p.accounts {
+		if a.declared {
+			waiting[name] = a.waiting()
+		}
+	}
+	return waiting
+}
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -60,14 +60,19 @@
 
 // chatRun is one chat completion on its way through the router.
 type chatRun struct {
-	api    *API
-	w      http.ResponseWriter
-	r      *http.Request
-	call   call
-	req    chatRequest
-	pool   manifest.Pool
-	avoid  []string
-	begun  bool // the caller has received a part of the answer
+	api   *API
+	w     http.ResponseWriter
+	r     *http.Request
+	call  call
+	req   chatRequest
+	pool  manifest.Pool
+	avoid []string
+	begun bool // the caller has received a part of the answer
+
+	// Of the current try.
+	slot   *pool.Slot
+	start  time.Time
+	first  time.Duration // time to the first token; 0: none yet
 	tokens int
 }
 
@@ -91,22 +96,22 @@
 }
 
 func (c *chatRun) try(fresh bool) error {
+	whole := fingerprint(string(c.call.body))
 	slot, err := c.api.opts.Pools.Acquire(c.r.Context(), c.pool.Name, pool.Request{
 		Account:     c.call.account.Name,
+		Model:       c.req.Model,
 		Estimate:    c.estimate(),
 		Prefix:      fingerprint(c.req.Model, c.promptStart()),
-		Fingerprint: fingerprint(string(c.call.body)),
+		Fingerprint: whole,
 		Avoid:       c.avoid,
 	})
 	if err != nil {
-		return err
+		return nameQuarantined(err, whole)
 	}
 	c.api.granted(c.call, slot.Endpoint)
-	start := time.Now()
-	var first time.Duration
-	c.tokens = 0
-	err = c.relay(slot.Endpoint, fresh, func() { first = time.Since(start) })
-	slot.Release(outcome(err), fair.Cost(c.tokens), first)
+	c.slot, c.tokens, c.first, c.start = slot, 0, 0, time.Now()
+	err = c.relay(slot.Endpoint, fresh)
+	slot.Release(outcome(err), fair.Cost(c.tokens), c.first)
 	c.api.tried(c.call, slot.Endpoint, err, fmt.Sprintf("tokens=%d", c.tokens))
 	if err != nil {
 		c.avoid = append(c.avoid, slot.Endpoint)
@@ -114,9 +119,20 @@
 	return err
 }
 
-// relay passes the endpoint's answer to the caller. onFirst is called at the
-// first token.
-func (c *chatRun) relay(name string, fresh bool, onFirst func()) error {
+// nameQuarantined adds the fingerprint that an operator needs to lift the
+// quarantine of a request.
+func nameQuarantined(err error, fingerprint uint64) error {
+	failure := code.As(err)
+	if failure.Code != code.Quarantined {
+		return err
+	}
+	named := *failure
+	named.Detail = fmt.Sprintf("fingerprint=%016x", fingerprint)
+	return &named
+}
+
+// relay passes the endpoint's answer to the caller.
+func (c *chatRun) relay(name string, fresh bool) error {
 	url, ok := c.api.endpointURL(name)
 	if !ok {
 		return code.Refuse(code.NoEndpoint, name+" is not declared any more")
@@ -132,10 +148,10 @@
 	if !c.req.Stream {
 		return c.relayWhole(out)
 	}
-	return c.relayStream(out, onFirst)
+	return c.relayStream(out)
 }
 
-func (c *chatRun) relayStream(out endpoint.Call, onFirst func()) error {
+func (c *chatRun) relayStream(out endpoint.Call) error {
 	s, err := c.api.opts.Endpoints.Open(c.r.Context(), out)
 	if err != nil {
 		return err
@@ -154,7 +170,7 @@
 		}
 		if !c.begun {
 			c.begun = true
-			onFirst()
+			c.first = time.Since(c.start)
 			c.w.Header().Set("Content-Type", "text/event-stream")
 			c.w.Header().Set("Cache-Control", "no-store")
 		}
@@ -162,6 +178,7 @@
 			return code.Fail(code.CallerLeft, "")
 		}
 		flush.Flush()
+		c.slot.Progress(fair.Cost(c.tokens), c.first)
 	}
 }
 
--- a/internal/opsapi/opsapi.go
+++ b/internal/opsapi/opsapi.go
@@ -41,8 +41,9 @@
 	// Unknown returns the records whose outcome is not known.
 	Unknown(ctx context.Context) ([]order.Record, error)
 	// Settle gives an order of unknown outcome the outcome that the operator
-	// has found: order.Done or order.NotRun.
-	Settle(ctx context.Context, account, key string, outcome order.State) error
+	// has found: order.Done or order.NotRun. It returns the record as it
+	// stands then; if the endpoint knows better, its word counts.
+	Settle(ctx context.Context, account, key string, outcome order.State) (order.Record, error)
 }
 
 // Options configure an API.
@@ -54,6 +55,8 @@
 	Usage  func() map[string]fair.Cost // charged by this router
 	Pools  func() []PoolState          // owned by this router; nil: none
 	Orders Orders                      // nil: /orders is not served
+
+	Quarantine Quarantine // nil: /quarantine is not served
 }
 
 // API serves operators. It is safe for concurrent use.
@@ -77,6 +80,10 @@
 		mux.HandleFunc("GET /orders/unknown", a.guard(a.unknown))
 		mux.HandleFunc("POST /orders/settle", a.guard(a.settle))
 	}
+	if a.opts.Quarantine != nil {
+		mux.HandleFunc("GET /quarantine", a.guard(a.suspects))
+		mux.HandleFunc("POST /quarantine/lift", a.guard(a.lift))
+	}
 	mux.HandleFunc("/", a.guard(func(w http.ResponseWriter, r *http.Request) {
 		refuse(w, r, code.Refuse(code.UnknownPath, r.Method+" "+r.URL.Path))
 	}))
--- a/internal/opsapi/opsapi_test.go
+++ b/internal/opsapi/opsapi_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -16,6 +18,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/core/member"
 	"github.com/cyclamenwinch/cyclamenwinch/core/order"
+	"github.com/cyclamenwinch/cyclamenwinch/core/route"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/opsapi"
 )
@@ -56,9 +59,19 @@
 	return []order.Record{f.record}, nil
 }
 
-func (f *fakeOrders) Settle(_ context.Context, _, _ string, outcome order.State) error {
+func (f *fakeOrders) Settle(_ context.Context, _, _ string, outcome order.State) (order.Record, error) {
 	f.record.State = outcome
-	return nil
+	return f.record, nil
+}
+
+// fakeQuarantine remembers crashes until they are lifted.
+type fakeQuarantine struct{ crashes []route.Crash }
+
+func (f *fakeQuarantine) Crashes() []route.Crash { return f.crashes }
+func (f *fakeQuarantine) Lift(fingerprint uint64) bool {
+	before := len(f.crashes)
+	f.crashes = slices.DeleteFunc(f.crashes, func(c route.Crash) bool { return c.Fingerprint == fingerprint })
+	return len(f.crashes) < before
 }
 
 var _ = Describe("the operations API", func() {
@@ -82,6 +95,11 @@
 			Fleet: fleet, Events: events, Token: token, Orders: orders,
 			Open:  func() int { return 4 },
 			Usage: func() map[string]fair.Cost { return map[string]fair.Cost{"hotels": 5} },
+			Quarantine: &fakeQuarantine{crashes: []route.Crash{
+				{Fingerprint: 1, Endpoint: "runner-1", Age: time.Minute},
+				{Fingerprint: 10, Endpoint: "runner-1", Age: time.Minute},
+				{Fingerprint: 10, Endpoint: "runner-2", Age: time.Second},
+			}},
 			Pools: func() []opsapi.PoolState { return []opsapi.PoolState{{Scope: "drafting/r"}} },
 		}).Handler()
 	})
@@ -107,7 +125,7 @@
 	}
 
 	DescribeTable("refuses any other credential", func(credential string) {
-		for _, path := range []string{"/status", "/timeline", "/metrics", "/orders", "/orders/unknown", "/anything"} {
+		for _, path := range []string{"/status", "/timeline", "/metrics", "/orders", "/orders/unknown", "/quarantine", "/anything"} {
 			status, p := call(credential, "GET", path, "", nil)
 			Expect(status).To(Equal(http.StatusUnauthorized), path)
 			Expect(p.Code).To(Equal(int(code.NotAuthorized)))
@@ -176,6 +194,21 @@
 		Entry("a path", "/nothing", code.UnknownPath),
 	)
 
+	It("lists and lifts the quarantine", func() {
+		var list []opsapi.Suspect
+		Expect(get("/quarantine", &list)).To(Equal(http.StatusOK))
+		Expect(list).To(Equal([]opsapi.Suspect{
+			{Fingerprint: "0000000000000001", Endpoints: []string{"runner-1"}, AgeSeconds: 60},
+			{Fingerprint: "000000000000000a", Endpoints: []string{"runner-1", "runner-2"}, AgeSeconds: 1, Held: true},
+		}))
+		_, p := call("Bearer "+token, "POST", "/quarantine/lift", `{"fingerprint":"ten"}`, nil)
+		Expect(p.Code).To(Equal(int(code.BadRequest)))
+		status, _ := call("Bearer "+token, "POST", "/quarantine/lift", `{"fingerprint":"000000000000000a"}`, nil)
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(get("/quarantine", &list)).To(Equal(http.StatusOK))
+		Expect(list).To(HaveLen(1))
+	})
+
 	It("looks up, lists and settles orders", func() {
 		var found order.Record
 		Expect(get("/orders?account=hotels&key=k", &found)).To(Equal(http.StatusOK))
--- a/internal/opsapi/orders.go
+++ b/internal/opsapi/orders.go
@@ -49,9 +49,10 @@
 		refuse(w, r, code.Refuse(code.BadRequest, `outcome is "`+string(s.Outcome)+`": want "done" or "not_run"`))
 		return
 	}
-	if err := a.opts.Orders.Settle(r.Context(), s.Account, s.Key, s.Outcome); err != nil {
+	record, err := a.opts.Orders.Settle(r.Context(), s.Account, s.Key, s.Outcome)
+	if err != nil {
 		refuse(w, r, err)
 		return
 	}
-	writeJSON(w, s)
+	writeJSON(w, record)
 }
--- a/internal/opsapi/status.go
+++ b/internal/opsapi/status.go
@@ -52,10 +52,21 @@
 	Accounts  []AccountQueue `json:"accounts"`
 }
 
+// Warmth says how much of its slots an endpoint may get.
+type Warmth string
+
+// The states of an endpoint at its owner.
+const (
+	Warm   Warmth = "warm"   // proved to bear more than after a start
+	Cold   Warmth = "cold"   // gets no more than it bears after a start
+	Paused Warmth = "paused" // gets nothing for a while: it broke, or not all routers have reported
+	Out    Warmth = "out"    // it or its zone is out
+)
+
 // EndpointLoad is the use of an endpoint as its owner knows it.
 type EndpointLoad struct {
 	Endpoint string `json:"endpoint"`
-	State    string `json:"state"` // "warm", "cold", "paused" or "out"
+	State    Warmth `json:"state"`
 	Busy     int    `json:"busy"`  // slots in use
 	Limit    int    `json:"limit"` // slots that may be used now
 }
--- a/internal/opsclient/fleet.go
+++ b/internal/opsclient/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"golang.org/x/sync/errgroup"
 
@@ -44,22 +45,25 @@
 		return Fleet{}, err
 	}
 	f := Fleet{Asked: asked, Routers: make([]RouterState, len(asked.Members))}
-	each(asked.Members, func(i int, m member.Router) {
-		f.Routers[i] = RouterState{Name: m.Name, Zone: m.Zone}
-		if m.Name == asked.Router.Name {
-			f.Routers[i].Status = &asked
-			return
-		}
-		var s opsapi.Status
-		if err := c.call(ctx, "GET", m.OpsURL, "/status", nil, &s); err != nil {
-			f.Routers[i].Error = err.Error()
-			return
-		}
-		f.Routers[i].Status = &s
+	askAll(asked.Members, func(i int, m member.Router) error {
+		f.Routers[i] = c.state(ctx, asked, m)
+		return nil
 	})
 	return f, nil
 }
 
+// state asks a member for its state, unless it is the one that was asked.
+func (c *Client) state(ctx context.Context, asked opsapi.Status, m member.Router) RouterState {
+	if m.Name == asked.Router.Name {
+		return RouterState{Name: m.Name, Zone: m.Zone, Status: &asked}
+	}
+	var s opsapi.Status
+	if err := c.call(ctx, http.MethodGet, m.OpsURL, "/status", nil, &s); err != nil {
+		return RouterState{Name: m.Name, Zone: m.Zone, Error: err.Error()}
+	}
+	return RouterState{Name: m.Name, Zone: m.Zone, Status: &s}
+}
+
 // InForce reports whether every member runs the generation or a higher one.
 // A member that was not reached counts with what the asked router last heard
 // of it.
@@ -98,38 +102,44 @@
 		return Timeline{}, err
 	}
 	pages := make([]eventlog.Page, len(asked.Members))
-	failures := make([]error, len(asked.Members))
-	each(asked.Members, func(i int, m member.Router) {
-		pages[i], failures[i] = c.page(ctx, m.OpsURL, filter)
+	t := Timeline{Cut: []string{}}
+	t.Unreached = askAll(asked.Members, func(i int, m member.Router) error {
+		var err error
+		pages[i], err = c.page(ctx, m.OpsURL, filter)
+		return err
 	})
-	t := Timeline{Cut: []string{}, Unreached: []Unreached{}}
 	var parts [][]eventlog.Event
 	for i, m := range asked.Members {
-		if failures[i] != nil {
-			t.Unreached = append(t.Unreached, Unreached{Router: m.Name, Error: failures[i].Error()})
-			continue
-		}
 		if pages[i].Cut {
 			t.Cut = append(t.Cut, m.Name)
 		}
 		parts = append(parts, pages[i].Events)
 	}
-	t.Events = eventlog.Merge(parts...)
+	t.Events = append([]eventlog.Event{}, eventlog.Merge(parts...)...)
 	return t, nil
 }
 
 // concurrentCalls bounds the routers that are asked at the same time.
 const concurrentCalls = 32
 
-// each calls f for all members, many at a time, and waits.
-func each(members []member.Router, f func(int, member.Router)) {
+// askAll calls f for all members, many at a time, and returns those that gave
+// an error.
+func askAll(members []member.Router, f func(int, member.Router) error) []Unreached {
+	failures := make([]error, len(members))
 	var calls errgroup.Group
 	calls.SetLimit(concurrentCalls)
 	for i, m := range members {
 		calls.Go(func() error {
-			f(i, m)
+			failures[i] = f(i, m)
 			return nil
 		})
 	}
 	calls.Wait()
+	unreached := []Unreached{}
+	for i, err := range failures {
+		if err != nil {
+			unreached = append(unreached, Unreached{Router: members[i].Name, Error: err.Error()})
+		}
+	}
+	return unreached
 }
--- a/internal/opsclient/opsclient.go
+++ b/internal/opsclient/opsclient.go
@@ -74,9 +74,11 @@
 	return records, c.any(ctx, http.MethodGet, "/orders/unknown", nil, &records)
 }
 
-// Settle gives an order of unknown outcome its outcome.
-func (c *Client) Settle(ctx context.Context, s opsapi.Settlement) error {
-	return c.any(ctx, http.MethodPost, "/orders/settle", s, nil)
+// Settle gives an order of unknown outcome its outcome and returns the record
+// as it stands then.
+func (c *Client) Settle(ctx context.Context, s opsapi.Settlement) (order.Record, error) {
+	var r order.Record
+	return r, c.any(ctx, http.MethodPost, "/orders/settle", s, &r)
 }
 
 func (c *Client) page(ctx context.Context, router string, f eventlog.Filter) (eventlog.Page, error) {
