--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -151,59 +150,6 @@
 	return c.relayStream(out)
 }
 
-func (c *chatRun) relayStream(out endpoint.Call) error {
-	s, err := c.api.opts.Endpoints.Open(c.r.Context(), out)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
-	flush := http.NewResponseController(c.w)
-	for {
-		data, err := s.Next()
-		c.tokens = s.Cost()
-		if err == io.EOF {
-			fmt.Fprint(c.w, "data: [DONE]\n\n")
-			return flush.Flush()
-		}
-		if err != nil {
-			return err
-		}
-		if !c.begun {
-			c.begun = true
-			c.first = time.Since(c.start)
-			c.w.Header().Set("Content-Type", "text/event-stream")
-			c.w.Header().Set("Cache-Control", "no-store")
-		}
-		if _, err := fmt.Fprintf(c.w, "data: %s\n\n", data); err != nil {
-			return code.Fail(code.CallerLeft, "")
-		}
-		flush.Flush()
-		c.slot.Progress(fair.Cost(c.tokens), c.first)
-	}
-}
-
-func (c *chatRun) relayWhole(out endpoint.Call) error {
-	answer, err := c.api.opts.Endpoints.Do(c.r.Context(), out)
-	if err != nil {
-		return err
-	}
-	if answer.Status >= http.StatusInternalServerError {
-		return code.Fail(code.EndpointError, fmt.Sprintf("the endpoint answered %d", answer.Status))
-	}
-	var body struct {
-		Usage struct {
-			TotalTokens int `json:"total_tokens"`
-		} `json:"usage"`
-	}
-	if err := json.Unmarshal(answer.Body, &body); err != nil {
-		return code.Fail(code.Truncated, err.Error())
-	}
-	c.tokens = body.Usage.TotalTokens
-	c.begun = true
-	writeAnswer(c.w, answer.Status, answer.ContentType, answer.Body)
-	return nil
-}
-
 // fail ends the request with an error: as problem details, or as an event if
 // the stream has begun. A begun stream gets no end marker.
 func (c *chatRun) fail(err error) {
