--- a/load/record.go
+++ b/load/record.go
@@ -44,10 +44,15 @@
 	Error       string  `json:"error,omitempty"`
 }
 
-// judge fills the end of a record from what its caller saw.
-func (r *Record) judge(a Arrival, reply Reply, err error, left bool) {
-	r.Status, r.Replayed, r.Tokens = reply.Status, reply.Replayed, reply.Tokens
-	r.FirstMillis, r.TotalMillis = millis(reply.FirstToken), millis(reply.Total)
+// NewRecord returns the record of one request, sent at a time since the
+// start of the run; left says that its caller left.
+func NewRecord(a Arrival, at time.Duration, router string, reply Reply, err error, left bool) Record {
+	r := Record{
+		AtMillis: at.Milliseconds(), Account: a.Account, Zone: a.Zone, Router: router, Key: a.Key, Resend: a.Resend,
+		Status: reply.Status, Replayed: reply.Replayed, Tokens: reply.Tokens,
+		FirstMillis: millis(reply.FirstToken), TotalMillis: millis(reply.Total),
+		End: EndOf(a, reply, err),
+	}
 	if reply.Problem != nil {
 		r.Code, r.NotRun = reply.Problem.Code, reply.Problem.NotRun
 	}
@@ -57,10 +62,10 @@
 	if a.Key != "" && reply.Whole {
 		r.Answer = reply.Text
 	}
-	r.End = EndOf(a, reply, err)
 	if left && r.End != Whole && r.End != Wrong {
 		r.End = Left
 	}
+	return r
 }
 
 // EndOf says how a request ended whose caller did not leave.
--- a/load/run.go
+++ b/load/run.go
@@ -141,7 +141,7 @@
 	r.meter.sent(a.Account, id)
 	defer r.meter.ended(a.Account, id)
 	first := true
-	request := Request{Account: a.Account, APIKey: r.keys[a.Account], Path: chatPath, Body: chatBody(r.plan.Model, a)}
+	request := ModelRequest(r.plan.Model, r.keys[a.Account], a)
 	request.OnToken = func() {
 		tokens := 1.0
 		if first {
@@ -162,16 +162,13 @@
 func (r *run) order(ctx context.Context, a Arrival) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	request := Request{Account: a.Account, APIKey: r.keys[a.Account], Path: orderPath, Key: a.Key, Body: orderBody(a)}
 	sent := time.Now()
-	router, reply, err := r.target.Send(ctx, a, request)
+	router, reply, err := r.target.Send(ctx, a, OrderRequest(r.keys[a.Account], a))
 	r.keep(a, sent, router, reply, err, ctx.Err() != nil)
 }
 
 func (r *run) keep(a Arrival, sent time.Time, router string, reply Reply, err error, left bool) {
-	record := Record{AtMillis: sent.Sub(r.start).Milliseconds(), Account: a.Account, Zone: a.Zone, Router: router, Key: a.Key, Resend: a.Resend}
-	record.judge(a, reply, err, left)
-	r.log.Add(record)
+	r.log.Add(NewRecord(a, sent.Sub(r.start), router, reply, err, left))
 }
 
 func (r *run) report(ctx context.Context, w io.Writer) {
--- a/load/target.go
+++ b/load/target.go
@@ -64,6 +64,16 @@
 	return t.callers[key]
 }
 
+// ModelRequest returns the streamed model request of an arrival.
+func ModelRequest(model, apiKey string, a Arrival) Request {
+	return Request{Account: a.Account, APIKey: apiKey, Path: chatPath, Body: chatBody(model, a)}
+}
+
+// OrderRequest returns the order of an arrival; a resend has the same body.
+func OrderRequest(apiKey string, a Arrival) Request {
+	return Request{Account: a.Account, APIKey: apiKey, Path: orderPath, Key: a.Key, Body: orderBody(a)}
+}
+
 // chatBody returns the body of a model request.
 func chatBody(model string, a Arrival) json.RawMessage {
 	type message struct {
@@ -82,7 +92,7 @@
 	return body
 }
 
-// orderBody returns the body of an order; a resend has the same.
+// orderBody returns the body of an order.
 func orderBody(a Arrival) json.RawMessage {
 	body, err := json.Marshal(struct {
 		Item     string `json:"item"`
--- a/standin/runner/batch.go
+++ b/standin/runner/batch.go
@@ -18,6 +18,7 @@
 func (s *Server) begin(req Request) (int, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stats.Started++
 	s.stats.Running++
 	s.stats.MaxRunning = max(s.stats.MaxRunning, s.stats.Running)
 	cold := s.warm < s.opts.ColdFor
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -32,6 +32,7 @@
 
 // Stats are the runner's own counts, for the tests' oracle.
 type Stats struct {
+	Started     int `json:"started"` // requests begun
 	Running     int `json:"running"`
 	MaxRunning  int `json:"max_running"`
 	Answers     int `json:"answers"`
--- /dev/null
+++ b/test/harness_test.go
@@ -0,0 +1,247 @@
+package test_test
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/settings"
+	"github.com/cyclamenwinch/cyclamenwinch/load"
+)
+
+const (
+	module = "github.com/cyclamenwinch/cyclamenwinch/cmd/"
+	// hang bounds a wait for a condition; no verdict depends on it but that
+	// of a system that never gets there.
+	hang    = 90 * time.Second
+	poll    = 20 * time.Millisecond
+	raceEnv = "CYCLAMENWINCH_RACE" // "1": daemons with the race detector
+	longEnv = "CYCLAMENWINCH_LONG" // "1": the long forms
+)
+
+func TestProcesses(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(hang)
+	SetDefaultEventuallyPollingInterval(poll)
+	RunSpecs(t, "Processes")
+}
+
+var binaries = map[string]string{}
+
+var _ = BeforeSuite(func() {
+	for _, name := range []string{"cyclamenwinchd", "cyclamenwinch", "cyclamenwinch-standin"} {
+		var args []string
+		if os.Getenv(raceEnv) == "1" && name == "cyclamenwinchd" {
+			args = append(args, "-race")
+		}
+		path, err := gexec.Build(module+name, args...)
+		Expect(err).NotTo(HaveOccurred())
+		binaries[name] = path
+	}
+	DeferCleanup(gexec.CleanupBuildArtifacts)
+})
+
+// process is one process that can be stopped and started again.
+type process struct {
+	name    string
+	program string
+	args    []string
+	address string // it listens here once it runs
+
+	mu      sync.Mutex
+	session *gexec.Session
+}
+
+func (p *process) start() {
+	GinkgoHelper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	session, err := gexec.Start(exec.Command(binaries[p.program], p.args...), nil, nil)
+	Expect(err).NotTo(HaveOccurred())
+	p.session = session
+}
+
+func (p *process) ready() {
+	GinkgoHelper()
+	Eventually(func() error {
+		conn, err := net.DialTimeout("tcp", p.address, time.Second)
+		if err == nil {
+			conn.Close()
+		}
+		return err
+	}).Should(Succeed(), p.name+" listens")
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.session.Signal(s)
+}
+
+func (p *process) kill() {
+	GinkgoHelper()
+	p.signal(syscall.SIGKILL)
+	Eventually(p.running().Exited).Should(BeClosed())
+}
+
+func (p *process) restart() {
+	GinkgoHelper()
+	p.start()
+	p.ready()
+}
+
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
+
+// stop ends the process gracefully and returns its exit code.
+func (p *process) stop() int {
+	GinkgoHelper()
+	p.signal(syscall.SIGTERM)
+	Eventually(p.running().Exited).Should(BeClosed(), p.name+" stops")
+	return p.running().ExitCode()
+}
+
+func (p *process) running() *gexec.Session {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.session
+}
+
+// cluster is a fleet with its surroundings, all in processes of their own.
+type cluster struct {
+	load.Fleet
+	dir      string
+	manifest *manifest.Manifest
+	platform *process
+	models   []*process
+	orders   []*process
+	routers  []*process
+}
+
+// size says how many of each part a cluster has.
+type size struct {
+	example                           string
+	routers, models, orders, accounts int
+	tokenMillis, orderMillis          int
+	change                            func(*settings.Settings)
+}
+
+// today is the size that the brief gives.
+func today() size {
+	return size{example: "nile-perch", routers: 7, models: 12, orders: 3, accounts: 16, tokenMillis: 5, orderMillis: 10}
+}
+
+// small is enough for one failure.
+func small() size {
+	return size{example: "nile-perch", routers: 3, models: 3, orders: 2, accounts: 4, tokenMillis: 5, orderMillis: 10}
+}
+
+// startCluster starts a fleet, submits its manifest and waits until that is
+// in force.
+func startCluster(s size) *cluster {
+	GinkgoHelper()
+	c := &cluster{dir: GinkgoT().TempDir()}
+	layout := load.Layout{
+		Example: filepath.Join("..", "examples", s.example),
+		Routers: s.routers, Models: s.models, Orders: s.orders, Accounts: s.accounts,
+		Port:   freePort,
+		Change: s.settings,
+	}
+	var err error
+	c.Fleet, c.manifest, err = layout.Write(c.dir)
+	Expect(err).NotTo(HaveOccurred())
+	c.platform = c.add("platform", "cyclamenwinch-standin", address(c.Platform), "--role", "platform")
+	for _, r := range c.Models {
+		c.models = append(c.models, c.add(r.Name, "cyclamenwinch-standin", address(r.URL), "--role", "model", "--name", r.Name, "--token-ms", fmt.Sprint(s.tokenMillis)))
+	}
+	for _, r := range c.Orders {
+		c.orders = append(c.orders, c.add(r.Name, "cyclamenwinch-standin", address(r.URL), "--role", "order", "--fence", "--name", r.Name, "--order-ms", fmt.Sprint(s.orderMillis)))
+	}
+	for _, r := range c.Routers {
+		p := &process{name: r.Name, program: "cyclamenwinchd", address: address(r.OpsURL), args: []string{"--settings", filepath.Join(c.dir, load.SettingsFile(r.Name))}}
+		c.launch(p)
+		c.routers = append(c.routers, p)
+	}
+	for _, p := range c.all() {
+		p.ready()
+	}
+	c.inForce(c.submit(c.manifest))
+	return c
+}
+
+// settings shortens the time-outs, so that failures are seen sooner.
+func (s size) settings(x *settings.Settings) {
+	x.LeaseSeconds = 2
+	x.HeartbeatMillis = 200
+	x.ProgressMillis = 1500
+	x.StopSeconds = 60
+	if s.change != nil {
+		s.change(x)
+	}
+}
+
+func (c *cluster) add(name, program, address string, args ...string) *process {
+	p := &process{name: name, program: program, address: address, args: append(args, "--listen", address)}
+	c.launch(p)
+	return p
+}
+
+func (c *cluster) launch(p *process) {
+	p.start()
+	DeferCleanup(func() {
+		p.thaw()
+		p.signal(syscall.SIGKILL)
+		<-p.running().Exited
+		if CurrentSpecReport().Failed() {
+			AddReportEntry(p.name, tail(string(p.running().Err.Contents())))
+		}
+	})
+}
+
+func (c *cluster) all() []*process {
+	all := []*process{c.platform}
+	all = append(all, c.models...)
+	all = append(all, c.orders...)
+	return append(all, c.routers...)
+}
+
+const tailBytes = 4000
+
+func tail(text string) string { return text[max(0, len(text)-tailBytes):] }
+
+func address(url string) string { return strings.TrimPrefix(url, "http://") }
+
+// Ports below the range from which the system takes ports for outgoing
+// connections, so that a stopped process can listen on its own again.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+var nextPort = firstPort + (os.Getpid()*97)%(lastPort-firstPort)
+
+func freePort() int {
+	for {
+		nextPort++
+		if nextPort >= lastPort {
+			nextPort = firstPort
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		if err == nil {
+			l.Close()
+			return nextPort
+		}
+	}
+}
--- /dev/null
+++ b/test/operate_test.go
@@ -0,0 +1,134 @@
+package test_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/opsapi"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/platform"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/submit"
+	"github.com/cyclamenwinch/cyclamenwinch/load"
+	"github.com/cyclamenwinch/cyclamenwinch/standin/objects"
+	"github.com/cyclamenwinch/cyclamenwinch/standin/runner"
+)
+
+const callTimeout = 5 * time.Second
+
+// submit stores a manifest as the next generation and returns it.
+func (c *cluster) submit(m *manifest.Manifest) int64 {
+	GinkgoHelper()
+	var generation int64
+	Eventually(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		var err error
+		generation, err = submit.Submit(ctx, platform.New(c.Platform), m)
+		return err
+	}).Should(Succeed())
+	return generation
+}
+
+// setZone changes the state of a zone and returns the accepted generation.
+func (c *cluster) setZone(name string, state manifest.State) int64 {
+	GinkgoHelper()
+	for i := range c.manifest.Zones {
+		if c.manifest.Zones[i].Name == name {
+			c.manifest.Zones[i].State = state
+		}
+	}
+	return c.submit(c.manifest)
+}
+
+// inForce waits until every router has put the generation in force.
+func (c *cluster) inForce(generation int64) {
+	GinkgoHelper()
+	for _, r := range c.Routers {
+		Eventually(func() int64 { return c.generation(r) }).Should(BeNumerically(">=", generation), r.Name)
+	}
+}
+
+// generation is the one in force at a router; 0 if it doesn't answer.
+func (c *cluster) generation(r load.Router) int64 {
+	s, _ := c.status(r)
+	return s.Generation
+}
+
+func (c *cluster) status(r load.Router) (opsapi.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var s opsapi.Status
+	return s, load.GetJSON(ctx, r.OpsURL+"/status", c.OpsToken, &s)
+}
+
+// fullView waits until every router knows all others.
+func (c *cluster) fullView() {
+	GinkgoHelper()
+	for _, r := range c.Routers {
+		Eventually(func() int {
+			s, _ := c.status(r)
+			return len(s.Members)
+		}).Should(Equal(len(c.Routers)), r.Name+" knows all routers")
+	}
+}
+
+// fault sets what a stand-in does wrong.
+func fault(url string, faults any) {
+	GinkgoHelper()
+	body, err := json.Marshal(faults)
+	Expect(err).NotTo(HaveOccurred())
+	req, err := http.NewRequest(http.MethodPut, url+"/faults", bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	resp.Body.Close()
+	Expect(resp.StatusCode).To(Equal(http.StatusOK))
+}
+
+func (c *cluster) platformFault(f objects.Faults) {
+	GinkgoHelper()
+	fault(c.Platform, f)
+}
+
+func (c *cluster) modelFault(f runner.Faults) {
+	GinkgoHelper()
+	for _, r := range c.Models {
+		fault(r.URL, f)
+	}
+}
+
+// stats are the model runners' own counts.
+func (c *cluster) stats() map[string]runner.Stats {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	return load.RunnerStats(ctx, c.Models)
+}
+
+// evidence reads what the surroundings saw, beside the callers' log.
+func (c *cluster) evidence(records []load.Record) *load.Evidence {
+	GinkgoHelper()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	e, err := load.ReadEvidence(ctx, c.Fleet, records)
+	Expect(err).NotTo(HaveOccurred())
+	return e
+}
+
+// process returns the named process.
+func (c *cluster) process(name string) *process {
+	for _, p := range c.all() {
+		if p.name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+func isCode(r load.Record, want code.Code) bool { return r.Code == int(want) }
