--- a/test/callers_test.go
+++ b/test/callers_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/load"
 )
@@ -41,6 +43,7 @@
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
 		s.wait.Go(func() { s.run(rng, accounts[i%len(accounts)], fmt.Sprintf("caller-%d-%d", seed, i)) })
 	}
+	DeferCleanup(func() { s.stopped.Store(true) })
 	return s
 }
 
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -25,7 +25,7 @@
 	module = "github.com/cyclamenwinch/cyclamenwinch/cmd/"
 	// hang bounds a wait for a condition; no verdict depends on it but that
 	// of a system that never gets there.
-	hang    = 90 * time.Second
+	hang    = 20 * time.Second
 	poll    = 20 * time.Millisecond
 	raceEnv = "CYCLAMENWINCH_RACE" // "1": daemons with the race detector
 	longEnv = "CYCLAMENWINCH_LONG" // "1": the long forms
@@ -68,7 +68,9 @@
 	GinkgoHelper()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	session, err := gexec.Start(exec.Command(binaries[p.program], p.args...), nil, nil)
+	command := exec.Command(binaries[p.program], p.args...)
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	session, err := gexec.Start(command, nil, nil)
 	Expect(err).NotTo(HaveOccurred())
 	p.session = session
 }
--- a/test/model_test.go
+++ b/test/model_test.go
@@ -27,7 +27,16 @@
 func (s *callers) progress(n int64) {
 	GinkgoHelper()
 	from := s.whole.Load()
-	Eventually(s.whole.Load).Should(BeNumerically(">=", from+n), "callers get answers")
+	Eventually(s.whole.Load).Should(BeNumerically(">=", from+n), s.describe)
+}
+
+// describe says how the requests so far ended.
+func (s *callers) describe() string {
+	counts := map[string]int{}
+	for _, r := range s.log.Records() {
+		counts[fmt.Sprintf("%s %d", r.End, r.Code)]++
+	}
+	return fmt.Sprintf("callers get answers; ends so far: %v; runners: %+v", counts, s.cluster.stats())
 }
 
 var _ = Describe("a zone that is taken out under load", func() {
@@ -97,7 +106,7 @@
 			last = callers.send(load.Arrival{Account: c.manifest.Accounts[0].Name, Zone: zone, Prompt: poison + " for the band", Tokens: 4})
 			Expect(last.End).NotTo(Equal(load.Whole))
 		}
-		Expect(c.crashes()-before).To(BeNumerically("<=", maxCrashes))
+		Expect(c.crashes() - before).To(BeNumerically("<=", maxCrashes))
 		Expect(isCode(last, code.Quarantined)).To(BeTrue(), "code %d", last.Code)
 		callers.progress(10)
 		Expect(ended(callers.stop(), load.Wrong)).To(BeEmpty())
