--- a/core/member/spread.go
+++ b/core/member/spread.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"math/bits"
 	"slices"
 	"time"
@@ -70,26 +71,33 @@
 
 // Partners returns the names of the routers to exchange heartbeats with at
 // the given round: all of them in a small fleet; else the successors on the
-// region's ring and one more that changes with each round.
+// region's ring and, in turn, one of the routers at distances 1, 2, 4, 8 and
+// so on around the whole fleet's ring. News crosses the fleet in a number of
+// exchanges that grows with the logarithm of its size, and so does the number
+// of connections that a router keeps.
 func (t *Tracker) Partners(round int) []string {
-	names := make([]string, 0, len(t.members))
-	for name := range t.members {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	if len(names) <= t.limits.Mesh {
-		return names
+	if len(t.members) <= t.limits.Mesh {
+		return slices.Sorted(maps.Keys(t.members))
 	}
 	partners := t.successors(t.self, t.limits.Fanout)
-	// A stride by the own hash spreads the routers' choices over the fleet.
-	offset := int(xxhash.Sum64String(t.self.Name) % uint64(len(names)))
-	extra := names[(offset+round)%len(names)]
-	if !slices.Contains(partners, extra) {
-		partners = append(partners, extra)
+	fingers := t.fingers()
+	far := fingers[round%len(fingers)]
+	if !slices.Contains(partners, far) {
+		partners = append(partners, far)
 	}
 	return partners
 }
 
+// fingers returns the routers at distances 1, 2, 4, 8 and so on.
+func (t *Tracker) fingers() []string {
+	ring := t.ringAfter(t.View(), t.self.Name)
+	var names []string
+	for distance := 1; distance <= len(ring); distance *= 2 {
+		names = append(names, ring[distance-1])
+	}
+	return names
+}
+
 // Notices returns the news to put on the next message.
 func (t *Tracker) Notices() []Notice {
 	if len(t.members) <= t.limits.Mesh {
@@ -158,15 +166,24 @@
 	t.remove(now, n.Router.Name)
 }
 
-// judged reports whether this router hears the named one directly, so that
-// its silence means something.
-func (t *Tracker) judged(name string) bool {
+// judged returns those of the members whose silence means something here:
+// this router exchanges heartbeats with them. The value is the silence after
+// which their leases are worth a look.
+func (t *Tracker) judged() map[string]time.Duration {
+	judged := make(map[string]time.Duration)
 	if len(t.members) <= t.limits.Mesh {
-		return true
+		for name := range t.members {
+			judged[name] = t.limits.Lifetime
+		}
+		return judged
 	}
-	e := t.members[name]
-	return slices.Contains(t.successors(e.router, t.limits.Fanout), t.self.Name) ||
-		slices.Contains(t.successors(t.self, t.limits.Fanout), name)
+	for _, name := range t.fingers() {
+		judged[name] = t.window() // met seldom; they see the loss of a region
+	}
+	for _, name := range t.successors(t.self, t.limits.Fanout) {
+		judged[name] = t.limits.Lifetime
+	}
+	return judged
 }
 
 // successors returns the next routers after r on the ring of its region, or
@@ -177,13 +194,19 @@
 	if len(ring.Routers) <= n {
 		ring = all
 	}
-	at := xxhash.Sum64String(r.Name)
-	names := ring.Names()
-	names = slices.DeleteFunc(names, func(name string) bool { return name == r.Name })
+	names := t.ringAfter(ring, r.Name)
+	return names[:min(n, len(names))]
+}
+
+// ringAfter returns the names of a view's other routers in order of their
+// hashes, beginning after the named one.
+func (t *Tracker) ringAfter(v View, name string) []string {
+	at := xxhash.Sum64String(name)
+	names := slices.DeleteFunc(v.Names(), func(other string) bool { return other == name })
 	slices.SortFunc(names, func(a, b string) int {
 		return compare(xxhash.Sum64String(a)-at, xxhash.Sum64String(b)-at)
 	})
-	return names[:min(n, len(names))]
+	return names
 }
 
 // spread queues a notice in place of older ones of the same router.
--- a/internal/daemon/supervise.go
+++ b/internal/daemon/supervise.go
@@ -50,6 +50,7 @@
 	root.Add(&part{name: "manifest", serve: d.fleet.WatchManifest})
 	root.Add(&part{name: "changes", serve: d.fleet.KeepNotifying})
 	root.Add(&part{name: "pools", serve: d.host.Serve})
+	root.Add(&part{name: "orders", serve: d.ledger.Serve})
 	root.Add(&part{name: "peers", serve: func(ctx context.Context) error {
 		return peer.Serve(ctx, keep(l.peers), d.creds, peer.Handlers{Fleet: d.fleet, Admission: d.host, Orders: d.ledger})
 	}})
