--- a/test/orders_test.go
+++ b/test/orders_test.go
@@ -19,7 +19,7 @@
 const (
 	shortOrders  = 300
 	longOrders   = 10_000
-	orderCallers = 32 // pairs of callers
+	orderCallers = 32               // pairs of callers
 	orderTry     = 10 * time.Second // a caller of an order gives up and sends it again
 	resendPause  = 100 * time.Millisecond
 )
--- /dev/null
+++ b/test/together_test.go
@@ -0,0 +1,126 @@
+package test_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/load"
+	"github.com/cyclamenwinch/cyclamenwinch/standin/runner"
+)
+
+const (
+	togetherOrders  = 150
+	togetherCallers = 32
+	floodCallers    = 150
+)
+
+// modelMischief restarts model runners and makes them answer badly.
+func (c *cluster) modelMischief() []mischief {
+	runners := oneOf(c.models)
+	fall := func(name string, f runner.Faults) mischief {
+		return mischief{name, func(*rand.Rand) {
+			runners.with(func(p *process) {
+				fault("http://"+p.address, f)
+				time.Sleep(outageTime)
+				fault("http://"+p.address, runner.Faults{})
+			})
+		}}
+	}
+	return []mischief{
+		{"model runner killed, cold again", func(*rand.Rand) {
+			runners.with(func(p *process) { p.kill(); p.restart() })
+		}},
+		fall("model runner silent", runner.Faults{Silent: true}),
+		fall("model runner cuts answers short", runner.Faults{CutShort: true}),
+		fall("model runner crosses answers", runner.Faults{Cross: true}),
+	}
+}
+
+// netMischief cuts routers off from their peers and silences connections.
+func (c *cluster) netMischief() []mischief {
+	var mu sync.Mutex
+	pick := func(rng *rand.Rand) *proxy { return c.proxies[c.Routers[rng.IntN(len(c.Routers))].Name] }
+	return []mischief{
+		{"router cut off from its peers", func(rng *rand.Rand) {
+			mu.Lock()
+			defer mu.Unlock()
+			p := pick(rng)
+			p.cut()
+			time.Sleep(freezeTime)
+			p.heal()
+		}},
+		{"connections to a router go silent", func(rng *rand.Rand) {
+			mu.Lock()
+			defer mu.Unlock()
+			pick(rng).silence()
+		}},
+	}
+}
+
+// trafficMischief sends a request that crashes endpoints, and lets operators
+// race.
+func (c *cluster) trafficMischief(s *callers) []mischief {
+	return []mischief{
+		{"a request crashes its endpoints and is sent again", func(rng *rand.Rand) {
+			c.modelFault(runner.Faults{CrashOn: poison})
+			for range poisonResent {
+				zone := c.manifest.Zones[rng.IntN(len(c.manifest.Zones))].Name
+				s.send(load.Arrival{Account: c.manifest.Accounts[1].Name, Zone: zone, Prompt: poison + " for the band", Tokens: 4})
+			}
+		}},
+		{"operators race", func(*rand.Rand) { c.race(operators, 2) }},
+	}
+}
+
+var _ = DescribeTable("all failures together, at today's size, keep every promise",
+	func(example string, seed uint64) {
+		s := today()
+		s.example, s.cuttable, s.orderMillis = example, true, 50
+		c := startCluster(s)
+		c.fullView()
+		seen := c.watchGenerations()
+		flood := c.startCallers(floodCallers, seed+1, c.manifest.Accounts[0].Name)
+		callers := c.startCallers(togetherCallers, seed+2)
+		o := newOrdering(c)
+		over := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(over)
+			c.chaos(seed, decks(), slices.Concat(c.routerMischief(), c.platformMischief(), c.orderMischief(),
+				c.modelMischief(), c.netMischief(), c.trafficMischief(callers)))
+		}()
+		placed := o.placeAll(togetherOrders, over)
+		Eventually(over, 10*hang).Should(BeClosed())
+		c.quiet(callers)
+		records := slices.Concat(flood.stop(), callers.stop(), o.log.Records())
+		AddReportEntry("together", fmt.Sprintf("%s, seed %d: %d orders, %d requests, %d orders' sides with unknown outcome, runners %+v",
+			example, seed, placed, len(records), o.unknown.Load(), c.stats()))
+		Expect(seen.stop()).To(BeEmpty())
+		c.promises(records)
+		for _, e := range c.manifest.Endpoints {
+			Expect(c.stats()[e.Name].MaxWhenCold).To(BeNumerically("<=", e.ColdSlots), e.Name)
+		}
+	},
+	Entry("Nile Perch", "nile-perch", uint64(21)),
+	Entry("the Authority", "annex", uint64(22)),
+)
+
+// quiet waits until the fleet is whole again after the failures: one view,
+// one configuration, all model runners at work.
+func (c *cluster) quiet(s *callers) {
+	GinkgoHelper()
+	c.modelFault(runner.Faults{})
+	c.fullView()
+	c.inForce(c.race(1, 1))
+	before := c.stats()
+	for _, r := range c.Models {
+		Eventually(func() int { return c.stats()[r.Name].Answers }).Should(BeNumerically(">", before[r.Name].Answers), r.Name+" is at work again")
+	}
+	s.progress(moreAnswers)
+}
