Releases come before wants; settle time at cold endpoints; region's owners

A caller that left a cold endpoint freed the slot while the runner still had the request. The owner of a scope could sit in another region. An idle owner walked all accounts of each scope.

Change: an owner takes what has ended before what is wanted. A slot of a cold endpoint whose request did not end whole stays in use for 200 ms. Owners are ranked within the scope's region if that has routers. Usage and time-outs walk the accounts that have used the pool.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -29,6 +29,9 @@
 	prefixesKept  = 16_384
 	estimatesKept = 4096
 	runOutEvery   = 10 * time.Millisecond
+	// settleTime is how long a cold endpoint may still run a request whose
+	// connection is closed.
+	settleTime = 200 * time.Millisecond
 )
 
 // Pool is the state of one pool at its owner. It is not safe for concurrent
@@ -40,7 +43,7 @@
 	quarantine *route.Quarantine
 
 	accounts  map[string]*account
-	queues    []*account // the same, in the order of their first mention
+	used      []*account // those that have had a request, in that order
 	endpoints map[string]*endpoint
 	ordered   []*endpoint // by name
 	requests  map[ID]*request
@@ -136,7 +139,7 @@
 // Release frees a slot, corrects the charge and learns about the endpoint.
 func (p *Pool) Release(now time.Time, rel Release) {
 	r, ok := p.requests[rel.ID]
-	if !ok || r.endpoint == nil {
+	if !ok || r.endpoint == nil || r.settled {
 		return
 	}
 	p.book.Finish(r.account.cfg.Name, r.running, rel.Cost)
@@ -152,11 +155,25 @@
 		p.broke(now, r, rel.Outcome)
 	}
 	e := r.endpoint
-	p.free(r)
-	p.drop(r)
+	if rel.Outcome != Done && e.cold() {
+		p.settle(now, r, rel.Cost)
+	} else {
+		p.free(r)
+		p.drop(r)
+	}
 	p.resize(now, e)
 }
 
+// settle keeps the slot of a request that did not end whole in use for a
+// while: a cold endpoint may still run it.
+func (p *Pool) settle(now time.Time, r *request, cost fair.Cost) {
+	cost = max(cost, r.running.Known)
+	r.running = fair.Running{Estimate: cost, Known: cost}
+	r.settled = true
+	r.ghost = now.Add(settleTime)
+	p.due(r.ghost)
+}
+
 // broke takes in that an endpoint broke a connection or can't be reached.
 func (p *Pool) broke(now time.Time, r *request, o Outcome) {
 	e := r.endpoint
@@ -215,12 +232,12 @@
 	p.book.SetRemote(account, total)
 }
 
-// Known returns the cost of each account that this pool knows of: finished
+// Known returns the cost of each account that has used this pool: finished
 // work and the known part of running work. It never falls.
 func (p *Pool) Known() map[string]fair.Cost {
 	known := map[string]fair.Cost{}
-	for name := range p.accounts {
-		known[name] = p.book.Known(name)
+	for _, a := range p.used {
+		known[a.cfg.Name] = p.book.Known(a.cfg.Name)
 	}
 	return known
 }
--- a/core/admission/admission_suite_test.go
+++ b/core/admission/admission_suite_test.go
@@ -287,6 +287,27 @@
 		Expect(b.Endpoints()[0].Proved).To(BeZero())
 	})
 
+	It("waits a moment after a caller left a cold endpoint, not a warm one", func() {
+		b.configure(open("e", 4, 1))
+		left := b.want(admission.Want{})
+		b.step()
+		b.end(left, admission.Cancelled)
+		b.want(admission.Want{})
+		Expect(b.step().Grants).To(BeEmpty())
+		b.now = b.now.Add(200 * time.Millisecond)
+		granted := b.step().Grants
+		Expect(granted).To(HaveLen(1))
+		b.end(granted[0].ID, admission.Done)
+		b.serve(20, 10*time.Millisecond)
+		left = b.want(admission.Want{})
+		b.step()
+		b.end(left, admission.Cancelled)
+		for range 4 {
+			b.want(admission.Want{})
+		}
+		Expect(b.step().Grants).To(HaveLen(b.Endpoints()[0].Limit))
+	})
+
 	It("starts the proof anew for a cold endpoint that idled", func() {
 		b.configure(open("e", 8, 1))
 		b.serve(7, 100*time.Millisecond)
--- a/core/admission/configure.go
+++ b/core/admission/configure.go
@@ -65,7 +65,6 @@
 	if !ok {
 		a = &account{cfg: Account{Name: name, Share: 1}}
 		p.accounts[name] = a
-		p.queues = append(p.queues, a)
 	}
 	return a
 }
--- a/core/admission/members.go
+++ b/core/admission/members.go
@@ -118,7 +118,7 @@
 		p.members.unknownAt = now
 	}
 	for id, r := range p.requests {
-		if id.Router == name {
+		if id.Router == name && !r.settled {
 			r.ghost = over
 		}
 	}
@@ -169,14 +169,14 @@
 		still[h.ID] = true
 	}
 	for id, r := range p.requests {
-		if id.Router == router && !still[id] {
+		if id.Router == router && !still[id] && !r.settled {
 			p.abandon(r)
 		}
 	}
 	for _, h := range held {
-		if r, known := p.requests[h.ID]; known {
+		if r, known := p.requests[h.ID]; known && !r.settled {
 			r.ghost = time.Time{}
-		} else {
+		} else if !known {
 			p.adopt(h)
 		}
 	}
@@ -185,6 +185,7 @@
 // adopt takes over a slot that another owner granted.
 func (p *Pool) adopt(h Held) {
 	a := p.accountOrNew(h.Account)
+	p.use(a)
 	r := p.newRequest(Want{ID: h.ID, Account: h.Account, Fingerprint: h.Fingerprint}, a)
 	r.running = h.Running
 	p.book.Adopt(h.Account, h.Running)
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -12,6 +12,7 @@
 type account struct {
 	cfg      Account
 	declared bool      // in the manifest in force
+	used     bool      // has had a request
 	plain    queue     // requests that may use every endpoint
 	picky    queue     // requests that may not
 	queued   fair.Cost // estimates of both
@@ -40,7 +41,8 @@
 	endpoint *endpoint // nil: no slot
 	running  fair.Running
 	granted  time.Time // zero: by another owner
-	ghost    time.Time // when the slot of a lost member is free; zero: not lost
+	ghost    time.Time // when the slot of a lost or settled request is free; zero: held
+	settled  bool      // released, but its endpoint may still run it
 
 	attended  bool // its router has a session
 	suspect   bool // crashed an endpoint before
@@ -98,6 +100,7 @@
 
 func (p *Pool) enqueue(now time.Time, r *request) {
 	a := r.account
+	p.use(a)
 	r.deadline = now.Add(a.cfg.MaxWait)
 	p.requests[r.want.ID] = r
 	q := &a.plain
@@ -110,6 +113,13 @@
 	p.due(r.deadline)
 }
 
+func (p *Pool) use(a *account) {
+	if !a.used {
+		a.used = true
+		p.used = append(p.used, a)
+	}
+}
+
 // dequeue takes a waiting request out of its queue.
 func (p *Pool) dequeue(r *request) {
 	a := r.account
@@ -184,7 +194,7 @@
 
 // expireWaits refuses the requests that have waited their account's time.
 func (p *Pool) expireWaits(now time.Time) {
-	for _, a := range p.queues {
+	for _, a := range p.used {
 		p.expireQueue(now, &a.plain)
 		p.expireQueue(now, &a.picky)
 	}
@@ -209,7 +219,7 @@
 
 // endWhere refuses the waiting requests for which may not holds any more.
 func (p *Pool) endWhere(c code.Code, over func(*request) bool) {
-	for _, a := range p.queues {
+	for _, a := range p.used {
 		for _, q := range []*queue{&a.plain, &a.picky} {
 			for r := q.first; r != nil; {
 				next := r.next
--- a/core/admission/state.go
+++ b/core/admission/state.go
@@ -20,7 +20,7 @@
 // Waiting returns the number of requests that wait.
 func (p *Pool) Waiting() int {
 	n := 0
-	for _, a := range p.queues {
+	for _, a := range p.used {
 		n += a.waiting()
 	}
 	return n
--- a/internal/pool/hosted.go
+++ b/internal/pool/hosted.go
@@ -64,6 +64,8 @@
 	return nil
 }
 
+// take passes a message's parts to the pool. What has ended comes before what
+// is wanted, so that a request which is tried again finds its crash known.
 func (s *session) take(now time.Time, req *peerpb.AdmitRequest) {
 	p := s.on.pool
 	for _, c := range crashesFrom(req.Crashes) {
@@ -73,12 +75,6 @@
 		s.zone = req.Zone
 		p.Sync(now, reportFrom(s.router, req))
 	}
-	for _, w := range req.Wants {
-		p.Want(now, wantFrom(s.router, s.zone, w))
-	}
-	for _, seq := range req.Cancels {
-		p.Cancel(admission.ID{Router: s.router, Seq: seq})
-	}
 	for _, x := range req.Progress {
 		id := admission.ID{Router: s.router, Seq: x.Seq}
 		p.Advance(now, id, fair.Cost(x.Known), time.Duration(x.FirstTokenMicros)*time.Microsecond)
@@ -86,6 +82,12 @@
 	for _, r := range req.Releases {
 		p.Release(now, releaseFrom(s.router, r))
 	}
+	for _, w := range req.Wants {
+		p.Want(now, wantFrom(s.router, s.zone, w))
+	}
+	for _, seq := range req.Cancels {
+		p.Cancel(admission.ID{Router: s.router, Seq: seq})
+	}
 }
 
 // Recv waits for the next message to the router; io.EOF means that the
@@ -172,7 +174,7 @@
 // members are the routers of the scope's region and those that have a
 // session.
 func (on *hosted) members() []string {
-	_, region, _ := strings.Cut(on.scope, "/")
+	region := regionOf(on.scope)
 	var names []string
 	for _, r := range on.host.fleet.View().Routers {
 		if r.Region == region && on.sessions[r.Name] == nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -9,6 +9,7 @@
 package pool
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
@@ -63,5 +64,10 @@
 // Scope names a pool within a region; each scope has one owner.
 func Scope(pool, region string) string { return pool + "/" + region }
 
+func regionOf(scope string) string {
+	_, region, _ := strings.Cut(scope, "/")
+	return region
+}
+
 // OwnerKey is the rendezvous key of a scope.
 func OwnerKey(scope string) string { return "pool/" + scope }
--- a/internal/pool/session.go
+++ b/internal/pool/session.go
@@ -45,7 +45,7 @@
 // choose returns the router to have a session with and those before it in
 // rank. If all have failed it is the one that failed first.
 func (b *broker) choose(failed map[string]time.Time) (owner member.Router, earlier []member.Router, ok bool) {
-	ranked := b.client.fleet.View().Rank(OwnerKey(b.scope))
+	ranked := b.rank()
 	oldest := -1
 	for i, r := range ranked {
 		at, has := failed[r.Name]
@@ -62,6 +62,16 @@
 	return ranked[oldest], ranked[:oldest], true
 }
 
+// rank returns the routers that may own the scope, first choice first: those
+// of its region or, if it has none, all.
+func (b *broker) rank() []member.Router {
+	view := b.client.fleet.View()
+	if home := view.Region(regionOf(b.scope)); len(home.Routers) > 0 {
+		view = home
+	}
+	return view.Rank(OwnerKey(b.scope))
+}
+
 // session runs one session until it fails or an earlier router answers.
 func (b *broker) session(ctx context.Context, owner member.Router, earlier []member.Router) error {
 	ctx, end := context.WithCancelCause(ctx)
@@ -171,7 +181,7 @@
 // a router that was not known when it was opened. Those that were known and
 // did not answer are left to the pings.
 func (b *broker) outranked(owner member.Router, earlier []member.Router) bool {
-	for _, r := range b.client.fleet.View().Rank(OwnerKey(b.scope)) {
+	for _, r := range b.rank() {
 		if r.Name == owner.Name {
 			return false
 		}
