--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -152,6 +152,7 @@
 	case Cancelled:
 		r.endpoint.advanced(now)
 	case Crashed, Unreachable:
+		r.want.Fingerprint = max(r.want.Fingerprint, rel.Fingerprint)
 		p.broke(now, r, rel.Outcome)
 	}
 	e := r.endpoint
--- a/core/admission/members.go
+++ b/core/admission/members.go
@@ -186,7 +186,7 @@
 func (p *Pool) adopt(h Held) {
 	a := p.accountOrNew(h.Account)
 	p.use(a)
-	r := p.newRequest(Want{ID: h.ID, Account: h.Account, Fingerprint: h.Fingerprint}, a)
+	r := p.newRequest(Want{ID: h.ID, Account: h.Account}, a)
 	r.running = h.Running
 	p.book.Adopt(h.Account, h.Running)
 	p.requests[h.ID] = r
--- a/core/admission/types.go
+++ b/core/admission/types.go
@@ -44,6 +44,8 @@
 	Outcome    Outcome
 	Cost       fair.Cost     // cost known at the end
 	FirstToken time.Duration // 0: none seen
+	// Fingerprint may be given with a crash if the Want had none.
+	Fingerprint uint64
 }
 
 // Grant gives a slot to a request.
@@ -82,11 +84,10 @@
 
 // Held is a slot in use, as a router reports it to a new owner.
 type Held struct {
-	ID          ID
-	Endpoint    string
-	Account     string
-	Fingerprint uint64
-	Running     fair.Running
+	ID       ID
+	Endpoint string
+	Account  string
+	Running  fair.Running
 }
 
 // Account is what admission needs to know of a client account.
--- a/internal/pool/broker.go
+++ b/internal/pool/broker.go
@@ -35,8 +35,10 @@
 }
 
 type pending struct {
-	want   *peerpb.Want
-	result chan result // buffered
+	seq     uint64
+	req     Request
+	suspect bool        // crashed an endpoint before
+	result  chan result // buffered
 }
 
 type result struct {
@@ -46,14 +48,18 @@
 
 // holding is a slot in use, or one whose release could not be sent yet.
 type holding struct {
-	held     *peerpb.Held
-	proved   uint32
-	granted  time.Time
-	released *peerpb.Release
+	endpoint    string
+	account     string
+	fingerprint uint64
+	estimate    float32 // charged
+	known       float32 // cost so far
+	proved      uint32
+	granted     time.Time
+	released    *peerpb.Release
 
 	first     time.Duration
 	unsent    bool // progress that the owner should hear of
-	toldKnown float64
+	toldKnown float32
 	toldAt    time.Time
 }
 
@@ -73,48 +79,39 @@
 	}
 }
 
-func (b *broker) acquire(ctx context.Context, seq uint64, req Request, wait time.Duration) (*Slot, error) {
-	p := b.add(seq, req)
+func (b *broker) acquire(ctx context.Context, p *pending, wait time.Duration) (*Slot, error) {
+	b.add(p)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for graced := false; ; graced = true {
 		select {
 		case r := <-p.result:
-			return b.slot(seq, r)
+			return b.slot(p.seq, r)
 		case <-ctx.Done():
-			b.cancel(seq, p)
+			b.cancel(p)
 			return nil, code.Refuse(code.CallerLeft, "")
 		case <-timer.C:
 			if !graced && b.connected() {
 				timer.Reset(refusalGrace)
 				continue
 			}
-			return nil, b.giveUp(seq, p, wait)
+			return nil, b.giveUp(p, wait)
 		}
 	}
 }
 
-func (b *broker) add(seq uint64, req Request) *pending {
-	p := &pending{
-		want: &peerpb.Want{
-			Seq:         seq,
-			Account:     req.Account,
-			Model:       req.Model,
-			Estimate:    float64(req.Estimate),
-			Prefix:      req.Prefix,
-			Fingerprint: req.Fingerprint,
-			Avoid:       req.Avoid,
-		},
-		result: make(chan result, 1),
-	}
+func (b *broker) add(p *pending) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.pending) == 0 {
 		b.waiting = time.Now()
 	}
-	b.pending[seq] = p
-	b.send(&peerpb.AdmitRequest{Wants: []*peerpb.Want{p.want}})
-	return p
+	b.pending[p.seq] = p
+	if b.out != nil {
+		m := &peerpb.AdmitRequest{}
+		b.out.addWant(m, p)
+		b.out.put(m)
+	}
 }
 
 func (b *broker) slot(seq uint64, r result) (*Slot, error) {
@@ -133,30 +130,30 @@
 }
 
 // giveUp refuses a request that its owner neither granted nor refused.
-func (b *broker) giveUp(seq uint64, p *pending, wait time.Duration) error {
+func (b *broker) giveUp(p *pending, wait time.Duration) error {
 	refusal := code.Refuse(code.OwnerLost, "")
 	if b.connected() {
 		refusal = code.Refuse(code.WaitTooLong, "")
 	}
 	refusal.RetryAfter = max(time.Second, wait)
-	b.cancel(seq, p)
+	b.cancel(p)
 	return refusal
 }
 
 // cancel withdraws a request, or gives back the slot that it got meanwhile.
-func (b *broker) cancel(seq uint64, p *pending) {
+func (b *broker) cancel(p *pending) {
 	b.mu.Lock()
-	_, waits := b.pending[seq]
-	delete(b.pending, seq)
+	_, waits := b.pending[p.seq]
+	delete(b.pending, p.seq)
 	if waits {
-		b.send(&peerpb.AdmitRequest{Cancels: []uint64{seq}})
+		b.send(&peerpb.AdmitRequest{Cancels: []uint64{p.seq}})
 	}
 	b.mu.Unlock()
 	if waits {
 		return
 	}
 	if r := <-p.result; r.err == nil {
-		b.release(seq, admission.Cancelled, 0, 0)
+		b.release(p.seq, admission.Cancelled, 0, 0)
 	}
 }
 
@@ -167,8 +164,8 @@
 	if h == nil {
 		return
 	}
-	h.unsent = h.unsent || h.firstMatters(first) || h.knownMatters(float64(known))
-	h.held.Known = max(h.held.Known, float64(known))
+	h.unsent = h.unsent || h.firstMatters(first) || h.knownMatters(float32(known))
+	h.known = max(h.known, float32(known))
 	h.first = first
 }
 
@@ -180,8 +177,8 @@
 
 // knownMatters reports whether the owner should hear of a cost before the
 // request ends: it is well over the charge, or long not told.
-func (h *holding) knownMatters(known float64) bool {
-	if known > progressFactor*max(h.held.Estimate, h.toldKnown) {
+func (h *holding) knownMatters(known float32) bool {
+	if known > progressFactor*max(h.estimate, h.toldKnown) {
 		return true
 	}
 	return known > h.toldKnown && time.Since(h.toldAt) > progressEvery
@@ -195,7 +192,10 @@
 		return
 	}
 	b.learn(h, o)
-	r := &peerpb.Release{Seq: seq, Outcome: uint32(o), Cost: float64(cost), FirstTokenMicros: first.Microseconds()}
+	r := &peerpb.Release{Seq: seq, Outcome: uint32(o), Cost: float32(cost), FirstTokenMicros: micros(first)}
+	if o == admission.Crashed {
+		r.Fingerprint = h.fingerprint
+	}
 	if b.out == nil {
 		h.released = r
 		return
@@ -208,11 +208,11 @@
 func (b *broker) learn(h *holding, o admission.Outcome) {
 	switch {
 	case o == admission.Done && h.proved > 0:
-		if old := b.warmth[h.held.Endpoint]; !h.granted.Before(old.at) {
-			b.warmth[h.held.Endpoint] = warmth{proved: h.proved, at: h.granted}
+		if old := b.warmth[h.endpoint]; !h.granted.Before(old.at) {
+			b.warmth[h.endpoint] = warmth{proved: h.proved, at: h.granted}
 		}
 	case o == admission.Crashed || o == admission.Unreachable:
-		b.warmth[h.held.Endpoint] = warmth{at: time.Now()}
+		b.warmth[h.endpoint] = warmth{at: time.Now()}
 	}
 }
 
@@ -225,20 +225,20 @@
 }
 
 // take hands the owner's decisions to the waiting requests.
-func (b *broker) take(reply *peerpb.AdmitReply) {
+func (b *broker) take(reply *peerpb.AdmitReply, known names) {
 	b.client.host.remember(crashesFrom(reply.Crashes))
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.heard = time.Now()
 	for _, g := range reply.Grants {
-		b.granted(g)
+		b.granted(g, known.name(g.Endpoint))
 	}
 	for _, x := range reply.Refusals {
 		b.refused(x)
 	}
 }
 
-func (b *broker) granted(g *peerpb.Grant) {
+func (b *broker) granted(g *peerpb.Grant, endpoint string) {
 	p, ok := b.pending[g.Seq]
 	if !ok {
 		b.send(&peerpb.AdmitRequest{Releases: []*peerpb.Release{{Seq: g.Seq, Outcome: uint32(admission.Cancelled)}}})
@@ -246,18 +246,15 @@
 	}
 	delete(b.pending, g.Seq)
 	b.held[g.Seq] = &holding{
-		held: &peerpb.Held{
-			Seq:         g.Seq,
-			Endpoint:    g.Endpoint,
-			Account:     p.want.Account,
-			Estimate:    g.Estimate,
-			Fingerprint: p.want.Fingerprint,
-		},
-		proved:  g.Proved,
-		granted: time.Now(),
-		toldAt:  time.Now(),
+		endpoint:    endpoint,
+		account:     p.req.Account,
+		fingerprint: p.req.Fingerprint,
+		estimate:    g.Estimate,
+		proved:      g.Proved,
+		granted:     time.Now(),
+		toldAt:      time.Now(),
 	}
-	p.result <- result{endpoint: g.Endpoint}
+	p.result <- result{endpoint: endpoint}
 }
 
 func (b *broker) refused(x *peerpb.Refusal) {
@@ -273,7 +270,7 @@
 
 // report returns the first message of a session: all that this router holds
 // and wants. Releases that could not be sent follow what they release.
-func (b *broker) report(owner ownerID) *peerpb.AdmitRequest {
+func (b *broker) report(out *outbox, owner ownerID) *peerpb.AdmitRequest {
 	self := b.client.fleet.Self()
 	first := &peerpb.AdmitRequest{
 		Scope:   b.scope,
@@ -284,14 +281,14 @@
 		Crashes: crashesTo(b.client.host.Crashes()),
 	}
 	for seq, h := range b.held {
-		first.Held = append(first.Held, clone(h.held))
+		out.addHeld(first, seq, h)
 		if h.released != nil {
 			first.Releases = append(first.Releases, h.released)
 			delete(b.held, seq)
 		}
 	}
 	for _, p := range b.pending {
-		first.Wants = append(first.Wants, p.want)
+		out.addWant(first, p)
 	}
 	for name, w := range b.warmth {
 		if time.Since(w.at) > warmthKept {
@@ -310,8 +307,8 @@
 	req := &peerpb.AdmitRequest{}
 	for seq, h := range b.held {
 		if h.unsent && h.released == nil {
-			h.unsent, h.toldKnown, h.toldAt = false, h.held.Known, time.Now()
-			req.Progress = append(req.Progress, &peerpb.Progress{Seq: seq, Known: h.held.Known, FirstTokenMicros: h.first.Microseconds()})
+			h.unsent, h.toldKnown, h.toldAt = false, h.known, time.Now()
+			req.Progress = append(req.Progress, &peerpb.Progress{Seq: seq, Known: h.known, FirstTokenMicros: micros(h.first)})
 		}
 	}
 	if len(req.Progress) > 0 {
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -63,10 +63,12 @@
 	if !ok {
 		return nil, code.Refuse(code.NoEndpoint, "pool "+pool+" has no open endpoint")
 	}
-	if c.host.held(req.Fingerprint) {
+	held, suspect := c.host.inspect(req.Fingerprint)
+	if held {
 		return nil, code.Refuse(code.Quarantined, "")
 	}
-	return c.broker(scope).acquire(ctx, c.seq.Add(1), req, c.maxWait(req.Account))
+	p := &pending{seq: c.seq.Add(1), req: req, suspect: suspect, result: make(chan result, 1)}
+	return c.broker(scope).acquire(ctx, p, c.maxWait(req.Account))
 }
 
 // Progress tells the cost known so far of the request that holds the slot
--- a/internal/pool/convert.go
+++ b/internal/pool/convert.go
@@ -1,25 +1,23 @@
 package pool
 
 import (
+	"math"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/cyclamenwinch/cyclamenwinch/core/admission"
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
 	"github.com/cyclamenwinch/cyclamenwinch/core/route"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
 )
 
-func reportFrom(router string, req *peerpb.AdmitRequest) admission.Report {
-	r := admission.Report{Router: router, Resumed: req.Resumed}
+func (s *session) report(req *peerpb.AdmitRequest) admission.Report {
+	r := admission.Report{Router: s.router, Resumed: req.Resumed}
 	for _, h := range req.Held {
 		r.Held = append(r.Held, admission.Held{
-			ID:          admission.ID{Router: router, Seq: h.Seq},
-			Endpoint:    h.Endpoint,
-			Account:     h.Account,
-			Fingerprint: h.Fingerprint,
-			Running:     fair.Running{Estimate: fair.Cost(h.Estimate), Known: fair.Cost(h.Known)},
+			ID:       admission.ID{Router: s.router, Seq: h.Seq},
+			Endpoint: s.names.name(h.Endpoint),
+			Account:  s.names.name(h.Account),
+			Running:  fair.Running{Estimate: fair.Cost(h.Estimate), Known: fair.Cost(h.Known)},
 		})
 	}
 	for _, w := range req.Warmth {
@@ -32,26 +30,59 @@
 	return r
 }
 
-func wantFrom(router, zone string, w *peerpb.Want) admission.Want {
-	return admission.Want{
-		ID:          admission.ID{Router: router, Seq: w.Seq},
-		Account:     w.Account,
-		Model:       w.Model,
+func (s *session) want(w *peerpb.Want) admission.Want {
+	want := admission.Want{
+		ID:          admission.ID{Router: s.router, Seq: w.Seq},
+		Account:     s.names.name(w.Account),
+		Model:       s.names.name(w.Model),
 		Estimate:    fair.Cost(w.Estimate),
-		Zone:        zone,
-		Prefix:      w.Prefix,
+		Zone:        s.zone,
+		Prefix:      uint64(w.Prefix),
 		Fingerprint: w.Fingerprint,
-		Avoid:       w.Avoid,
 	}
+	for _, number := range w.Avoid {
+		want.Avoid = append(want.Avoid, s.names.name(number))
+	}
+	return want
 }
 
-func releaseFrom(router string, r *peerpb.Release) admission.Release {
+func (s *session) release(r *peerpb.Release) admission.Release {
 	return admission.Release{
-		ID:         admission.ID{Router: router, Seq: r.Seq},
-		Outcome:    admission.Outcome(r.Outcome),
-		Cost:       fair.Cost(r.Cost),
-		FirstToken: time.Duration(r.FirstTokenMicros) * time.Microsecond,
+		ID:          admission.ID{Router: s.router, Seq: r.Seq},
+		Outcome:     admission.Outcome(r.Outcome),
+		Cost:        fair.Cost(r.Cost),
+		FirstToken:  time.Duration(r.FirstTokenMicros) * time.Microsecond,
+		Fingerprint: r.Fingerprint,
+	}
+}
+
+// addWant adds a request to a message. Its fingerprint goes along only if it
+// may have crashed an endpoint before.
+func (o *outbox) addWant(m *peerpb.AdmitRequest, p *pending) {
+	w := &peerpb.Want{
+		Seq:      p.seq,
+		Account:  o.numbers.number(p.req.Account, &m.Names),
+		Model:    o.numbers.number(p.req.Model, &m.Names),
+		Estimate: float32(p.req.Estimate),
+		Prefix:   uint32(p.req.Prefix) ^ uint32(p.req.Prefix>>32),
 	}
+	for _, name := range p.req.Avoid {
+		w.Avoid = append(w.Avoid, o.numbers.number(name, &m.Names))
+	}
+	if p.suspect || len(p.req.Avoid) > 0 {
+		w.Fingerprint = p.req.Fingerprint
+	}
+	m.Wants = append(m.Wants, w)
+}
+
+func (o *outbox) addHeld(m *peerpb.AdmitRequest, seq uint64, h *holding) {
+	m.Held = append(m.Held, &peerpb.Held{
+		Seq:      seq,
+		Endpoint: o.numbers.number(h.endpoint, &m.Names),
+		Account:  o.numbers.number(h.account, &m.Names),
+		Estimate: h.estimate,
+		Known:    h.known,
+	})
 }
 
 func crashesFrom(in []*peerpb.Crash) []route.Crash {
@@ -74,4 +105,4 @@
 	return out
 }
 
-func clone(h *peerpb.Held) *peerpb.Held { return proto.Clone(h).(*peerpb.Held) }
+func micros(d time.Duration) uint32 { return uint32(min(d.Microseconds(), math.MaxUint32)) }
--- a/internal/pool/host.go
+++ b/internal/pool/host.go
@@ -96,11 +96,13 @@
 	}
 }
 
-// held reports whether a request is quarantined.
-func (h *Host) held(fingerprint uint64) bool {
+// inspect reports whether a request is quarantined and, if not, whether it
+// crashed an endpoint a short time ago.
+func (h *Host) inspect(fingerprint uint64) (held, suspect bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.quarantine.Held(time.Now(), fingerprint)
+	now := time.Now()
+	return h.quarantine.Held(now, fingerprint), h.quarantine.Suspect(now, fingerprint)
 }
 
 // Ping answers a router that looks for the scope's first owner.
--- a/internal/pool/hosted.go
+++ b/internal/pool/hosted.go
@@ -24,10 +24,12 @@
 
 // session is one router's side of a hosted pool.
 type session struct {
-	on     *hosted
-	router string
-	zone   string
-	box    *mailbox[*peerpb.AdmitReply]
+	on      *hosted
+	router  string
+	zone    string
+	names   names      // that the router sent
+	numbers *numbering // of those sent to it
+	box     *mailbox[*peerpb.AdmitReply]
 }
 
 func newHosted(h *Host, scope string) *hosted {
@@ -38,7 +40,7 @@
 }
 
 func (on *hosted) open(router string) *session {
-	s := &session{on: on, router: router, box: newMailbox[*peerpb.AdmitReply]()}
+	s := &session{on: on, router: router, numbers: newNumbering(), box: newMailbox[*peerpb.AdmitReply]()}
 	if old := on.sessions[router]; old != nil {
 		old.box.close()
 	}
@@ -68,22 +70,23 @@
 // is wanted, so that a request which is tried again finds its crash known.
 func (s *session) take(now time.Time, req *peerpb.AdmitRequest) {
 	p := s.on.pool
+	s.names = append(s.names, req.Names...)
 	for _, c := range crashesFrom(req.Crashes) {
 		s.on.host.quarantine.Crashed(now, c)
 	}
 	if req.Sync {
 		s.zone = req.Zone
-		p.Sync(now, reportFrom(s.router, req))
+		p.Sync(now, s.report(req))
 	}
 	for _, x := range req.Progress {
 		id := admission.ID{Router: s.router, Seq: x.Seq}
 		p.Advance(now, id, fair.Cost(x.Known), time.Duration(x.FirstTokenMicros)*time.Microsecond)
 	}
 	for _, r := range req.Releases {
-		p.Release(now, releaseFrom(s.router, r))
+		p.Release(now, s.release(r))
 	}
 	for _, w := range req.Wants {
-		p.Want(now, wantFrom(s.router, s.zone, w))
+		p.Want(now, s.want(w))
 	}
 	for _, seq := range req.Cancels {
 		p.Cancel(admission.ID{Router: s.router, Seq: seq})
@@ -120,31 +123,41 @@
 // step lets the pool decide and sends the decisions.
 func (on *hosted) step(now time.Time) {
 	d := on.pool.Step(now)
-	replies := map[string]*peerpb.AdmitReply{}
+	replies := map[*session]*peerpb.AdmitReply{}
 	for _, g := range d.Grants {
-		r := replyFor(replies, g.ID.Router)
-		r.Grants = append(r.Grants, &peerpb.Grant{Seq: g.ID.Seq, Endpoint: g.Endpoint, Estimate: float64(g.Estimate), Proved: uint32(g.Proved)})
+		if s := on.sessions[g.ID.Router]; s != nil {
+			s.addGrant(replyFor(replies, s), g)
+		}
 	}
 	for _, x := range d.Refusals {
-		r := replyFor(replies, x.ID.Router)
-		r.Refusals = append(r.Refusals, &peerpb.Refusal{Seq: x.ID.Seq, Code: int32(x.Code), RetryAfterMillis: x.RetryAfter.Milliseconds()})
+		if s := on.sessions[x.ID.Router]; s != nil {
+			r := replyFor(replies, s)
+			r.Refusals = append(r.Refusals, &peerpb.Refusal{Seq: x.ID.Seq, Code: int32(x.Code), RetryAfterMillis: x.RetryAfter.Milliseconds()})
+		}
 	}
 	if len(d.Crashes) > 0 {
-		for router := range on.sessions {
-			r := replyFor(replies, router)
+		for _, s := range on.sessions {
+			r := replyFor(replies, s)
 			r.Crashes = append(r.Crashes, crashesTo(d.Crashes)...)
 		}
 	}
 	for _, name := range d.Paused {
 		on.host.events.Add(eventlog.Event{Kind: eventlog.EndpointPaused, Endpoint: name, Detail: on.scope})
 	}
-	for router, reply := range replies {
-		if s := on.sessions[router]; s != nil {
-			s.box.put(reply)
-		}
+	for s, reply := range replies {
+		s.box.put(reply)
 	}
 }
 
+func (s *session) addGrant(m *peerpb.AdmitReply, g admission.Grant) {
+	m.Grants = append(m.Grants, &peerpb.Grant{
+		Seq:      g.ID.Seq,
+		Endpoint: s.numbers.number(g.Endpoint, &m.Names),
+		Estimate: float32(g.Estimate),
+		Proved:   uint32(g.Proved),
+	})
+}
+
 // signOfLife sends something to the routers that wait, so that they can tell
 // a long queue from a lost owner.
 func (on *hosted) signOfLife() {
@@ -155,11 +168,11 @@
 	}
 }
 
-func replyFor(replies map[string]*peerpb.AdmitReply, router string) *peerpb.AdmitReply {
-	if replies[router] == nil {
-		replies[router] = &peerpb.AdmitReply{}
+func replyFor(replies map[*session]*peerpb.AdmitReply, s *session) *peerpb.AdmitReply {
+	if replies[s] == nil {
+		replies[s] = &peerpb.AdmitReply{}
 	}
-	return replies[router]
+	return replies[s]
 }
 
 func (on *hosted) configure(now time.Time) {
--- a/internal/pool/outbox.go
+++ b/internal/pool/outbox.go
@@ -70,9 +70,14 @@
 }
 
 // outbox holds what a router has to tell an owner.
-type outbox struct{ *mailbox[*peerpb.AdmitRequest] }
+type outbox struct {
+	*mailbox[*peerpb.AdmitRequest]
+	numbers *numbering // guarded by the broker's mutex
+}
 
-func newOutbox() *outbox { return &outbox{newMailbox[*peerpb.AdmitRequest]()} }
+func newOutbox() *outbox {
+	return &outbox{mailbox: newMailbox[*peerpb.AdmitRequest](), numbers: newNumbering()}
+}
 
 // drain sends what is put until the outbox is closed or the link fails.
 func (o *outbox) drain(l link, failed func(error)) {
--- a/internal/pool/session.go
+++ b/internal/pool/session.go
@@ -88,13 +88,15 @@
 	b.start(out, ownerID{owner.Name, owner.Incarnation})
 	defer b.leave(out)
 	go b.watch(ctx, end, owner, earlier)
+	var known names
 	for {
 		reply, err := l.Recv()
 		if err != nil {
 			return errors.CombineErrors(context.Cause(ctx), err)
 		}
 		opening.Stop()
-		b.take(reply)
+		known = append(known, reply.Names...)
+		b.take(reply, known)
 	}
 }
 
@@ -137,7 +139,7 @@
 func (b *broker) start(out *outbox, owner ownerID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out.put(b.report(owner))
+	out.put(b.report(out, owner))
 	b.out, b.last, b.heard = out, owner, time.Now()
 }
 
--- a/internal/pool/traffic_test.go
+++ b/internal/pool/traffic_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/admission"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/pool"
 )
 
 func sent(name string) float64 {
@@ -40,7 +42,9 @@
 			b.ResetTimer()
 			b.RunParallel(func(pb *testing.PB) {
 				for pb.Next() {
-					slot, err := third.acquire(0)
+					slot, err := third.client.Acquire(context.Background(), "drafting", pool.Request{
+						Account: "hotels", Model: "tender-writer", Estimate: 10, Prefix: 1 << 60, Fingerprint: 1 << 61,
+					})
 					if err != nil {
 						b.Error(err)
 						return
