Stand-in runner counts each life apart; a reset connection is a break

Cause: go test ./test -ginkgo.focus "all failures together" saw 5 to 6 requests at runners with one cold slot. The stand-in counted streams of a crashed life, which end a few milliseconds later, into the load of the new one, and took requests in the same instant in which it had crashed. A connection that a killed runner resets counted as an error answer and not as a break.

What runs in one life is counted as strictly as before. ECONNRESET and EPIPE are Truncated.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -166,7 +167,8 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return code.Refuse(code.Unreachable, op.Error())
 	}
-	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || strings.Contains(err.Error(), "EOF") {
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
+		errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || strings.Contains(err.Error(), "EOF") {
 		return code.Fail(code.Truncated, err.Error())
 	}
 	return code.Fail(code.EndpointError, err.Error())
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -19,6 +19,7 @@
 	TokenTime time.Duration // time between tokens while warm
 	ColdFor   int           // answers until the runner is warm
 	ColdSlots int           // concurrent requests it bears while cold
+	StartTime time.Duration // after a crash; until then it breaks every connection
 }
 
 // Faults are what the runner does wrong, set by PUT /faults.
@@ -85,8 +86,10 @@
 
 	mu     sync.Mutex
 	stats  Stats
-	warm   int // answers since the last cold start
-	life   int // grows with each crash; streams of an old life break
+	warm   int       // answers since the last cold start
+	life   int       // grows with each crash; streams of an old life break
+	alive  int       // requests running in this life
+	upAt   time.Time // when the runner has started again after a crash
 	faults Faults
 }
 
@@ -113,7 +116,7 @@
 		return
 	}
 	life, ok := s.begin(req)
-	defer s.end()
+	defer s.end(life)
 	if !ok {
 		panic(http.ErrAbortHandler)
 	}
