A stopping router serves until the last address answer has run out

A peer that had not heard that yet still gave its address out, for a whole lifetime more.

Ruled out: a fixed margin, which no stated bound gives.

Change: the wait is a lease's lifetime (by then every router knows) and an address's lifetime; stop_seconds must be longer than both.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -9,15 +9,17 @@
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/settings"
 )
 
 // dropTimeout bounds the release of the lease, the last step of a stop.
 const dropTimeout = 3 * time.Second
 
 // drain is the graceful part of a stop. The router leaves the address
-// answers and its /ready turns unready; it serves on until the answers given
-// before have run out; then it takes no new connection, waits for the last
-// request and the last order, and releases its lease.
+// answers and its /ready turns unready; it serves on until the answers that
+// any router gave before it learned of the stop have run out; then it takes no
+// new connection, waits for the last request and the last order, and releases
+// its lease.
 func (d *Daemon) drain(l listeners) error {
 	s := d.current()
 	klog.InfoS("daemon: Stopping", "router", s.Name, "open", d.callers.Open())
@@ -26,7 +28,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.StopSeconds)*time.Second)
 	defer cancel()
 	defer d.whenCut(cancel)()
-	err := d.finish(ctx, l, time.Duration(s.AddressSeconds)*time.Second)
+	err := d.finish(ctx, l, addressesValid(s))
 	d.release()
 	if err != nil {
 		klog.ErrorS(err, "daemon: Stop cut work", "code", int(code.WorkCut))
@@ -37,12 +39,19 @@
 	return nil
 }
 
+// addressesValid is how long callers may still come after this router has
+// said that it leaves: another router learns of that within a lease's
+// lifetime, and its last answer with this address lives for its own lifetime.
+func addressesValid(s settings.Settings) time.Duration {
+	return time.Duration(s.LeaseSeconds+s.AddressSeconds) * time.Second
+}
+
 // finish serves what callers may still send and ends what has begun.
-func (d *Daemon) finish(ctx context.Context, l listeners, addressLife time.Duration) error {
+func (d *Daemon) finish(ctx context.Context, l listeners, valid time.Duration) error {
 	select {
 	case <-ctx.Done():
 		return d.cutError("while address answers were still valid")
-	case <-time.After(addressLife):
+	case <-time.After(valid):
 	}
 	if err := d.callerWeb.shutDown(ctx, l.callers); err != nil {
 		return d.cutError("while requests were open")
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -26,8 +26,8 @@
 	{"lease_seconds", "at least 4 times heartbeat_millis", func(s Settings) bool {
 		return s.LeaseSeconds*1000 >= heartbeatsPerLease*s.HeartbeatMillis
 	}},
-	{"stop_seconds", "longer than address_seconds, so that a stop outlasts the address answers", func(s Settings) bool {
-		return s.StopSeconds > s.AddressSeconds
+	{"stop_seconds", "longer than lease_seconds and address_seconds together, so that a stop outlasts the address answers", func(s Settings) bool {
+		return s.StopSeconds > s.LeaseSeconds+s.AddressSeconds
 	}},
 	{"caller_listen", "another address than peer_listen and ops_listen", func(s Settings) bool {
 		return s.CallerListen != s.PeerListen && s.CallerListen != s.OpsListen
