A router refutes its removal as soon as a peer does not know it; shorter heartbeats

Cause: a test of 40 routers, half of them cut off for a minute, showed views that still differed 5 s after the return (seen failing first): notices of removal ran ahead of the routers' own. Change: an answer says whether the peer knew this incarnation; if not, the router refutes at once. Addresses go along only until the peer knows them. Ruled out: larger notice batches (the order of news was the fault).

--- a/cmd/cyclamenwinch-capacity/main.go
+++ b/cmd/cyclamenwinch-capacity/main.go
@@ -54,7 +54,7 @@
 
 // Execute measures one window.
 func (c *measureCommand) Execute([]string) error {
-	s, err := capacity.Measure(c.Dir, c.Size, c.Work, c.Args.PIDs)
+	s, err := capacity.Observe(c.Dir, c.Size, c.Work, c.Args.PIDs)
 	if err != nil {
 		return err
 	}
--- a/core/member/spread.go
+++ b/core/member/spread.go
@@ -123,8 +123,7 @@
 		switch {
 		case t.isSelf(n.Router):
 			if n.Gone && n.Router.Incarnation == t.self.Incarnation {
-				t.beat = max(t.beat, n.Beat) + 2*refutation
-				t.spread(Notice{Router: t.self, Beat: t.beat})
+				t.refute(n.Beat)
 			}
 		case n.Gone:
 			t.takeGone(now, n)
@@ -134,6 +133,13 @@
 	}
 }
 
+// refute shows the fleet that this router lives, whatever beat it was last
+// heard with.
+func (t *Tracker) refute(beat uint64) {
+	t.beat = max(t.beat, beat) + 2*refutation
+	t.spread(Notice{Router: t.self, Beat: t.beat})
+}
+
 // takeAlive learns of a router that it does not hear itself. News of a known
 // one counts only if its beat is later, and news of a removed one only if
 // that router has refuted its removal or the sender hears it now: others may
--- a/core/member/tracker.go
+++ b/core/member/tracker.go
@@ -201,8 +201,22 @@
 	e.direct = now
 }
 
-// Answered notes that a peer which knows this router answered it.
-func (t *Tracker) Answered() { t.confirm() }
+// Knows reports whether this incarnation of a router is a member here. A peer
+// tells the router so in its answer, as it was before it heard the router.
+func (t *Tracker) Knows(name string, incarnation int64) bool {
+	e := t.members[name]
+	return e != nil && e.router.Incarnation == incarnation
+}
+
+// Answered notes a peer's answer. If the peer did not know this router, it
+// may have been removed elsewhere too: it refutes that before the news comes.
+func (t *Tracker) Answered(known bool) {
+	if known {
+		t.confirm()
+		return
+	}
+	t.refute(t.beat)
+}
 
 // Refused notes that a router's address refused a connection.
 func (t *Tracker) Refused(name string, incarnation int64) {
--- a/core/member/tracker_test.go
+++ b/core/member/tracker_test.go
@@ -39,6 +39,7 @@
 	leases   map[string]member.Lease
 	version  int64
 	down     bool               // the platform fails
+	offline  map[string]bool    // cut off from the platform
 	stopped  map[string]bool    // dead or paused
 	cut      map[[2]string]bool // messages from the first to the second are lost
 	highest  map[string]int64   // incarnation seen in any view
@@ -92,7 +93,7 @@
 	if w.now.Sub(w.renewed[name]) < t.Renewal() {
 		return
 	}
-	if w.down {
+	if w.down || w.offline[name] {
 		t.PlatformFailed()
 		return
 	}
@@ -116,14 +117,16 @@
 	if b == nil || w.stopped[to] || w.cut[[2]string{from, to}] {
 		return
 	}
+	knownByA, knownByB := a.Knows(to, b.Self().Incarnation), b.Knows(from, a.Self().Incarnation)
 	b.Hear(w.now, a.NextBeat(0, 0))
+	b.Answered(knownByA)
 	b.TakeNotices(w.now, a.Notices())
 	if w.cut[[2]string{to, from}] {
 		return
 	}
 	a.Hear(w.now, b.NextBeat(0, 0))
 	a.TakeNotices(w.now, b.Notices())
-	a.Answered()
+	a.Answered(knownByB)
 	if a.Digest() != b.Digest() {
 		fromA, fromB := a.Differing(w.now, b.Digest()), b.Differing(w.now, a.Digest())
 		b.TakeNotices(w.now, fromA)
@@ -270,7 +273,7 @@
 			owner, _ := t.View().Owner(fmt.Sprint("key", i))
 			Expect(owner.Name).To(Equal("r01"))
 		}
-		t.Answered()
+		t.Answered(true)
 		Expect(t.Confirmed()).To(BeTrue())
 	})
 
@@ -317,6 +320,31 @@
 		Expect(names).To(HaveLen(20))
 	})
 
+	It("takes a region back within 5 s of its return, in a large fleet", func() {
+		w := newWorld(40, 16)
+		south, north := w.names()[:20], w.names()[20:]
+		for _, name := range south {
+			w.trackers[name] = member.NewTracker(member.Router{Name: name, Incarnation: 1, Region: "south"}, member.Limits{Lifetime: lifetime, Mesh: 16, Fanout: 2}, w.now)
+		}
+		w.run(2 * lifetime)
+		w.offline = map[string]bool{}
+		for _, x := range south {
+			w.offline[x] = true
+			for _, y := range north {
+				w.cut[[2]string{x, y}], w.cut[[2]string{y, x}] = true, true
+			}
+		}
+		w.run(time.Minute)
+		Expect(w.trackers[north[0]].View().Routers).To(HaveLen(20), "the north reads the platform")
+		Expect(w.trackers[south[0]].View().Routers).To(HaveLen(40), "the south does not")
+		clear(w.offline)
+		clear(w.cut)
+		w.run(5 * time.Second)
+		names, ok := w.agreed()
+		Expect(ok).To(BeTrue())
+		Expect(names).To(HaveLen(40))
+	})
+
 	It("talks to a bounded number of routers in a large fleet", func() {
 		w := newWorld(64, 16)
 		w.run(2 * lifetime)
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -61,9 +61,9 @@
 	return err
 }
 
-// Measure runs the work against a fleet that has started and returns the
+// Observe runs the work against a fleet that has started and returns the
 // sample. pids are the routers' processes.
-func Measure(dir string, size Size, w Work, pids []int) (Sample, error) {
+func Observe(dir string, size Size, w Work, pids []int) (Sample, error) {
 	f, err := readFleet(dir)
 	if err != nil {
 		return Sample{}, err
--- a/internal/capacity/sums.go
+++ b/internal/capacity/sums.go
@@ -176,7 +176,9 @@
 	walks := 4 * f.ring(func(s Sample) float64 { return s.Rates[heartbeatsSent] }) * f.bench["Tracker/digest/450"] / 1e9
 	add("membership", "highest of the rings measured; the digest of 450 four times a message", beats, f.ring(func(s Sample) float64 { return s.Core })+walks)
 	renewals := float64(leaseWritesPerSec) / nodes
-	platformBytes := f.ring(func(s Sample) float64 { return (s.Rates[platformSent] + s.Rates[platformReceived]) / max(s.Writes/float64(s.Routers), 1e-9) })
+	platformBytes := f.ring(func(s Sample) float64 {
+		return (s.Rates[platformSent] + s.Rates[platformReceived]) / max(s.Writes/float64(s.Routers), 1e-9)
+	})
 	add("lease", "bytes a renewal, a renewal each 9 s", renewals*platformBytes, 0)
 	c := f.perChange(largest(f.labelled("sized-changes")))
 	perSec := float64(changesPerDay) / daySeconds
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -64,6 +64,7 @@
 	remoteSeq    uint64
 	sent         map[string]progress
 	inFlight     map[string]bool
+	knownTo      map[string]int64 // incarnations of routers that know this one
 	subscribers  []func()
 }
 
@@ -80,6 +81,7 @@
 		book:        usage.NewBook(opts.Self.Name, opts.Self.Incarnation),
 		sent:        map[string]progress{},
 		inFlight:    map[string]bool{},
+		knownTo:     map[string]int64{},
 	}
 }
 
@@ -190,7 +192,7 @@
 			f.opts.Events.Add(eventlog.Event{Kind: eventlog.MemberJoined, Detail: c.Router.Name})
 		case member.Left:
 			f.opts.Events.Add(eventlog.Event{Kind: eventlog.MemberLeft, Detail: c.Router.Name})
-			f.opts.Dialer.Forget(c.Router)
+			f.forget(c.Router)
 			f.cleanUp(c, view)
 		}
 	}
@@ -199,6 +201,15 @@
 	}
 }
 
+// forget drops what is kept for exchanges with a router that is gone.
+func (f *Fleet) forget(r member.Router) {
+	f.opts.Dialer.Forget(r)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.sent, r.Name)
+	delete(f.knownTo, r.Name)
+}
+
 func (f *Fleet) notify() { signal(f.changed) }
 
 // signal puts a token into a channel that holds one.
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -71,8 +71,12 @@
 
 // Heartbeat answers another router's heartbeat.
 func (f *Fleet) Heartbeat(ctx context.Context, in *peerpb.HeartbeatMessage) (*peerpb.HeartbeatMessage, error) {
+	known := f.knows(in.GetMember().GetName(), in.GetMember().GetIncarnation())
 	f.hear(in)
-	return f.message(in.GetMember().GetName()), nil
+	f.mu.Lock()
+	f.tracker.Answered(in.Known)
+	f.mu.Unlock()
+	return f.message(known, !in.Known), nil
 }
 
 // SyncView answers with news of the routers in the buckets that differ.
@@ -96,7 +100,7 @@
 		return
 	}
 	client := peerpb.NewFleetClient(conn)
-	msg := f.message(r.Name)
+	msg := f.message(f.knows(r.Name, r.Incarnation), !f.introduced(r))
 	parts, mark := f.usageFor(r)
 	msg.Usage = parts
 	reply, err := client.Heartbeat(ctx, msg)
@@ -108,7 +112,7 @@
 	f.opts.Dialer.Answered(r)
 	f.usageTaken(r, mark)
 	f.hear(reply)
-	f.answered(reply, client)
+	f.answered(r, reply, client)
 }
 
 // landed allows the next exchange with a router.
@@ -131,21 +135,27 @@
 }
 
 // answered takes in what a reply says of this router and its view.
-func (f *Fleet) answered(reply *peerpb.HeartbeatMessage, client peerpb.FleetClient) {
+func (f *Fleet) answered(r member.Router, reply *peerpb.HeartbeatMessage, client peerpb.FleetClient) {
+	if f.differs(r, reply) && f.syncing.CompareAndSwap(false, true) {
+		go f.sync(client)
+	}
+}
+
+// differs reports whether enough replies in a row showed another view.
+func (f *Fleet) differs(r member.Router, reply *peerpb.HeartbeatMessage) bool {
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tracker.Answered(reply.Known)
+	delete(f.knownTo, r.Name)
 	if reply.Known {
-		f.tracker.Answered()
+		f.knownTo[r.Name] = reply.GetMember().GetIncarnation()
 	}
 	if reply.View == f.tracker.Digest().Sum() {
 		f.differing = 0
-	} else {
-		f.differing++
-	}
-	differs := f.differing >= syncAfter
-	f.mu.Unlock()
-	if differs && f.syncing.CompareAndSwap(false, true) {
-		go f.sync(client)
+		return false
 	}
+	f.differing++
+	return f.differing >= syncAfter
 }
 
 // sync exchanges the differing parts of the views with a peer, once a
@@ -178,15 +188,32 @@
 	}
 }
 
-// message returns the heartbeat for the named router, without usage.
-func (f *Fleet) message(to string) *peerpb.HeartbeatMessage {
+func (f *Fleet) knows(name string, incarnation int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.Knows(name, incarnation)
+}
+
+// introduced reports whether the router has said that it knows this one.
+func (f *Fleet) introduced(r member.Router) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.knownTo[r.Name] == r.Incarnation
+}
+
+// message returns a heartbeat without usage for a router that is known, or
+// was not until now. Only a full one carries this router's addresses.
+func (f *Fleet) message(known, full bool) *peerpb.HeartbeatMessage {
 	load, generation, clock := f.opts.Load(), f.config.generation(), f.opts.Events.Clock().Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	h := f.tracker.NextBeat(load, generation)
-	_, known := f.tracker.View().Get(to)
+	self := &peerpb.Member{Name: h.Router.Name, Incarnation: h.Router.Incarnation, Leaving: h.Router.Leaving}
+	if full {
+		self = memberTo(h.Router)
+	}
 	return &peerpb.HeartbeatMessage{
-		Member:     memberTo(h.Router),
+		Member:     self,
 		Beat:       h.Beat,
 		Generation: h.Generation,
 		Load:       uint32(load),
@@ -203,9 +230,18 @@
 		return
 	}
 	f.opts.Events.Clock().Observe(in.Clock)
+	f.mu.Lock()
 	r := memberFrom(in.Member)
+	if r.PeerAddr == "" {
+		known, _ := f.tracker.View().Get(r.Name)
+		if known.Incarnation != r.Incarnation {
+			f.mu.Unlock()
+			return // the answer says so, and the next one will be full
+		}
+		known.Leaving = r.Leaving
+		r = known
+	}
 	r.Load = int(in.Load)
-	f.mu.Lock()
 	f.tracker.Hear(time.Now(), member.Heartbeat{Router: r, Beat: in.Beat, Generation: in.Generation})
 	f.tracker.TakeNotices(time.Now(), noticesFrom(in.Notices))
 	f.takeUsage(in)
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -107,7 +107,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leaseVersion = version
-	f.tracker.Answered()
+	f.tracker.Answered(true)
 	return nil
 }
 
