--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -15,7 +14,6 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
-	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/pool"
 )
 
@@ -61,14 +59,19 @@
 
 // chatRun is one chat completion on its way through the router.
 type chatRun struct {
-	api    *API
-	w      http.ResponseWriter
-	r      *http.Request
-	call   call
-	req    chatRequest
-	pool   manifest.Pool
-	avoid  []string
-	begun  bool // the caller has received a part of the answer
+	api   *API
+	w     http.ResponseWriter
+	r     *http.Request
+	call  call
+	req   chatRequest
+	pool  manifest.Pool
+	avoid []string
+	begun bool // the caller has received a part of the answer
+
+	// Of the current try.
+	slot   *pool.Slot
+	start  time.Time
+	first  time.Duration // time to the first token; 0: none yet
 	tokens int
 }
 
@@ -77,44 +80,61 @@
 func (c *chatRun) serve() {
 	var err error
 	for try := range maxTries {
-		err = c.try(try > 0)
-		if err == nil || c.begun || c.r.Context().Err() != nil || !retryable(err) {
+		last := c.try(try > 0)
+		err = joinTries(err, last)
+		if last == nil || c.begun || c.r.Context().Err() != nil || !retryable(last) {
+			break
+		}
+		if try+1 < maxTries && !c.api.mayRetry(c.call, c.pool.Name, last) {
+			err = budgetUsedUp(err)
 			break
 		}
-		c.api.opts.Events.Add(eventlog.Event{Kind: eventlog.RequestRetried, Request: c.call.id, Account: c.call.account.Name, Detail: err.Error()})
 	}
 	if err != nil {
 		c.fail(err)
+		return
 	}
+	c.api.succeeded(c.pool.Name)
 }
 
 func (c *chatRun) try(fresh bool) error {
+	whole := fingerprint(string(c.call.body))
 	slot, err := c.api.opts.Pools.Acquire(c.r.Context(), c.pool.Name, pool.Request{
 		Account:     c.call.account.Name,
+		Model:       c.req.Model,
 		Estimate:    c.estimate(),
 		Prefix:      fingerprint(c.req.Model, c.promptStart()),
-		Fingerprint: fingerprint(string(c.call.body)),
+		Fingerprint: whole,
 		Avoid:       c.avoid,
 	})
 	if err != nil {
-		return err
+		return nameQuarantined(err, whole)
 	}
-	c.api.opts.Events.Add(eventlog.Event{Kind: eventlog.RequestGranted, Request: c.call.id, Account: c.call.account.Name, Endpoint: slot.Endpoint})
-	start := time.Now()
-	var first time.Duration
-	c.tokens = 0
-	err = c.relay(slot.Endpoint, fresh, func() { first = time.Since(start) })
-	slot.Release(outcome(err), fair.Cost(c.tokens), first)
-	c.api.opts.Events.Add(eventlog.Event{Kind: eventlog.RequestEnded, Request: c.call.id, Account: c.call.account.Name, Endpoint: slot.Endpoint, Code: codeOf(err), Detail: fmt.Sprintf("tokens=%d", c.tokens)})
+	c.api.granted(c.call, slot.Endpoint)
+	c.slot, c.tokens, c.first, c.start = slot, 0, 0, time.Now()
+	err = c.relay(slot.Endpoint, fresh)
+	slot.Release(outcome(err), fair.Cost(c.tokens), c.first)
+	c.api.tried(c.call, slot.Endpoint, err, fmt.Sprintf("tokens=%d", c.tokens))
 	if err != nil {
 		c.avoid = append(c.avoid, slot.Endpoint)
 	}
 	return err
 }
 
-// relay passes the endpoint's answer to the caller. onFirst is called at the
-// first token.
-func (c *chatRun) relay(name string, fresh bool, onFirst func()) error {
+// nameQuarantined adds the fingerprint that an operator needs to lift the
+// quarantine of a request.
+func nameQuarantined(err error, fingerprint uint64) error {
+	failure := code.As(err)
+	if failure.Code != code.Quarantined {
+		return err
+	}
+	named := *failure
+	named.Detail = fmt.Sprintf("fingerprint=%016x", fingerprint)
+	return &named
+}
+
+// relay passes the endpoint's answer to the caller.
+func (c *chatRun) relay(name string, fresh bool) error {
 	url, ok := c.api.endpointURL(name)
 	if !ok {
 		return code.Refuse(code.NoEndpoint, name+" is not declared any more")
@@ -130,59 +150,7 @@
 	if !c.req.Stream {
 		return c.relayWhole(out)
 	}
-	return c.relayStream(out, onFirst)
-}
-
-func (c *chatRun) relayStream(out endpoint.Call, onFirst func()) error {
-	s, err := c.api.opts.Endpoints.Open(c.r.Context(), out)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
-	flush := http.NewResponseController(c.w)
-	for {
-		data, err := s.Next()
-		c.tokens = s.Cost()
-		if err == io.EOF {
-			fmt.Fprint(c.w, "data: [DONE]\n\n")
-			return flush.Flush()
-		}
-		if err != nil {
-			return err
-		}
-		if !c.begun {
-			c.begun = true
-			onFirst()
-			c.w.Header().Set("Content-Type", "text/event-stream")
-			c.w.Header().Set("Cache-Control", "no-store")
-		}
-		if _, err := fmt.Fprintf(c.w, "data: %s\n\n", data); err != nil {
-			return code.Fail(code.CallerLeft, "")
-		}
-		flush.Flush()
-	}
-}
-
-func (c *chatRun) relayWhole(out endpoint.Call) error {
-	answer, err := c.api.opts.Endpoints.Do(c.r.Context(), out)
-	if err != nil {
-		return err
-	}
-	if answer.Status >= http.StatusInternalServerError {
-		return code.Fail(code.EndpointError, fmt.Sprintf("the endpoint answered %d", answer.Status))
-	}
-	var body struct {
-		Usage struct {
-			TotalTokens int `json:"total_tokens"`
-		} `json:"usage"`
-	}
-	if err := json.Unmarshal(answer.Body, &body); err != nil {
-		return code.Fail(code.Truncated, err.Error())
-	}
-	c.tokens = body.Usage.TotalTokens
-	c.begun = true
-	writeAnswer(c.w, answer.Status, answer.ContentType, answer.Body)
-	return nil
+	return c.relayStream(out)
 }
 
 // fail ends the request with an error: as problem details, or as an event if
@@ -192,7 +160,7 @@
 		c.api.refuse(c.w, c.call, err)
 		return
 	}
-	failure := asError(err)
+	failure := code.As(err)
 	failure.NotRun = false
 	c.api.note(c.call, failure)
 	if data, err := json.Marshal(map[string]Problem{"error": problem(c.call, failure)}); err == nil {
@@ -232,15 +200,6 @@
 	return "", false
 }
 
-// retryable reports whether another endpoint may be tried.
-func retryable(err error) bool {
-	switch code.Code(codeOf(err)) {
-	case code.EndpointError, code.Truncated, code.Silent, code.CrossedAnswer, code.Unreachable:
-		return true
-	}
-	return false
-}
-
 func outcome(err error) admission.Outcome {
 	var failure *code.Error
 	if err == nil || !errors.As(err, &failure) {
@@ -256,10 +215,3 @@
 	}
 	return admission.Failed
 }
-
-func codeOf(err error) int {
-	if err == nil {
-		return 0
-	}
-	return int(asError(err).Code)
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,9 +81,9 @@
 	d.callers = callerapi.New(callerapi.Options{
 		Fleet: d.fleet, Pools: d.pools, Endpoints: endpoints, Ledger: d.ledger, Events: d.events,
 		Addresses:    addresses.New(d.fleet, time.Duration(s.AddressSeconds)*time.Second),
-		MaxBodyBytes: int64(s.MaxBodyBytes),
+		MaxBodyBytes: int64(s.MaxBodyBytes), MaxAccountRequests: s.MaxAccountOpen,
 	})
-	d.ops = opsapi.New(opsapi.Options{Fleet: d.fleet, Events: d.events, Token: s.OpsToken, Open: d.callers.Open, Usage: d.host.Usage})
+	d.ops = opsapi.New(opsapi.Options{Fleet: d.fleet, Events: d.events, Token: s.OpsToken, Open: d.callers.Open, Usage: d.host.Usage, Pools: d.ownedPools, Orders: d.ledger, Quarantine: d.host})
 	d.callerWeb = newWebServer("callers", s.CallerTLS, d.callerHandler())
 	d.opsWeb = newWebServer("operators", s.OpsTLS, d.ops.Handler())
 	return d, nil
@@ -137,6 +137,7 @@
 	err = d.drain(l)
 	stopWork()
 	<-ended
+	d.ledger.Close()
 	d.pools.Close()
 	d.dialer.Close()
 	klog.InfoS("daemon: Stopped", "router", d.fleet.Self().Name)
