--- a/core/code/code_suite_test.go
+++ b/core/code/code_suite_test.go
@@ -1,11 +1,11 @@
 package code_test
 
 import (
-	"os"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 )
@@ -17,9 +17,8 @@
 
 var _ = Describe("the table", func() {
 	It("equals docs/CODES.md", func() {
-		page, err := os.ReadFile("../../docs/CODES.md")
-		Expect(err).NotTo(HaveOccurred())
-		Expect(string(page)).To(Equal(code.Page()))
+		goldie.New(GinkgoTB(), goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md")).
+			Assert(GinkgoTB(), "CODES", []byte(code.Page()))
 	})
 
 	It("has ascending, unique numbers and names", func() {
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -154,6 +154,10 @@
 }
 
 func (a *API) order(w http.ResponseWriter, r *http.Request, c call, p manifest.Pool) {
+	if r.Method != http.MethodPost {
+		a.refuse(w, c, code.Refuse(code.UnknownPath, "orders are placed by POST, not "+r.Method))
+		return
+	}
 	key := r.Header.Get(endpoint.KeyHeader)
 	if key == "" || len(key) > maxKeyBytes {
 		a.refuse(w, c, code.Refuse(code.KeyMissing, ""))
@@ -163,7 +167,7 @@
 		Account:     c.account.Name,
 		Key:         key,
 		Pool:        p.Name,
-		Path:        r.URL.Path,
+		Path:        r.URL.RequestURI(),
 		ContentType: r.Header.Get("Content-Type"),
 		Body:        c.body,
 		RequestID:   c.id,
--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -112,10 +112,10 @@
 	)
 
 	It("notes grant and end of a plain call", func() {
-		o := newOneRouter(hang, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "12 in stock") })
-		w := o.send("/stock", `{}`)
+		o := newOneRouter(hang, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "asked "+r.RequestURI) })
+		w := o.send("/stock/a%2Fb?item=low%20stool", `{}`)
 		Expect(w.Code).To(Equal(http.StatusOK))
-		Expect(w.Body.String()).To(Equal("12 in stock"))
+		Expect(w.Body.String()).To(Equal("asked /stock/a%2Fb?item=low%20stool"))
 		Expect(o.kinds(w.Header().Get(endpoint.RequestIDHeader))).To(Equal([]eventlog.Kind{eventlog.RequestGranted, eventlog.RequestEnded}))
 	})
 
--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -40,7 +40,7 @@
 	a.granted(c, slot.Endpoint)
 	url, _ := a.endpointURL(slot.Endpoint)
 	answer, err := a.opts.Endpoints.Do(r.Context(), endpoint.Call{
-		URL:         url + r.URL.Path,
+		URL:         url + r.URL.RequestURI(),
 		Method:      r.Method,
 		RequestID:   c.id,
 		ContentType: r.Header.Get("Content-Type"),
--- a/internal/opsapi/opsapi.go
+++ b/internal/opsapi/opsapi.go
@@ -14,7 +14,6 @@
 	"net/http"
 	"strings"
 
-	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
@@ -72,9 +71,7 @@
 	mux.HandleFunc("GET /ready", a.ready)
 	mux.HandleFunc("GET /status", a.guard(a.status))
 	mux.HandleFunc("GET /timeline", a.guard(a.timeline))
-	mux.HandleFunc("GET /metrics", a.guard(func(w http.ResponseWriter, r *http.Request) {
-		metrics.WritePrometheus(w, true)
-	}))
+	mux.HandleFunc("GET /metrics", a.guard(a.metrics))
 	if a.opts.Orders != nil {
 		mux.HandleFunc("GET /orders", a.guard(a.lookUp))
 		mux.HandleFunc("GET /orders/unknown", a.guard(a.unknown))
--- a/internal/opsapi/opsapi_test.go
+++ b/internal/opsapi/opsapi_test.go
@@ -100,7 +100,13 @@
 				{Fingerprint: 10, Endpoint: "runner-1", Age: time.Minute},
 				{Fingerprint: 10, Endpoint: "runner-2", Age: time.Second},
 			}},
-			Pools: func() []opsapi.PoolState { return []opsapi.PoolState{{Scope: "drafting/r"}} },
+			Pools: func() []opsapi.PoolState {
+				return []opsapi.PoolState{{
+					Scope:     "drafting/r",
+					Endpoints: []opsapi.EndpointLoad{{Endpoint: "runner-1", State: opsapi.Cold, Busy: 1, Limit: 2}},
+					Accounts:  []opsapi.AccountQueue{{Account: "hotels", Waiting: 3}},
+				}}
+			},
 		}).Handler()
 	})
 
@@ -158,6 +164,23 @@
 		Expect(s.Generation).To(BeZero())
 	})
 
+	It("writes the gauges of its state", func() {
+		r := httptest.NewRequest("GET", "/metrics", nil)
+		r.Header.Set("Authorization", "Bearer "+token)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		for _, line := range []string{
+			"cyclamenwinch_generation 1\n",
+			"cyclamenwinch_members 1\n",
+			"cyclamenwinch_open_requests 4\n",
+			"cyclamenwinch_ready 1\n",
+			"cyclamenwinch_slots_limit{scope=\"drafting/r\",endpoint=\"runner-1\"} 2\n",
+			"cyclamenwinch_waiting_requests{scope=\"drafting/r\",account=\"hotels\"} 3\n",
+		} {
+			Expect(w.Body.String()).To(ContainSubstring(line))
+		}
+	})
+
 	It("is ready only with a manifest and while it stays", func() {
 		Expect(call("", "GET", "/ready", "", nil)).To(Equal(http.StatusOK))
 		fleet.self.Leaving = true
