--- a/test/session/processes_test.go
+++ b/test/session/processes_test.go
@@ -35,11 +35,12 @@
 // fleet is all processes of the session.
 type fleet struct {
 	dir      string
-	bin      map[string]string // program -> file
 	manifest *manifest.Manifest
 	platform string
 	runners  map[string]string // stand-in -> URL
 	routers  map[string]*router
+
+	authority string // PEM file of the routers' certificate authority; empty: no TLS
 }
 
 type router struct {
@@ -47,18 +48,31 @@
 	process  *gexec.Session
 }
 
-func (r *router) callerURL() string { return "http://" + r.settings.CallerListen }
-func (r *router) opsURL() string    { return "http://" + r.settings.OpsListen }
+func (r *router) callerURL() string { return scheme(r.settings.CallerTLS) + r.settings.CallerListen }
+func (r *router) opsURL() string    { return scheme(r.settings.OpsTLS) + r.settings.OpsListen }
 
-// startFleet builds the programs and starts every process but the routers.
-func startFleet() *fleet {
-	f := &fleet{dir: GinkgoT().TempDir(), bin: map[string]string{}, runners: map[string]string{}, routers: map[string]*router{}}
+func scheme(t settings.ServerTLS) string {
+	if t.Mode == settings.TLS {
+		return "https://"
+	}
+	return "http://"
+}
+
+// binaries are the files of the programs.
+var binaries = map[string]string{}
+
+var _ = BeforeSuite(func() {
 	for _, program := range []string{"cyclamenwinch", "cyclamenwinchd", "cyclamenwinch-standin"} {
 		file, err := gexec.Build(modulePath + "/cmd/" + program)
 		Expect(err).NotTo(HaveOccurred())
-		f.bin[program] = file
+		binaries[program] = file
 	}
 	DeferCleanup(gexec.CleanupBuildArtifacts)
+})
+
+// startFleet starts every process but the routers.
+func startFleet() *fleet {
+	f := &fleet{dir: GinkgoT().TempDir(), runners: map[string]string{}, routers: map[string]*router{}}
 	f.platform = f.standin("platform", "--role", "platform")
 	for _, name := range []string{"runner-1", "runner-2"} {
 		f.runners[name] = f.standin(name, "--role", "model", "--name", name)
@@ -76,8 +90,8 @@
 	return "http://" + address
 }
 
-// startRouter starts the router of an availability zone.
-func (f *fleet) startRouter(name, zone string) {
+// plainSettings returns settings of a router without TLS.
+func (f *fleet) plainSettings(name, zone string) settings.Settings {
 	s := settings.Default()
 	s.Name, s.Zone, s.Region = name, zone, "eg-north"
 	s.CallerListen, s.PeerListen, s.OpsListen = freeAddress(), freeAddress(), freeAddress()
@@ -85,14 +99,17 @@
 	s.OpsToken, s.PlatformURL = opsToken, f.platform
 	s.LeaseSeconds, s.AddressSeconds, s.StopSeconds = patient/4, 1, 10*patient
 	s.ProgressMillis = 1000 * patient
-	file := f.write(name+".json", s)
-	r := &router{settings: s, process: f.start("cyclamenwinchd", "--settings", file)}
-	f.routers[name] = r
+	return s
+}
+
+func (f *fleet) startRouter(s settings.Settings) {
+	file := f.write(s.Name+".json", s)
+	f.routers[s.Name] = &router{settings: s, process: f.start("cyclamenwinchd", "--settings", file)}
 	awaitListener(s.OpsListen)
 }
 
 func (f *fleet) start(program string, args ...string) *gexec.Session {
-	process, err := gexec.Start(exec.Command(f.bin[program], args...), GinkgoWriter, GinkgoWriter)
+	process, err := gexec.Start(exec.Command(binaries[program], args...), GinkgoWriter, GinkgoWriter)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { process.Kill().Wait(hang) })
 	return process
@@ -102,7 +119,7 @@
 // routers may differ on who owns what.
 func (f *fleet) awaitMembers() {
 	for name, r := range f.routers {
-		client, err := opsclient.New(opsclient.Options{Routers: []string{r.opsURL()}, Token: opsToken})
+		client, err := opsclient.New(opsclient.Options{Routers: []string{r.opsURL()}, Token: opsToken, CAFile: f.authority})
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(func() (int, error) {
 			s, err := client.Status(context.Background())
@@ -114,10 +131,11 @@
 // tool runs the command line tool, waits and returns its exit code and
 // output.
 func (f *fleet) tool(args ...string) (int, string) {
-	command := exec.Command(f.bin["cyclamenwinch"], args...)
+	command := exec.Command(binaries["cyclamenwinch"], args...)
 	command.Env = append(os.Environ(),
 		"CYCLAMENWINCH_PLATFORM="+f.platform,
 		"CYCLAMENWINCH_OPS="+f.routers["router-a"].opsURL(),
+		"CYCLAMENWINCH_CA="+f.authority,
 		"CYCLAMENWINCH_TOKEN="+opsToken)
 	process, err := gexec.Start(command, GinkgoWriter, GinkgoWriter)
 	Expect(err).NotTo(HaveOccurred())
--- a/test/session/session_test.go
+++ b/test/session/session_test.go
@@ -60,9 +60,9 @@
 	BeforeAll(func() {
 		f = startFleet()
 		t = &transcript{fleet: f, requests: map[string]string{}}
-		f.startRouter("router-a", "eg-north-1")
-		f.startRouter("router-b", "eg-north-2")
-		f.startRouter("router-c", "eg-north-3")
+		f.startRouter(f.plainSettings("router-a", "eg-north-1"))
+		f.startRouter(f.plainSettings("router-b", "eg-north-2"))
+		f.startRouter(f.plainSettings("router-c", "eg-north-3"))
 		f.awaitMembers()
 	})
 
