A request waits for two silent endpoints at most; resumes count as retries

Cause: three silent endpoints in a row cost a caller three progress times.

Shown failing first: without the rule the plain service's test saw three tries (a chat completion is already stopped at two by the quarantine).

--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -43,6 +44,12 @@
 // newOneRouter returns a router whose client account may keep a request
 // waiting for the given time and have one open request.
 func newOneRouter(wait time.Duration, handle http.HandlerFunc) oneRouter {
+	return newRouterWith(wait, hang, 1, handle)
+}
+
+// newRouterWith returns such a router that has a number of endpoints of each
+// kind and takes one as failed after the given silence.
+func newRouterWith(wait, silence time.Duration, endpoints int, handle http.HandlerFunc) oneRouter {
 	server := httptest.NewServer(handle)
 	DeferCleanup(server.Close)
 	zone := manifest.Zone{Name: "z", Region: "r", State: manifest.In}
@@ -51,10 +58,12 @@
 		Zones:      []manifest.Zone{zone},
 		Accounts:   []manifest.Account{{Name: "hotels", Share: 1, KeyDigests: []string{manifest.KeyDigest("secret")}, MaxQueue: 5, MaxWaitMillis: int(wait.Milliseconds())}},
 		Pools:      []manifest.Pool{{Name: "drafting", Kind: manifest.Model, Models: []string{"tender-writer"}}, {Name: "stock", Kind: manifest.Service, Path: "/stock"}},
-		Endpoints: []manifest.Endpoint{
-			{Name: "runner-1", Pool: "drafting", URL: server.URL, Zone: "z", State: manifest.In, Slots: 4, ColdSlots: 4},
-			{Name: "stock-1", Pool: "stock", URL: server.URL, Zone: "z", State: manifest.In, Slots: 4, ColdSlots: 4},
-		},
+	}
+	for i := range endpoints {
+		model := manifest.Endpoint{Name: fmt.Sprintf("runner-%d", i+1), Pool: "drafting", URL: server.URL, Zone: "z", State: manifest.In, Slots: 4, ColdSlots: 4}
+		stock := model
+		stock.Name, stock.Pool = fmt.Sprintf("stock-%d", i+1), "stock"
+		m.Endpoints = append(m.Endpoints, model, stock)
 	}
 	fleet := closedFleet{m}
 	events := eventlog.New("router-a", 100)
@@ -67,7 +76,7 @@
 		stop()
 	})
 	return oneRouter{events: events, api: callerapi.New(callerapi.Options{
-		Fleet: fleet, Pools: client, Endpoints: endpoint.New(hang), Events: events,
+		Fleet: fleet, Pools: client, Endpoints: endpoint.New(silence), Events: events,
 		Addresses: http.NotFoundHandler(), MaxBodyBytes: 4096, MaxAccountRequests: 1,
 	})}
 }
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -81,8 +81,9 @@
 	var err error
 	for try := range maxTries {
 		last := c.try(try > 0)
+		waited := bothSilent(err, last)
 		err = joinTries(err, last)
-		if last == nil || c.begun || c.r.Context().Err() != nil || !retryable(last) {
+		if last == nil || c.begun || c.r.Context().Err() != nil || !retryable(last) || waited {
 			break
 		}
 		if try+1 < maxTries && !c.api.mayRetry(c.call, c.pool.Name, last) {
--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -19,8 +19,9 @@
 			writeAnswer(w, answer.Status, answer.ContentType, answer.Body)
 			return
 		}
+		waited := bothSilent(err, last)
 		err = joinTries(err, last)
-		if !retryable(last) || r.Context().Err() != nil {
+		if waited || !retryable(last) || r.Context().Err() != nil {
 			break
 		}
 		if try+1 < maxTries && !a.mayRetry(c, p.Name, last) {
--- a/internal/callerapi/relay.go
+++ b/internal/callerapi/relay.go
@@ -12,7 +12,6 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
-	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 )
 
 // maxResumes is how often one stream is resumed after a cut.
@@ -21,7 +20,7 @@
 // relayStream passes a streamed answer to the caller, event by event. A
 // stream that is cut after the caller has received a part is resumed at the
 // same endpoint over a new connection, if the endpoint goes on from there: no
-// event is lost or passed twice.
+// event is lost or passed twice. A resume counts as a retry.
 func (c *chatRun) relayStream(out endpoint.Call) error {
 	for resumes := 0; ; resumes++ {
 		s, err := c.api.opts.Endpoints.Open(c.r.Context(), out)
@@ -31,13 +30,9 @@
 		err = c.passEvents(s)
 		events := s.Events()
 		s.Close()
-		if err == nil || events == 0 || resumes == maxResumes || !retryable(err) {
+		if err == nil || events == 0 || resumes == maxResumes || !retryable(err) || !c.api.mayRetry(c.call, c.pool.Name, err) {
 			return err
 		}
-		c.api.opts.Events.Add(eventlog.Event{
-			Kind: eventlog.RequestRetried, Request: c.call.id, Account: c.call.account.Name, Endpoint: c.slot.Endpoint,
-			Code: codeOf(err), Detail: fmt.Sprintf("resumed after %d events: %v", events, err),
-		})
 		out.Fresh, out.ResumeFrom = true, events
 	}
 }
--- a/internal/callerapi/relay_test.go
+++ b/internal/callerapi/relay_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -36,6 +37,9 @@
 	}
 }
 
+// maxEndpoints is more than a request may be sent to.
+const maxEndpoints = 4
+
 // pieces returns the pieces of a streamed answer in their order.
 func pieces(body string) string {
 	var b strings.Builder
@@ -71,6 +75,23 @@
 		Expect(body).To(ContainSubstring(`"not_run":false`))
 	})
 
+	DescribeTable("is waited for at two silent endpoints at most",
+		func(path, body string) {
+			var tries atomic.Int32
+			o := newRouterWith(hang, 20*time.Millisecond, maxEndpoints, func(w http.ResponseWriter, r *http.Request) {
+				tries.Add(1)
+				io.Copy(io.Discard, r.Body)
+				<-r.Context().Done()
+			})
+			p := problemOf(o.send(path, body))
+			Expect(p.Code).To(Equal(int(code.Silent)))
+			Expect(p.NotRun).To(BeFalse())
+			Expect(tries.Load()).To(Equal(int32(2)))
+		},
+		Entry("a chat completion", chatPath, chatBody),
+		Entry("a plain service", "/stock", `{}`),
+	)
+
 	DescribeTable("that rejects the request is passed on as it is",
 		func(body string) {
 			w := newOneRouter(hang, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/callerapi/retry.go
+++ b/internal/callerapi/retry.go
@@ -55,6 +55,12 @@
 	return &code.Error{Code: code.RetryBudget, NotRun: failure.NotRun, Detail: failure.Error(), RetryAfter: budgetRetry}
 }
 
+// bothSilent reports whether a request has waited for a second endpoint in
+// vain: it then waits for no third one.
+func bothSilent(earlier, last error) bool {
+	return codeOf(earlier) == int(code.Silent) && codeOf(last) == int(code.Silent)
+}
+
 // retryable reports whether another endpoint may be tried.
 func retryable(err error) bool {
 	switch code.Code(codeOf(err)) {
