load: health over time, platform bytes, queue wait in a baseline's first token

Cause: a baseline's first token was timed from the dispatch and left out its own queue, which flattered it; a soak needs memory, goroutines and open files over time. measure.sh runs the baselines last, since the routers take idle runners for cold.

--- a/load/control.go
+++ b/load/control.go
@@ -12,6 +12,8 @@
 	cpuSeconds    = "process_cpu_seconds_total"
 	residentBytes = "process_resident_memory_bytes"
 	goroutines    = "go_goroutines"
+	openFiles     = "process_open_fds"
+	platformBytes = "cyclamenwinch_platform_bytes_total"
 	bytesPerMB    = 1 << 20
 	bytesPerKB    = 1 << 10
 )
@@ -29,6 +31,7 @@
 type RouterControl struct {
 	Router        string  `json:"router"`
 	PeerKBPerSec  float64 `json:"peer_kb_per_second"` // sent and received; 0: not exported
+	PlatformKB    float64 `json:"platform_kb_per_second"`
 	PlatformCalls float64 `json:"platform_calls_per_second"`
 	CorePercent   float64 `json:"core_percent"`
 	ResidentMB    float64 `json:"resident_mb"`
@@ -50,6 +53,7 @@
 		c.Routers = append(c.Routers, RouterControl{
 			Router:        name,
 			PeerKBPerSec:  grown(peerBytes) / bytesPerKB,
+			PlatformKB:    grown(platformBytes) / bytesPerKB,
 			PlatformCalls: grown(platformCalls),
 			CorePercent:   percentOfWhole * grown(cpuSeconds),
 			ResidentMB:    after[residentBytes] / bytesPerMB,
@@ -62,7 +66,48 @@
 func (c Control) print(w io.Writer) {
 	fmt.Fprintf(w, "CONTROL\tplatform: %.1f reads, %.1f writes, %.1f watches a second\n", c.PlatformReads, c.PlatformWrites, c.PlatformWatches)
 	for _, r := range c.Routers {
-		fmt.Fprintf(w, "CONTROL\t%s: peers %.2f KB/s, platform %.1f calls/s, %.1f%% of a core, %.0f MB, %.0f goroutines\n",
-			r.Router, r.PeerKBPerSec, r.PlatformCalls, r.CorePercent, r.ResidentMB, r.Goroutines)
+		fmt.Fprintf(w, "CONTROL\t%s: peers %.2f KB/s, platform %.2f KB/s in %.1f calls/s, %.1f%% of a core, %.0f MB, %.0f goroutines\n",
+			r.Router, r.PeerKBPerSec, r.PlatformKB, r.PlatformCalls, r.CorePercent, r.ResidentMB, r.Goroutines)
 	}
 }
+
+// Growth compares what the routers held in the second and in the last
+// quarter of a run: means over all routers.
+type Growth struct {
+	ResidentMB [2]float64 `json:"resident_mb"`
+	Goroutines [2]float64 `json:"goroutines"`
+	OpenFiles  [2]float64 `json:"open_files"`
+}
+
+func (r *Result) growth() Growth {
+	var g Growth
+	var n [2]float64
+	for _, h := range r.Health {
+		quarter := 4 * h.AtMillis / (int64(r.Plan.Seconds) * msPerSecond)
+		i := 0
+		switch quarter {
+		case 1:
+		case 3:
+			i = 1
+		default:
+			continue
+		}
+		n[i]++
+		g.ResidentMB[i] += h.ResidentMB
+		g.Goroutines[i] += h.Goroutines
+		g.OpenFiles[i] += h.OpenFiles
+	}
+	for i := range n {
+		if n[i] > 0 {
+			g.ResidentMB[i] /= n[i]
+			g.Goroutines[i] /= n[i]
+			g.OpenFiles[i] /= n[i]
+		}
+	}
+	return g
+}
+
+func (g Growth) print(w io.Writer) {
+	fmt.Fprintf(w, "GROWTH\tmean of a router in the second and the last quarter: %.1f and %.1f MB, %.0f and %.0f goroutines, %.0f and %.0f open files\n",
+		g.ResidentMB[0], g.ResidentMB[1], g.Goroutines[0], g.Goroutines[1], g.OpenFiles[0], g.OpenFiles[1])
+}
--- a/load/layout.go
+++ b/load/layout.go
@@ -135,7 +135,7 @@
 // PlanFor returns the plan of a scenario. Rates are set from the slots and
 // the time that an answer takes, so that the scenario holds at any size.
 func PlanFor(scenario string, seed uint64, seconds int, tokenMillis float64, f Fleet, m *manifest.Manifest) *Plan {
-	p := &Plan{Seed: seed, Seconds: seconds, WarmupSecs: seconds / 4, MaxSent: 200_000, Fleet: f}
+	p := &Plan{Seed: seed, Seconds: seconds, WarmupSecs: seconds / 4, MaxSent: maxSent, Fleet: f}
 	for _, pool := range m.Pools {
 		if pool.Kind == manifest.Model {
 			p.Model = pool.Models[0]
@@ -177,6 +177,7 @@
 	resendPart   = 0.5
 	awayWeight   = 0.1 // of the zones that an account has few callers in
 	milliseconds = 1000
+	maxSent      = 400_000
 )
 
 func demand(scenario string, i int) float64 {
--- a/load/naive.go
+++ b/load/naive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -48,12 +49,18 @@
 		return "", Reply{}, errors.New("a baseline takes no orders")
 	}
 	n := t.router(a.Zone)
+	sent := time.Now()
 	runner, err := n.acquire(ctx)
 	if err != nil {
 		return n.name, Reply{}, err
 	}
 	defer n.release(runner)
+	waited := time.Since(sent)
 	reply, err := t.caller.Send(ctx, n.runners[runner].URL, r)
+	reply.Total += waited
+	if reply.FirstToken > 0 {
+		reply.FirstToken += waited
+	}
 	return n.name, reply, err
 }
 
--- a/load/observe.go
+++ b/load/observe.go
@@ -19,6 +19,7 @@
 
 const (
 	sampleEvery  = 50 * time.Millisecond
+	healthEvery  = 5 * time.Second
 	readTimeout  = 2 * time.Second
 	maxReadBytes = 32 << 20
 )
@@ -33,6 +34,48 @@
 
 	mu      sync.Mutex
 	samples []Sample
+	health  []Health
+}
+
+// Health is what one router holds at a moment, by its own metrics.
+type Health struct {
+	AtMillis   int64   `json:"at_ms"`
+	Router     string  `json:"router"`
+	ResidentMB float64 `json:"resident_mb"`
+	Goroutines float64 `json:"goroutines"`
+	OpenFiles  float64 `json:"open_files"` // connections among them
+}
+
+// watchHealth reads the routers' metrics until its context ends.
+func (o *observer) watchHealth(ctx context.Context) {
+	ticker := time.NewTicker(healthEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o.readHealth(ctx)
+		}
+	}
+}
+
+func (o *observer) readHealth(ctx context.Context) {
+	for _, r := range o.plan.Fleet.Routers {
+		m, err := RouterMetrics(ctx, r.OpsURL, o.plan.Fleet.OpsToken)
+		if err != nil {
+			continue
+		}
+		o.mu.Lock()
+		o.health = append(o.health, Health{
+			AtMillis:   time.Since(o.start).Milliseconds(),
+			Router:     r.Name,
+			ResidentMB: m[residentBytes] / bytesPerMB,
+			Goroutines: m[goroutines],
+			OpenFiles:  m[openFiles],
+		})
+		o.mu.Unlock()
+	}
 }
 
 func (o *observer) run(ctx context.Context) {
--- a/load/report.go
+++ b/load/report.go
@@ -37,6 +37,7 @@
 	Utilisation []PhaseUse       `json:"utilisation"`
 	Service     []PhaseService   `json:"service"`
 	Control     Control          `json:"control"`
+	Growth      Growth           `json:"growth"`
 	Accounts    []AccountService `json:"accounts"`
 	Move        *MoveReport      `json:"zone_move,omitempty"`
 	Ends        map[End]int      `json:"ends"`
@@ -114,6 +115,7 @@
 	report.Service = r.service()
 	report.Accounts = r.accounts()
 	report.Control = r.control()
+	report.Growth = r.growth()
 	report.Move = r.move()
 	for _, record := range r.Records {
 		report.Ends[record.End]++
@@ -309,6 +311,7 @@
 			r.Move.Zone, r.Move.OutAtSec, r.Move.BackAtSec, r.Move.LastBusyMs, r.Move.CutWhileMoved)
 	}
 	r.Control.print(w)
+	r.Growth.print(w)
 	for _, a := range r.Accounts {
 		fmt.Fprintf(w, "ACCOUNT\t%s, share %g: %.0f cost units over share, first token p95 %.0f ms, %v\n", a.Account, a.Share, a.PerUnit, a.FirstMs.P95, a.Ends)
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -28,6 +28,7 @@
 	Policy  Policy
 	Records []Record
 	Samples []Sample
+	Health  []Health
 	Before  Counters
 	After   Counters
 	Elapsed time.Duration
@@ -77,6 +78,7 @@
 	o := &observer{plan: p, meter: r.meter, start: r.start}
 	var helpers sync.WaitGroup
 	helpers.Go(func() { o.run(watching) })
+	helpers.Go(func() { o.watchHealth(watching) })
 	helpers.Go(func() { r.report(watching, progress) })
 	var moveErr error
 	if policy == Routers && p.Move != nil {
@@ -86,6 +88,7 @@
 	stop()
 	helpers.Wait()
 	result.Elapsed = time.Since(r.start)
+	result.Health = o.health
 	result.Records, result.Samples, result.After = r.log.Records(), o.all(), readCounters(ctx, p.Fleet)
 	return result, moveErr
 }
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -4,6 +4,8 @@
 # seeded plans to the routers and to the baselines, and judges the outcome
 # from outside. It takes under 8 minutes.
 #   scripts/measure.sh [directory for the reports] [seed] [seconds of a run]
+# A soak of 20 minutes, one run alone:
+#   ONLY=flood scripts/measure.sh soak 1 1200
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=${1:-measurements}
@@ -36,25 +38,33 @@
   sleep 0.1
 done
 "$dir/bin/cyclamenwinch" wait --ops "$ops" --token "$token" --generation 1
+failed=0
+logs=()
 run() { # name, plan, against
   echo; echo "== $1"
   "$load" run --against "$3" --report "$out/$1.json" --log "$dir/$1.jsonl" "$dir/plan-$2.json" | tee "$out/$1.txt"
+  if [ "$3" = routers ]; then logs+=("$dir/$1.jsonl"); fi
 }
 pair() { # run, baseline
   echo; echo "== $1 against $2"
   "$load" compare "$out/$1.json" "$out/$2.json" | tee "$out/$1-to-$2.txt"
 }
-failed=0
-run contention contention routers
-run fcfs contention fcfs
-run round-robin contention round-robin
-run quiet quiet routers
-run flood flood routers
-run move contention-move routers
-pair contention fcfs
-pair contention round-robin
-pair flood quiet
-"$load" plot --dir "$out" "$out/contention.json" "$out/fcfs.json" "$out/round-robin.json"
+if [ -n "${ONLY:-}" ]; then
+  run "$ONLY" "$ONLY" routers
+else
+  # The first run also warms the runners; the baselines come last, since the
+  # routers take runners that they have not used for a while for cold.
+  run quiet quiet routers
+  run flood flood routers
+  run contention contention routers
+  run move contention-move routers
+  run fcfs contention fcfs
+  run round-robin contention round-robin
+  pair contention fcfs
+  pair contention round-robin
+  pair flood quiet
+  "$load" plot --dir "$out" "$out/contention.json" "$out/fcfs.json" "$out/round-robin.json"
+fi
 echo; echo "== Promises, from outside"
-"$load" check --plan "$dir/plan-contention.json" "$dir"/{contention,quiet,flood,move}.jsonl | tee "$out/check.txt" || failed=1
+"$load" check --plan "$dir/plan-contention.json" "${logs[@]}" | tee "$out/check.txt" || failed=1
 exit $failed
