--- a/load/arrivals.go
+++ b/load/arrivals.go
@@ -65,6 +65,19 @@
 	}
 }
 
+// largestCost is the most that a request of the plan costs or is estimated
+// at, in tokens.
+func (p *Plan) largestCost() float64 {
+	largest := 0
+	for _, a := range p.Arrivals() {
+		largest = max(largest, a.Tokens+max(promptTokens(a.Prompt), len(a.Prompt)/charsPerToken+1))
+	}
+	return float64(largest)
+}
+
+// charsPerToken is the routers' rule for the cost of a prompt.
+const charsPerToken = 4
+
 // prompt returns text that no other request has, so that an answer proves
 // which request it belongs to.
 func prompt(rng *rand.Rand, account string, n int) string {
--- a/load/control.go
+++ b/load/control.go
@@ -12,7 +12,6 @@
 	cpuSeconds    = "process_cpu_seconds_total"
 	residentBytes = "process_resident_memory_bytes"
 	goroutines    = "go_goroutines"
-	openFiles     = "process_open_fds"
 	platformBytes = "cyclamenwinch_platform_bytes_total"
 	bytesPerMB    = 1 << 20
 	bytesPerKB    = 1 << 10
@@ -76,7 +75,6 @@
 type Growth struct {
 	ResidentMB [2]float64 `json:"resident_mb"`
 	Goroutines [2]float64 `json:"goroutines"`
-	OpenFiles  [2]float64 `json:"open_files"`
 }
 
 func (r *Result) growth() Growth {
@@ -95,19 +93,17 @@
 		n[i]++
 		g.ResidentMB[i] += h.ResidentMB
 		g.Goroutines[i] += h.Goroutines
-		g.OpenFiles[i] += h.OpenFiles
 	}
 	for i := range n {
 		if n[i] > 0 {
 			g.ResidentMB[i] /= n[i]
 			g.Goroutines[i] /= n[i]
-			g.OpenFiles[i] /= n[i]
 		}
 	}
 	return g
 }
 
 func (g Growth) print(w io.Writer) {
-	fmt.Fprintf(w, "GROWTH\tmean of a router in the second and the last quarter: %.1f and %.1f MB, %.0f and %.0f goroutines, %.0f and %.0f open files\n",
-		g.ResidentMB[0], g.ResidentMB[1], g.Goroutines[0], g.Goroutines[1], g.OpenFiles[0], g.OpenFiles[1])
+	fmt.Fprintf(w, "GROWTH\tmean of a router in the second and the last quarter: %.1f and %.1f MB, %.0f and %.0f goroutines\n",
+		g.ResidentMB[0], g.ResidentMB[1], g.Goroutines[0], g.Goroutines[1])
 }
--- a/load/gap.go
+++ b/load/gap.go
@@ -20,6 +20,16 @@
 	// PairSeconds is the time over which pairs were compared.
 	PairSeconds float64    `json:"pair_seconds"`
 	Series      []GapPoint `json:"series"`
+	Pairs       []PairGap  `json:"pairs"`
+}
+
+// PairGap is the gap of one pair of accounts, with the bound of the fairness
+// note's theorem 1: 3 M (n_a/w_a + n_b/w_b).
+type PairGap struct {
+	A     string  `json:"a"`
+	B     string  `json:"b"`
+	Cost  float64 `json:"cost"`
+	Bound float64 `json:"bound"`
 }
 
 // GapPoint is the largest gap of any window that is open at a moment.
@@ -35,6 +45,7 @@
 	var gap Gap
 	names := sortedNames(shares)
 	open := map[[2]string]*span{}
+	widest := map[[2]string]float64{}
 	for _, s := range samples {
 		point := GapPoint{AtMillis: s.AtMillis}
 		for i, a := range names {
@@ -52,13 +63,39 @@
 				gap.PairSeconds += w.add(s.AtMillis, s.Service[a]/shares[a]-s.Service[b]/shares[b])
 				point.Cost = max(point.Cost, w.width())
 				gap.take(w, a+" and "+b)
+				widest[pair] = max(widest[pair], w.width())
 			}
 		}
 		gap.Series = append(gap.Series, point)
 	}
+	for i, a := range names {
+		for _, b := range names[i+1:] {
+			if cost, ok := widest[[2]string{a, b}]; ok {
+				gap.Pairs = append(gap.Pairs, PairGap{A: a, B: b, Cost: cost})
+			}
+		}
+	}
 	return gap
 }
 
+// SetBounds fills in the bound of each pair: largest is M, the most that a
+// request costs; running is n, the most requests of each account in progress
+// at once. It returns the largest part of its bound that a pair's gap took.
+func (g *Gap) SetBounds(largest float64, running map[string]int, shares map[string]float64) float64 {
+	worst := 0.0
+	part := func(account string) float64 {
+		return float64(max(1, running[account])) / shares[account]
+	}
+	for i := range g.Pairs {
+		p := &g.Pairs[i]
+		p.Bound = boundFactor * largest * (part(p.A) + part(p.B))
+		worst = max(worst, p.Cost/p.Bound)
+	}
+	return worst
+}
+
+const boundFactor = 3 // of theorem 1
+
 func (g *Gap) take(w *span, accounts string) {
 	if w.width() <= g.Cost {
 		return
--- a/load/gap_test.go
+++ b/load/gap_test.go
@@ -31,6 +31,15 @@
 		Expect(gap.PairSeconds).To(BeNumerically("~", 0.1, 1e-9))
 	})
 
+	It("is set beside its bound for each pair", func() {
+		gap := load.FairnessGap([]load.Sample{
+			sample(0, 0, 0, "a", "b"),
+			sample(50, 60, 0, "a", "b"),
+		}, shares)
+		Expect(gap.SetBounds(10, map[string]int{"a": 4, "b": 1}, shares)).To(Equal(30.0 / 90))
+		Expect(gap.Pairs).To(Equal([]load.PairGap{{A: "a", B: "b", Cost: 30, Bound: 90}}))
+	})
+
 	It("forgets what happened before one of them was not backlogged", func() {
 		gap := load.FairnessGap([]load.Sample{
 			sample(0, 0, 0, "a", "b"),
--- a/load/observe.go
+++ b/load/observe.go
@@ -43,7 +43,6 @@
 	Router     string  `json:"router"`
 	ResidentMB float64 `json:"resident_mb"`
 	Goroutines float64 `json:"goroutines"`
-	OpenFiles  float64 `json:"open_files"` // connections among them
 }
 
 // watchHealth reads the routers' metrics until its context ends.
@@ -72,7 +71,6 @@
 			Router:     r.Name,
 			ResidentMB: m[residentBytes] / bytesPerMB,
 			Goroutines: m[goroutines],
-			OpenFiles:  m[openFiles],
 		})
 		o.mu.Unlock()
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sort"
 	"text/tabwriter"
 	"time"
 
@@ -33,7 +34,7 @@
 	Seconds     float64          `json:"seconds"`
 	Requests    int              `json:"requests"`
 	Gap         Gap              `json:"gap"`
-	GapBound    float64          `json:"gap_bound"` // the formula's value; 0: none given
+	GapOfBound  float64          `json:"gap_of_bound"` // largest part of its bound that a pair's gap took
 	Utilisation []PhaseUse       `json:"utilisation"`
 	Service     []PhaseService   `json:"service"`
 	Control     Control          `json:"control"`
@@ -111,6 +112,7 @@
 		shares[a.Name] = a.Share
 	}
 	report.Gap = FairnessGap(counted, shares)
+	report.GapOfBound = report.Gap.SetBounds(r.Plan.largestCost(), r.running(), shares)
 	report.Utilisation, report.Use = r.utilisation(counted)
 	report.Service = r.service()
 	report.Accounts = r.accounts()
@@ -126,6 +128,32 @@
 	return report
 }
 
+// running returns the most requests of each account that were in progress at
+// once, from the first token to the end.
+func (r *Result) running() map[string]int {
+	type edge struct {
+		at    float64
+		delta int
+	}
+	edges := map[string][]edge{}
+	for _, record := range r.Records {
+		if record.FirstMillis > 0 {
+			at := float64(record.AtMillis)
+			edges[record.Account] = append(edges[record.Account], edge{at + record.FirstMillis, 1}, edge{at + record.TotalMillis, -1})
+		}
+	}
+	most := map[string]int{}
+	for account, list := range edges {
+		sort.Slice(list, func(i, j int) bool { return list[i].at < list[j].at })
+		n := 0
+		for _, e := range list {
+			n += e.delta
+			most[account] = max(most[account], n)
+		}
+	}
+	return most
+}
+
 // counted returns the samples after the warm-up and before arrivals end.
 func (r *Result) counted() []Sample {
 	var kept []Sample
@@ -298,8 +326,8 @@
 func (r *Report) Print(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "RUN\tagainst %s, seed %d, %.0f s, %d requests, ends %v, codes %v\n", r.Policy, r.Seed, r.Seconds, r.Requests, r.Ends, r.Codes)
-	fmt.Fprintf(w, "GAP\t%.0f cost units over share, %s, from %.1f s to %.1f s; %.0f pair-seconds compared\n",
-		r.Gap.Cost, r.Gap.Accounts, seconds(r.Gap.FromMillis), seconds(r.Gap.ToMillis), r.Gap.PairSeconds)
+	fmt.Fprintf(w, "GAP\t%.0f cost units over share, %s, from %.1f s to %.1f s; %.0f pair-seconds compared; at most %.2f of the bound\n",
+		r.Gap.Cost, r.Gap.Accounts, seconds(r.Gap.FromMillis), seconds(r.Gap.ToMillis), r.Gap.PairSeconds, r.GapOfBound)
 	for _, u := range r.Utilisation {
 		fmt.Fprintf(w, "UTILISATION\t%s: %.1f%% of the slots while work waited (%.0f s)\n", u.Phase, u.Percent, u.BackloggedSec)
 	}
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -44,6 +44,14 @@
   echo; echo "== $1"
   "$load" run --against "$3" --report "$out/$1.json" --log "$dir/$1.jsonl" "$dir/plan-$2.json" | tee "$out/$1.txt"
   if [ "$3" = routers ]; then logs+=("$dir/$1.jsonl"); fi
+  files | tee -a "$out/$1.txt"
+}
+files() { # open files of each router, connections among them
+  echo -n "OPEN FILES "
+  for pid in "${pids[@]}"; do
+    if [ "$(cat "/proc/$pid/comm")" = cyclamenwinchd ]; then echo -n " $(ls "/proc/$pid/fd" | wc -l)"; fi
+  done
+  echo
 }
 pair() { # run, baseline
   echo; echo "== $1 against $2"
