--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -75,6 +75,7 @@
 			continue
 		}
 		s := l.shard(n)
+		s.configure(l.config(n))
 		for _, record := range l.lost(s, unknown) {
 			l.settle(ctx, s, record)
 		}
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -39,6 +39,13 @@
 	return &shard{ctx: ctx, store: store, core: order.NewShard(cfg), waiting: map[order.Op]chan order.Verdict{}}
 }
 
+// configure takes in a change of the manifest.
+func (s *shard) configure(cfg order.Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.Configure(cfg)
+}
+
 // begin hands work to the core; the verdict arrives on the channel.
 func (s *shard) begin(work func(*order.Shard) order.Op) (order.Op, chan order.Verdict) {
 	s.mu.Lock()
