--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -182,6 +182,20 @@
 		Entry("that can't be looked up", false, false, code.OutcomeUnknown),
 	)
 
+	It("finds the claim of a lost router without a resend", func(ctx SpecContext) {
+		r := newRig(orders.Options{CheckFence: true}, true)
+		r.claimedBy("gone", "k")
+		l := r.add("a")
+		serving, stop := context.WithCancel(ctx)
+		defer stop()
+		go l.Serve(serving)
+		Eventually(func() (order.State, error) {
+			record, err := l.Lookup(ctx, "hotels", "k")
+			return record.State, err
+		}).WithContext(ctx).Should(Equal(order.NotRun))
+		Expect(r.dispatch("k", 1)).To(Equal(412))
+	}, SpecTimeout(time.Minute))
+
 	It("refuses the late dispatch of a router that was fenced off", func(ctx SpecContext) {
 		r := newRig(orders.Options{CheckFence: true}, true)
 		r.claimedBy("gone", "k")
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
@@ -17,6 +18,8 @@
 	unknownEvery = time.Minute
 	// settleMost bounds the records that one sweep settles in a shard.
 	settleMost = 32
+	// settleAtOnce bounds the records that a sweep settles at the same time.
+	settleAtOnce = 8
 	// viewTime is the default of Options.ViewTime.
 	viewTime = 10 * time.Second
 	// unusedFor is how long a shard of another home is kept in memory.
@@ -68,6 +71,8 @@
 		return
 	}
 	self := l.opts.Fleet.Self().Name
+	var settling errgroup.Group
+	settling.SetLimit(settleAtOnce)
 	for n := range m.Orders.Shards {
 		home, ok := l.home(n)
 		if !ok || home.Name != self {
@@ -77,10 +82,14 @@
 		s := l.shard(n)
 		s.configure(l.config(n))
 		for _, record := range l.lost(s, unknown) {
-			l.settle(ctx, s, record)
+			settling.Go(func() error {
+				l.settle(ctx, s, record)
+				return nil
+			})
 		}
 		s.refresh()
 	}
+	settling.Wait()
 }
 
 // lost returns the records to settle.
@@ -92,6 +101,7 @@
 	var lost []order.Record
 	for _, r := range records {
 		settle := r.State == order.Claimed && l.Lost(r.Router, r.Incarnation)
+		settle = settle && !l.isRunning(r.ID())
 		settle = settle || unknown && r.State == order.Unknown && l.Ability(r.Endpoint).Lookup
 		if settle && len(lost) < settleMost {
 			lost = append(lost, r)
@@ -100,7 +110,16 @@
 	return lost
 }
 
-// settle settles a record unless a caller's run of the same order is at it.
+// isRunning reports whether a run of the order is under way here.
+func (l *Ledger) isRunning(id order.ID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, running := l.running[id]
+	return running
+}
+
+// settle settles a record, after a caller's run of the same order if one is
+// under way.
 func (l *Ledger) settle(ctx context.Context, s *shard, record order.Record) {
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
