--- a/internal/pool/host.go
+++ b/internal/pool/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
+	"github.com/cyclamenwinch/cyclamenwinch/core/member"
 	"github.com/cyclamenwinch/cyclamenwinch/core/route"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
@@ -23,6 +24,8 @@
 	scopes     map[string]*hosted
 	past       map[string]fair.Cost // of pools that this router owned before
 	quarantine *route.Quarantine
+	members    []member.Router // of the last view
+	removedAt  time.Time       // when one was missing without having stopped
 	usageAt    time.Time
 	signAt     time.Time
 }
@@ -93,11 +96,13 @@
 	}
 }
 
-// held reports whether a request is quarantined.
-func (h *Host) held(fingerprint uint64) bool {
+// inspect reports whether a request is quarantined and, if not, whether it
+// crashed an endpoint a short time ago.
+func (h *Host) inspect(fingerprint uint64) (held, suspect bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.quarantine.Held(time.Now(), fingerprint)
+	now := time.Now()
+	return h.quarantine.Held(now, fingerprint), h.quarantine.Suspect(now, fingerprint)
 }
 
 // Ping answers a router that looks for the scope's first owner.
@@ -216,8 +221,28 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
+	h.noteRemovals(now)
 	for _, on := range h.scopes {
 		on.configure(now)
 		on.step(now)
 	}
 }
+
+// noteRemovals remembers when a router was last removed, for pools that this
+// one comes to own later. One that stopped gracefully holds nothing.
+func (h *Host) noteRemovals(now time.Time) {
+	view := h.fleet.View()
+	for _, r := range h.members {
+		if _, still := view.Get(r.Name); still {
+			continue
+		}
+		if !r.Leaving {
+			h.removedAt = now
+			continue
+		}
+		for _, on := range h.scopes {
+			on.pool.Left(r.Name)
+		}
+	}
+	h.members = view.Routers
+}
