Settle tells an operator whose word does not stand

Cause: the second of two operators that disagreed got no error, only the record. Now it is 5002 Conflict with the outcome that stands. The test that expected no error expects the conflict: stricter.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -157,7 +157,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(record.SettledBy).To(Equal("operator"))
 		_, err = r.routes[0].Settle(ctx, "hotels", "k", order.NotRun)
-		Expect(err).NotTo(HaveOccurred())
+		Expect(failure(err).Code).To(Equal(code.Conflict))
 		result, err := r.routes[0].Run(ctx, placed("k"))
 		Expect(err).NotTo(HaveOccurred(), "the first operator's word stands")
 		Expect(result.Replayed).To(BeTrue())
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -211,7 +211,7 @@
 // or NotRun, after which a resend runs it. The endpoint is asked first, under
 // a raised fence where it checks fencing numbers; if it knows, its word
 // counts. Settle returns the record as it stands then. The error is a
-// *code.Error: Conflict if the record is not of unknown outcome.
+// *code.Error: Conflict if the record has another outcome, or none yet.
 func (l *Ledger) Settle(ctx context.Context, account, key string, outcome order.State) (order.Record, error) {
 	if !outcome.Final() {
 		return order.Record{}, code.Refuse(code.BadRequest, "the outcome is done or not_run")
@@ -235,7 +235,7 @@
 		return record, code.Fail(code.PlatformDown, "the platform did not confirm the change")
 	case v.Kind == order.Missing:
 		return record, code.Refuse(code.NotRecorded, "")
-	case v.Kind == order.Refused && !v.Record.State.Final():
+	case v.Record.State != outcome:
 		return v.Record, code.Fail(code.Conflict, "the order is "+string(v.Record.State))
 	}
 	return v.Record, nil
