--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"google.golang.org/grpc/credentials/insecure"
+	"pgregory.net/rapid"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
@@ -185,6 +186,24 @@
 	}
 }
 
+var _ = Describe("the generation in force", func() {
+	It("never falls, in whatever order manifests come", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			f := fleet.New(fleet.Options{Events: eventlog.New("r", 10), Lease: lease})
+			highest := int64(0)
+			for _, g := range rapid.SliceOf(rapid.Int64Range(1, 20)).Draw(t, "generations") {
+				if adopted := f.Adopt(&manifest.Manifest{Generation: g}); adopted != (g > highest) {
+					t.Fatalf("generation %d after %d: adopted %v", g, highest, adopted)
+				}
+				highest = max(highest, g)
+				if got := f.Manifest().Generation; got != highest {
+					t.Fatalf("generation %d in force, not %d", got, highest)
+				}
+			}
+		})
+	})
+})
+
 var _ = Describe("a fleet", func() {
 	var (
 		b       *bench
@@ -280,6 +299,29 @@
 		}
 	})
 
+	It("stays at its generation though the platform answers with an older root, and through a rejoin", func() {
+		client := platform.New(b.platform.URL)
+		b.submit(2)
+		old, err := client.Get(context.Background(), fleet.ManifestKey)
+		Expect(err).NotTo(HaveOccurred())
+		g := b.submit(3)
+		for _, r := range routers {
+			Eventually(r.generation).Should(Equal(g))
+		}
+		now, err := client.Get(context.Background(), fleet.ManifestKey)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client.Put(context.Background(), fleet.ManifestKey, old.Value, now.Version)
+		Expect(err).NotTo(HaveOccurred())
+		routers[0].stop()
+		routers[0].start()
+		Eventually(routers[0].generation).Should(Equal(g), "from its peers")
+		Consistently(func(gm Gomega) {
+			for _, r := range routers {
+				gm.Expect(r.generation()).To(Equal(g))
+			}
+		}, 10*heartbeat).Should(Succeed())
+	})
+
 	It("adds up usage over the fleet and through a restart", func() {
 		routers[0].stop()
 		routers[0].usage = map[string]fair.Cost{"cafes": 10}
