A watch ends once others of the region are the watchers

Cause: the samples of 40 routers showed each receiving 1.8 KB/s from the platform, idle: a router that starts knows nobody else, took itself for a watcher and stayed one for a minute.

--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -111,6 +111,7 @@
 func (f *Fleet) watchOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, watchLongest)
 	defer cancel()
+	go f.endWatch(ctx, cancel)
 	list, err := f.opts.Platform.List(ctx, ManifestKey)
 	if err != nil {
 		return err
@@ -125,6 +126,18 @@
 	})
 }
 
+// endWatch cancels a watch once others of the region are the watchers: a
+// router that starts knows nobody else and takes itself for one.
+func (f *Fleet) endWatch(ctx context.Context, cancel context.CancelFunc) {
+	for ctx.Err() == nil && f.watches() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchPause):
+		}
+	}
+	cancel()
+}
+
 func (f *Fleet) readManifest(ctx context.Context) error {
 	o, err := f.opts.Platform.Get(ctx, ManifestKey)
 	if errors.Is(err, platform.ErrNotFound) {
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -49,7 +49,7 @@
 echo "== Routers"
 for n in ${SIZES:-3 7 20 40}; do
   fleet "$n" 16 15
-  measure idle
+  measure idle --settle "$((3 + n / 2))" # the news of the start has spread
   measure changes --changes 4
   if [ "$n" = 7 ]; then
     measure requests-35 --requests 35
