--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -19,8 +19,9 @@
 			writeAnswer(w, answer.Status, answer.ContentType, answer.Body)
 			return
 		}
+		waited := bothSilent(err, last)
 		err = joinTries(err, last)
-		if !retryable(last) || r.Context().Err() != nil {
+		if waited || !retryable(last) || r.Context().Err() != nil {
 			break
 		}
 		if try+1 < maxTries && !a.mayRetry(c, p.Name, last) {
@@ -40,7 +41,7 @@
 	a.granted(c, slot.Endpoint)
 	url, _ := a.endpointURL(slot.Endpoint)
 	answer, err := a.opts.Endpoints.Do(r.Context(), endpoint.Call{
-		URL:         url + r.URL.Path,
+		URL:         url + r.URL.RequestURI(),
 		Method:      r.Method,
 		RequestID:   c.id,
 		ContentType: r.Header.Get("Content-Type"),
