standin/runner: a crashed runner takes time to start

No engine restarts in no time. The bound on max_when_cold stays. What an engine bears that turns cold in no time is not proved, see PROOFS.md.

--- a/cmd/cyclamenwinch-standin/main.go
+++ b/cmd/cyclamenwinch-standin/main.go
@@ -28,6 +28,7 @@
 	TokenMs int    `long:"token-ms" default:"5" description:"time between tokens of a warm model runner"`
 	ColdFor int    `long:"cold-for" default:"4" description:"answers until a model runner is warm"`
 	Cold    int    `long:"cold-slots" default:"1" description:"concurrent requests that a cold model runner bears"`
+	StartMs int    `long:"start-ms" description:"time that a model runner takes to start after a crash"`
 	OrderMs int    `long:"order-ms" default:"20" description:"time that an order takes"`
 	Fence   bool   `long:"fence" description:"the order runner refuses old fencing numbers"`
 }
@@ -56,6 +57,7 @@
 			TokenTime: time.Duration(opts.TokenMs) * time.Millisecond,
 			ColdFor:   opts.ColdFor,
 			ColdSlots: opts.Cold,
+			StartTime: time.Duration(opts.StartMs) * time.Millisecond,
 		}).Handler()
 	}
 	return orders.NewServer(opts.Name, orders.Options{
--- a/standin/runner/batch.go
+++ b/standin/runner/batch.go
@@ -21,6 +21,9 @@
 	s.stats.Started++
 	s.stats.Running++
 	s.stats.MaxRunning = max(s.stats.MaxRunning, s.stats.Running)
+	if time.Now().Before(s.downUntil) {
+		return s.life, false
+	}
 	cold := s.warm < s.opts.ColdFor
 	if cold {
 		s.stats.MaxWhenCold = max(s.stats.MaxWhenCold, s.stats.Running)
@@ -40,6 +43,7 @@
 	s.life++
 	s.warm = 0
 	s.stats.Crashes++
+	s.downUntil = time.Now().Add(s.opts.StartTime)
 }
 
 func (s *Server) end() {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -19,6 +19,7 @@
 	TokenTime time.Duration // time between tokens while warm
 	ColdFor   int           // answers until the runner is warm
 	ColdSlots int           // concurrent requests it bears while cold
+	StartTime time.Duration // after a crash it breaks all connections for so long
 }
 
 // Faults are what the runner does wrong, set by PUT /faults.
@@ -83,11 +84,12 @@
 	name string
 	opts Options
 
-	mu     sync.Mutex
-	stats  Stats
-	warm   int // answers since the last cold start
-	life   int // grows with each crash; streams of an old life break
-	faults Faults
+	mu        sync.Mutex
+	stats     Stats
+	warm      int // answers since the last cold start
+	life      int // grows with each crash; streams of an old life break
+	faults    Faults
+	downUntil time.Time // starting after a crash
 }
 
 // NewServer returns a cold runner with the given name.
--- a/test/model_test.go
+++ b/test/model_test.go
@@ -105,6 +105,7 @@
 			zone := c.manifest.Zones[i%len(c.manifest.Zones)].Name
 			last = callers.send(load.Arrival{Account: c.manifest.Accounts[0].Name, Zone: zone, Prompt: poison + " for the band", Tokens: 4})
 			Expect(last.End).NotTo(Equal(load.Whole))
+			AddReportEntry("poisoned request", fmt.Sprintf("code %d not run %v, runners %+v", last.Code, last.NotRun, c.stats()))
 		}
 		Expect(c.crashes() - before).To(BeNumerically("<=", maxCrashes))
 		Expect(isCode(last, code.Quarantined)).To(BeTrue(), "code %d", last.Code)
