Restarted owners hear of removals from the other routers

Cause: a restarted owner knew nothing of a member that had been removed shortly before and might still run requests at cold endpoints. The world test had been narrowed for it: it ended such requests at every crash of an owner.

Change: a router's report says when it last saw a member removed; cold endpoints rest until 30 s after that if the owner didn't see it itself. The world keeps such requests again, unless every router that saw the removal has restarted.

Ruled out: resting after each start of an owner.

--- a/core/admission/admission_suite_test.go
+++ b/core/admission/admission_suite_test.go
@@ -105,6 +105,14 @@
 		Expect(b.Endpoints()[0].Proved).To(BeZero())
 	})
 
+	It("hears from the others of a member that was removed before it started", func() {
+		b.Sync(b.now, admission.Report{Router: "b", Removal: b.now.Add(-10 * time.Second)})
+		Expect(b.step().Grants).To(BeEmpty())
+		b.now = b.now.Add(21 * time.Second)
+		b.want(admission.Want{})
+		Expect(b.step().Grants).To(HaveLen(1))
+	})
+
 	It("waits for the slots of a member that was lost before it reported", func() {
 		b.SetMembers(b.now, []string{"a"})
 		Expect(b.step().Grants).To(BeEmpty())
--- a/core/admission/members.go
+++ b/core/admission/members.go
@@ -19,6 +19,7 @@
 type members struct {
 	names     []string // sorted
 	state     map[string]*memberState
+	startedAt time.Time // when the pool first knew its members
 	buriedAt  time.Time // a member without a session was removed
 	unknownAt time.Time // a member was removed, and what it holds isn't known
 }
@@ -32,7 +33,8 @@
 // Report is what a router tells an owner when it opens a session.
 type Report struct {
 	Router  string
-	Resumed bool // its last session was with this owner too
+	Resumed bool      // its last session was with this owner too
+	Removal time.Time // when it last saw a member removed; zero: never
 	Held    []Held
 	Warmth  []Warmth
 }
@@ -72,6 +74,9 @@
 // SetMembers gives the names of the known members. The slots of a removed
 // member stay in use for ghostTime.
 func (p *Pool) SetMembers(now time.Time, names []string) {
+	if p.members.startedAt.IsZero() {
+		p.members.startedAt = now
+	}
 	old := p.members.state
 	p.members.names = slices.Clone(names)
 	slices.Sort(p.members.names)
@@ -91,13 +96,16 @@
 	p.resizeAll(now)
 }
 
-// Removed notes that a member was removed before the pool existed. Nothing is
-// known of what it holds.
+// Removed notes that a member was removed before the pool existed, or zero for
+// none. Nothing is known of what it holds.
 func (p *Pool) Removed(at time.Time) {
-	if at.IsZero() {
-		return
+	m := &p.members
+	if at.After(m.buriedAt) {
+		m.buriedAt = at
+	}
+	if at.After(m.unknownAt) {
+		m.unknownAt = at
 	}
-	p.members.buriedAt, p.members.unknownAt = at, at
 }
 
 // Left notes that a member has stopped gracefully: it holds nothing.
@@ -145,6 +153,9 @@
 	for _, w := range r.Warmth {
 		p.hear(now, w)
 	}
+	if r.Removal.Before(p.members.startedAt) {
+		p.Removed(r.Removal)
+	}
 	if !r.Resumed {
 		p.members.doubtLost()
 	}
--- a/core/admission/world_test.go
+++ b/core/admission/world_test.go
@@ -131,7 +131,7 @@
 			warmth = append(warmth, h)
 		}
 	}
-	w.owners[owner].Sync(w.now, admission.Report{Router: r.name, Resumed: r.last == w.owners[owner], Held: held, Warmth: warmth})
+	w.owners[owner].Sync(w.now, admission.Report{Router: r.name, Resumed: r.last == w.owners[owner], Removal: r.removal, Held: held, Warmth: warmth})
 	r.last = w.owners[owner]
 	for _, k := range r.wants {
 		k.queued = w.now
@@ -153,14 +153,16 @@
 	}
 }
 
-// crash restarts a router with no memory; its connections break. What a
-// member that was removed shortly before still runs is known to nobody then:
-// that case is not covered, so such requests end here.
+// crash restarts a router with no memory; its connections break. Only if
+// nobody is left who saw a removal, what the removed ones still run is known to
+// nobody: that case is not covered, so such requests end here.
 func (w *world) crash(r *router) {
 	r.removal = time.Time{}
-	for _, other := range w.routers {
-		if other.removed {
-			w.abandon(other)
+	if !slices.ContainsFunc(w.routers, func(o *router) bool { return !o.removed && !o.removal.IsZero() }) {
+		for _, other := range w.routers {
+			if other.removed {
+				w.abandon(other)
+			}
 		}
 	}
 	w.disconnect(r)
--- a/internal/pool/broker.go
+++ b/internal/pool/broker.go
@@ -279,6 +279,8 @@
 		Sync:    true,
 		Resumed: b.last == owner,
 		Crashes: crashesTo(b.client.host.Crashes()),
+
+		RemovalAgeMillis: b.client.host.removalAge().Milliseconds(),
 	}
 	for seq, h := range b.held {
 		out.addHeld(first, seq, h)
--- a/internal/pool/convert.go
+++ b/internal/pool/convert.go
@@ -12,6 +12,9 @@
 
 func (s *session) report(req *peerpb.AdmitRequest) admission.Report {
 	r := admission.Report{Router: s.router, Resumed: req.Resumed}
+	if req.RemovalAgeMillis > 0 {
+		r.Removal = time.Now().Add(-time.Duration(req.RemovalAgeMillis) * time.Millisecond)
+	}
 	for _, h := range req.Held {
 		r.Held = append(r.Held, admission.Held{
 			ID:       admission.ID{Router: s.router, Seq: h.Seq},
--- a/internal/pool/host.go
+++ b/internal/pool/host.go
@@ -105,6 +105,16 @@
 	return h.quarantine.Held(now, fingerprint), h.quarantine.Suspect(now, fingerprint)
 }
 
+// removalAge is the time since this router saw another one removed, or 0.
+func (h *Host) removalAge() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.removedAt.IsZero() {
+		return 0
+	}
+	return max(time.Millisecond, time.Since(h.removedAt))
+}
+
 // Ping answers a router that looks for the scope's first owner.
 func (h *Host) Ping(context.Context, *peerpb.PingRequest) (*peerpb.PingReply, error) {
 	return &peerpb.PingReply{}, nil
