--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -38,7 +38,7 @@
   sleep 0.5
   start_lines "$dir/fleet/routers"
   routers=("${started[@]}")
-  "$capacity" start --dir "$dir/fleet" || { tail -5 "$dir/log"; exit 1; }
+  "$capacity" start --dir "$dir/fleet" || { tail -5 "$dir/log"; echo "a fleet of $1 did not start: not measured"; stop_all; return 1; }
 }
 measure() { # label, further flags
   local label=$1
@@ -48,7 +48,7 @@
 
 echo "== Routers"
 for n in ${SIZES:-3 7 20 40}; do
-  fleet "$n" 16 15
+  fleet "$n" 16 15 || continue
   measure idle --settle "$((3 + n / 2))" # the news of the start has spread
   measure changes --changes 4
   if [ "$n" = 7 ]; then
@@ -62,7 +62,7 @@
 echo "== Endpoints and client accounts"
 for shape in "16 3000" "16 12000" "500 15" "2200 15" "2200 12000"; do
   # shellcheck disable=SC2086 # two numbers
-  fleet 3 $shape
+  fleet 3 $shape || continue
   measure sized
   measure sized-changes --changes 4
   stop_all
