--- a/cmd/cyclamenwinch/docs_test.go
+++ b/cmd/cyclamenwinch/docs_test.go
@@ -39,10 +39,10 @@
 	return all
 }
 
-// sources returns the text of all Go files of the product, tests aside.
+// sources returns the text of all Go files, tests aside.
 func sources() string {
 	var all strings.Builder
-	for _, dir := range []string{"core", "internal", "cmd"} {
+	for _, dir := range []string{"core", "internal", "cmd", "load", "standin"} {
 		Expect(filepath.WalkDir(root+dir, func(path string, d os.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
@@ -143,6 +143,19 @@
 		}
 	})
 
+	It("maps every package", func() {
+		text, err := os.ReadFile(root + "docs/DESIGN.md")
+		Expect(err).NotTo(HaveOccurred())
+		for _, pattern := range []string{"core/*", "internal/*"} {
+			dirs, err := filepath.Glob(root + pattern)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(dirs).NotTo(BeEmpty())
+			for _, dir := range dirs {
+				Expect(string(text)).To(ContainSubstring("`" + strings.TrimPrefix(dir, root) + "`"))
+			}
+		}
+	})
+
 	It("links to files that exist", func() {
 		link := regexp.MustCompile(`\]\(([^)#:]+)(#[^)]*)?\)`)
 		for _, p := range pages() {
