--- a/cmd/cyclamenwinch-standin/main.go
+++ b/cmd/cyclamenwinch-standin/main.go
@@ -28,7 +28,7 @@
 	TokenMs int    `long:"token-ms" default:"5" description:"time between tokens of a warm model runner"`
 	ColdFor int    `long:"cold-for" default:"4" description:"answers until a model runner is warm"`
 	Cold    int    `long:"cold-slots" default:"1" description:"concurrent requests that a cold model runner bears"`
-	StartMs int    `long:"start-ms" description:"time that a model runner takes to start after a crash"`
+	StartMs int    `long:"start-ms" default:"300" description:"time that a model runner takes to start after a crash"`
 	OrderMs int    `long:"order-ms" default:"20" description:"time that an order takes"`
 	Fence   bool   `long:"fence" description:"the order runner refuses old fencing numbers"`
 }
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -19,7 +19,7 @@
 	TokenTime time.Duration // time between tokens while warm
 	ColdFor   int           // answers until the runner is warm
 	ColdSlots int           // concurrent requests it bears while cold
-	StartTime time.Duration // after a crash it breaks all connections for so long
+	StartTime time.Duration // after a crash; until then it breaks every connection
 }
 
 // Faults are what the runner does wrong, set by PUT /faults.
@@ -84,12 +84,13 @@
 	name string
 	opts Options
 
-	mu        sync.Mutex
-	stats     Stats
-	warm      int // answers since the last cold start
-	life      int // grows with each crash; streams of an old life break
-	faults    Faults
-	downUntil time.Time // starting after a crash
+	mu     sync.Mutex
+	stats  Stats
+	warm   int       // answers since the last cold start
+	life   int       // grows with each crash; streams of an old life break
+	alive  int       // requests running in this life
+	upAt   time.Time // when the runner has started again after a crash
+	faults Faults
 }
 
 // NewServer returns a cold runner with the given name.
@@ -115,7 +116,7 @@
 		return
 	}
 	life, ok := s.begin(req)
-	defer s.end()
+	defer s.end(life)
 	if !ok {
 		panic(http.ErrAbortHandler)
 	}
