A router that stood still trusts neither its pools nor its grants

One way to that, found by reading: a router frozen past every time-out goes on after it with slots granted before, and an owner with the pools it had, though others took over and endpoints restarted meanwhile. Leases lapse while their holder is paused and still believes it holds them.

Ruled out: expiry of grants by the owner's clock (the holder's own time since the grant is what is unknown), a check by the owner (it is the one asked too late).

An owner drops its pools, a session ends, and a slot granted before the pause goes back unused.

Before: the spec "of an owner that stood still" fails without the drop.

--- a/internal/pool/broker.go
+++ b/internal/pool/broker.go
@@ -21,6 +21,7 @@
 	mu      sync.Mutex
 	out     *outbox // of the session in use, or nil
 	last    ownerID // of the last session
+	awake   int     // pauses counted when it began
 	heard   time.Time
 	waiting time.Time // since when something waits
 	pending map[uint64]*pending
@@ -43,6 +44,7 @@
 
 type result struct {
 	endpoint string
+	pauses   int // counted before the slot was granted
 	err      error
 }
 
@@ -86,6 +88,12 @@
 	for graced := false; ; graced = true {
 		select {
 		case r := <-p.result:
+			if r.err == nil && b.client.pauses() != r.pauses {
+				b.release(p.seq, admission.Cancelled, 0, 0)
+				p.seq = b.client.seq.Add(1)
+				b.add(p)
+				continue
+			}
 			return b.slot(p.seq, r)
 		case <-ctx.Done():
 			b.cancel(p)
@@ -254,7 +262,7 @@
 		granted:     time.Now(),
 		toldAt:      time.Now(),
 	}
-	p.result <- result{endpoint: endpoint}
+	p.result <- result{endpoint: endpoint, pauses: b.awake}
 }
 
 func (b *broker) refused(x *peerpb.Refusal) {
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -113,6 +113,9 @@
 	return silentAfter
 }
 
+// pauses returns how often this process has stood still.
+func (c *Client) pauses() int { return c.host.pauses.seen(time.Now()) }
+
 func (c *Client) homeScopes() []string {
 	m := c.fleet.Manifest()
 	if m == nil {
--- a/internal/pool/host.go
+++ b/internal/pool/host.go
@@ -19,8 +19,10 @@
 	peerpb.UnimplementedAdmissionServer
 	fleet  Fleet
 	events *eventlog.Log
+	pauses pauses
 
 	mu         sync.Mutex
+	awake      int // pauses counted when the pools were last looked at
 	scopes     map[string]*hosted
 	past       map[string]fair.Cost // of pools that this router owned before
 	quarantine *route.Quarantine
@@ -159,6 +161,7 @@
 func (h *Host) open(scope, router string) *session {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.afterPause(time.Now())
 	on, ok := h.scopes[scope]
 	if !ok {
 		on = newHosted(h, scope)
@@ -183,9 +186,23 @@
 	h.events.Add(eventlog.Event{Kind: eventlog.PoolLost, Detail: on.scope})
 }
 
+// afterPause drops all pools if this process has stood still: their routers
+// may have another owner by now. They come back with full reports.
+func (h *Host) afterPause(now time.Time) {
+	count := h.pauses.seen(now)
+	if count == h.awake {
+		return
+	}
+	h.awake = count
+	for _, on := range h.scopes {
+		h.drop(on)
+	}
+}
+
 func (h *Host) tick(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.afterPause(now)
 	if now.Sub(h.usageAt) >= usageEvery {
 		h.usageAt = now
 		h.takeUsage()
@@ -231,6 +248,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
+	h.afterPause(now)
 	h.noteRemovals(now)
 	for _, on := range h.scopes {
 		on.configure(now)
--- a/internal/pool/hosted.go
+++ b/internal/pool/hosted.go
@@ -54,10 +54,11 @@
 	h := s.on.host
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := time.Now()
+	h.afterPause(now)
 	if h.scopes[s.on.scope] != s.on || s.on.sessions[s.router] != s {
 		return errors.New("session replaced")
 	}
-	now := time.Now()
 	s.take(now, req)
 	s.on.step(now)
 	if req.Sync {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,7 +5,8 @@
 // A lost session loses no slot: the client opens a new one, reports what it
 // holds and sends its waiting requests anew. A session whose owner falls
 // silent while requests wait is given up for the router next in rank, and
-// moves back when the first one answers again.
+// moves back when the first one answers again. A router that has stood still
+// trusts neither the pools that it owned nor what it was granted before.
 package pool
 
 import (
--- a/internal/pool/pool_suite_test.go
+++ b/internal/pool/pool_suite_test.go
@@ -291,6 +291,37 @@
 		Eventually(r.usage, patience).Should(Equal(fair.Cost(15)))
 	})
 
+	It("of an owner that stood still end, and what it granted is reported anew", func() {
+		build(runner("e", 2, 2))
+		slot, err := third.acquire(0)
+		Expect(err).NotTo(HaveOccurred())
+		first.host.StandStill()
+		Eventually(first.saw(eventlog.PoolLost), patience).Should(BeTrue())
+		again, err := second.acquire(0)
+		Expect(err).NotTo(HaveOccurred())
+		slot.Release(admission.Done, 5, time.Millisecond)
+		again.Release(admission.Done, 5, time.Millisecond)
+		Eventually(r.usage, patience).Should(Equal(fair.Cost(10)))
+	})
+
+	It("of a router that stood still bring it no slot that was granted before", func() {
+		build(runner("e", 1, 1))
+		slot, err := second.acquire(0)
+		Expect(err).NotTo(HaveOccurred())
+		got := make(chan error)
+		go func() {
+			again, err := third.acquire(0)
+			if err == nil {
+				again.Release(admission.Done, 5, time.Millisecond)
+			}
+			got <- err
+		}()
+		third.host.StandStill()
+		slot.Release(admission.Done, 5, time.Millisecond)
+		Eventually(got, patience).Should(Receive(Succeed()))
+		Eventually(r.usage, patience).Should(Equal(fair.Cost(10)))
+	})
+
 	It("refuse as not run what no owner can be asked for", func() {
 		buildWaiting(time.Second, runner("e", 6, 6))
 		first.wire.freeze()
--- a/internal/pool/session.go
+++ b/internal/pool/session.go
@@ -16,6 +16,7 @@
 	errMoved   = errors.New("an earlier router in rank owns the scope")
 	errSilent  = errors.New("the owner is silent")
 	errNoOwner = errors.New("no router may own the scope")
+	errPaused  = errors.New("this router stood still")
 )
 
 // link is a session with an owner, over gRPC or within this process.
@@ -35,7 +36,7 @@
 			err = b.session(ctx, owner, earlier)
 		}
 		klog.V(1).InfoS("pool: Session ended", "scope", b.scope, "owner", owner.Name, "err", err)
-		if ok && !errors.Is(err, errMoved) {
+		if ok && !errors.Is(err, errMoved) && !errors.Is(err, errPaused) {
 			failed[owner.Name] = time.Now()
 		}
 		pause(ctx, reopenPause)
@@ -85,7 +86,8 @@
 	out := newOutbox()
 	defer out.close()
 	go out.drain(l, func(err error) { end(err) })
-	b.start(out, ownerID{owner.Name, owner.Incarnation})
+	awake := b.client.pauses()
+	b.start(out, ownerID{owner.Name, owner.Incarnation}, awake)
 	defer b.leave(out)
 	go b.watch(ctx, end, owner, earlier)
 	var known names
@@ -94,6 +96,9 @@
 		if err != nil {
 			return errors.CombineErrors(context.Cause(ctx), err)
 		}
+		if b.client.pauses() != awake {
+			return errPaused
+		}
 		opening.Stop()
 		known = append(known, reply.Names...)
 		b.take(reply, known)
@@ -136,11 +141,11 @@
 }
 
 // start puts the session into use; its first message is the full report.
-func (b *broker) start(out *outbox, owner ownerID) {
+func (b *broker) start(out *outbox, owner ownerID, awake int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out.put(b.report(out, owner))
-	b.out, b.last, b.heard = out, owner, time.Now()
+	b.out, b.last, b.awake, b.heard = out, owner, awake, time.Now()
 }
 
 func (b *broker) leave(out *outbox) {
