--- a/internal/capacity/sums.go
+++ b/internal/capacity/sums.go
@@ -189,10 +189,11 @@
 	t.row("**without requests**", fmt.Sprintf("limits %d B/s and %.0f%%", bytesLimit, 100*coreLimit), num("**%.0f**", total), num("**%.2f%%**", 100*core))
 	r := f.perRequest()
 	each := float64(requestsPerSec) / nodes
-	add("admission, mean node", fmt.Sprintf("%.0f requests/s, wants, grants and releases", each), each*r.bytes, 0)
+	t.row("admission, mean node", fmt.Sprintf("%.0f requests/s, wants, grants and releases", each), num("%.0f", each*r.bytes), "not separated")
+	total += each * r.bytes
 	owner := float64(requestsPerSec) / (models * regions)
-	t.row("admission, owner of one scope", fmt.Sprintf("%.0f requests/s of one model in one region, if spread evenly", owner), num("%.0f", owner*r.bytes/2), "")
-	t.row("**with requests**", "", num("**%.0f**", total), num("**%.2f%%**", 100*core))
+	t.row("admission, owner of one scope", fmt.Sprintf("%.0f requests/s of one model in one region, if spread evenly", owner), num("%.0f", owner*r.bytes/2), "not separated")
+	t.row("**with requests**", "", num("**%.0f**", total), "not separated")
 	return t.b.String()
 }
 
