--- a/internal/capacity/sums.go
+++ b/internal/capacity/sums.go
@@ -81,6 +81,10 @@
 	t := newTable("client accounts", "endpoints", "core, idle", "resident MB", "heap MB", "B a change, mean router", "B a change, highest", "core-ms a change", "in force after, s")
 	for _, s := range f.labelled("sized") {
 		c := f.perChange(s.Accounts, s.Endpoints)
+		if len(c.inForce) == 0 {
+			t.row(num("%.0f", float64(s.Accounts)), num("%.0f", float64(s.Endpoints)), num("%.2f%%", 100*s.Core), num("%.0f", s.MemoryMB), num("%.0f", s.HeapMB), "not run", "not run", "not run", "not run")
+			continue
+		}
 		t.row(num("%.0f", float64(s.Accounts)), num("%.0f", float64(s.Endpoints)), num("%.2f%%", 100*s.Core), num("%.0f", s.MemoryMB), num("%.0f", s.HeapMB),
 			num("%.0f", c.bytes), num("%.0f", c.highest), num("%.0f", 1000*c.core), seconds(c.inForce))
 	}
@@ -182,7 +186,7 @@
 	add("lease", "bytes a renewal, a renewal each 9 s", renewals*platformBytes, 0)
 	c := f.perChange(largest(f.labelled("sized-changes")))
 	perSec := float64(changesPerDay) / daySeconds
-	add("configuration", fmt.Sprintf("%.2f changes/s at the largest manifest", perSec), perSec*c.bytes, perSec*c.core)
+	add("configuration", fmt.Sprintf("%.2f changes/s at the largest manifest whose changes were measured", perSec), perSec*c.bytes, perSec*c.core)
 	u := f.find("requests-105", 0, 0, 0)
 	record := u.Rates[usageBytes] / max(u.Rates[usageRecords], 1e-9)
 	add("usage exchange", fmt.Sprintf("bound of %d records a round, %.0f B each", roundRecords, record), roundRecords/heartbeatPeriod*record, 0)
