--- a/test/operate_test.go
+++ b/test/operate_test.go
@@ -79,17 +79,22 @@
 	}
 }
 
-// fault sets what a stand-in does wrong.
+// fault sets what a stand-in does wrong, once it is up.
 func fault(url string, faults any) {
 	GinkgoHelper()
 	body, err := json.Marshal(faults)
 	Expect(err).NotTo(HaveOccurred())
-	req, err := http.NewRequest(http.MethodPut, url+"/faults", bytes.NewReader(body))
-	Expect(err).NotTo(HaveOccurred())
-	resp, err := http.DefaultClient.Do(req)
-	Expect(err).NotTo(HaveOccurred())
-	resp.Body.Close()
-	Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	Eventually(func() (int, error) {
+		req, err := http.NewRequest(http.MethodPut, url+"/faults", bytes.NewReader(body))
+		if err != nil {
+			return 0, err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0, err
+		}
+		return resp.StatusCode, resp.Body.Close()
+	}).Should(Equal(http.StatusOK))
 }
 
 func (c *cluster) platformFault(f objects.Faults) {
