--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -60,8 +60,10 @@
 if [ -n "${ONLY:-}" ]; then
   run "$ONLY" "$ONLY" routers
 else
-  # The first run also warms the runners; the baselines come last, since the
-  # routers take runners that they have not used for a while for cold.
+  # The first run starts cold and warms the runners for the others; the
+  # baselines come last, since the routers take runners that they have not
+  # used for a while for cold.
+  run start quiet routers
   run quiet quiet routers
   run flood flood routers
   run contention contention routers
