Owners doubt endpoints that only a silent router uses; cut streams resume in a session

Cause: a request held by a router that is frozen or cut off kept its endpoint believed warm for 30 s, though no news of a break could arrive.

Ruled out: a shorter time for all requests (long silent prefills would turn warm endpoints cold).

Change: routers that hold slots and say nothing else send an empty message every 500 ms; a router unheard for 1.5 s does not attend its endpoints. The stand-in runner goes on with a stream from Resume-From and can cut one stream; the golden session tells it. Endpoint look-ups in callerapi use the index; ledger's copy of code.As is gone.

Before: the new spec of core/admission fails without the change. After: it passes.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -274,7 +274,7 @@
 	p.dequeueFor(r)
 	r.granted = now
 	r.suspect = p.quarantine.Suspect(now, r.want.Fingerprint)
-	r.attended, r.isolated = true, r.suspect
+	r.attended, r.isolated = p.members.hears(r.want.ID.Router), r.suspect
 	p.occupy(r, e)
 	p.table.Dispatched(r.want.Prefix, &e.place)
 	p.out.Grants = append(p.out.Grants, Grant{
--- a/core/admission/admission_suite_test.go
+++ b/core/admission/admission_suite_test.go
@@ -326,6 +326,19 @@
 		Expect(b.Endpoints()[0].Proved).NotTo(BeZero())
 	})
 
+	It("doubts the warmth of an endpoint that only a silent router uses", func() {
+		b.configure(open("e", 8, 1))
+		b.serve(30, 100*time.Millisecond)
+		b.want(admission.Want{})
+		Expect(b.step().Grants).To(HaveLen(1))
+		b.Heard(b.now, "a", false)
+		b.now = b.now.Add(3 * time.Second)
+		b.want(admission.Want{})
+		Expect(b.step().Grants).To(BeEmpty(), "it may have restarted unseen")
+		b.Heard(b.now, "a", true)
+		Expect(b.Endpoints()[0].Proved).To(BeZero())
+	})
+
 	It("doubts the warmth of an endpoint that idled until one answer at the usual speed", func() {
 		b.configure(open("e", 8, 1))
 		b.serve(30, 100*time.Millisecond)
--- a/core/admission/members.go
+++ b/core/admission/members.go
@@ -28,6 +28,7 @@
 	session   bool      // has a session with this owner
 	accounted bool      // has reported what it holds to this owner
 	lostAt    time.Time // when the session ended
+	silent    bool      // has a session but sends no sign of life
 }
 
 // Report is what a router tells an owner when it opens a session.
@@ -160,7 +161,7 @@
 		p.members.doubtLost()
 	}
 	if s := p.members.state[r.Router]; s != nil {
-		s.session, s.accounted = true, true
+		s.session, s.accounted, s.silent = true, true, false
 	}
 	p.resizeAll(now)
 }
@@ -239,6 +240,24 @@
 	p.resizeAll(now)
 }
 
+// Heard notes whether a router with a session sends signs of life. While it
+// doesn't, no news of what its requests meet arrives.
+func (p *Pool) Heard(now time.Time, router string, heard bool) {
+	s := p.members.state[router]
+	if s == nil || s.silent != heard {
+		return
+	}
+	s.silent = !heard
+	p.attend(router, heard)
+	p.resizeAll(now)
+}
+
+// hears reports whether news of a router's requests can arrive.
+func (m *members) hears(router string) bool {
+	s := m.state[router]
+	return s == nil || !s.silent
+}
+
 // attend notes whether news of what a router's requests do arrives.
 func (p *Pool) attend(router string, attended bool) {
 	for id, r := range p.requests {
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -193,12 +193,8 @@
 }
 
 func (a *API) endpointURL(name string) (string, bool) {
-	for _, e := range a.opts.Fleet.Manifest().Endpoints {
-		if e.Name == name {
-			return e.URL, true
-		}
-	}
-	return "", false
+	e, ok := a.opts.Fleet.Manifest().Endpoint(name)
+	return e.URL, ok
 }
 
 func outcome(err error) admission.Outcome {
--- a/internal/ledger/run.go
+++ b/internal/ledger/run.go
@@ -119,7 +119,7 @@
 func (r *run) claim(ctx context.Context) (order.Step, *errStep) {
 	slot, err := r.ledger.opts.Pools.Acquire(ctx, r.order.Pool, pool.Request{Account: r.order.Account, Estimate: orderCost, Avoid: r.avoid})
 	if err != nil {
-		return order.Step{}, &errStep{asError(err)}
+		return order.Step{}, &errStep{code.As(err)}
 	}
 	r.slot, r.outcome = slot, admission.Cancelled
 	self := r.ledger.opts.Fleet.Self()
@@ -340,14 +340,6 @@
 	return code.Refuse(failure.Code, failure.Detail)
 }
 
-func asError(err error) *code.Error {
-	var failure *code.Error
-	if errors.As(err, &failure) {
-		return failure
-	}
-	return code.Fail(code.Internal, err.Error())
-}
-
 func outcomeOf(err error) admission.Outcome {
 	var failure *code.Error
 	switch {
--- a/internal/pool/broker.go
+++ b/internal/pool/broker.go
@@ -23,6 +23,7 @@
 	last    ownerID // of the last session
 	awake   int     // pauses counted when it began
 	heard   time.Time
+	sent    time.Time // the last message to the owner
 	waiting time.Time // since when something waits
 	pending map[uint64]*pending
 	held    map[uint64]*holding
@@ -228,10 +229,21 @@
 // with a full report, so nothing needs to be kept. The caller holds mu.
 func (b *broker) send(req *peerpb.AdmitRequest) {
 	if b.out != nil {
+		b.sent = time.Now()
 		b.out.put(req)
 	}
 }
 
+// signOfLife sends something while this router holds slots and has nothing
+// else to say, so that the owner can rely on hearing of an endpoint's break.
+func (b *broker) signOfLife() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.held) > 0 && time.Since(b.sent) >= signEvery {
+		b.send(&peerpb.AdmitRequest{})
+	}
+}
+
 // take hands the owner's decisions to the waiting requests.
 func (b *broker) take(reply *peerpb.AdmitReply, known names) {
 	b.client.host.remember(crashesFrom(reply.Crashes))
--- a/internal/pool/host.go
+++ b/internal/pool/host.go
@@ -212,6 +212,7 @@
 		h.signAt = now
 	}
 	for _, on := range h.scopes {
+		on.noteSilence(now)
 		on.step(now)
 		if sign {
 			on.signOfLife()
--- a/internal/pool/hosted.go
+++ b/internal/pool/hosted.go
@@ -30,6 +30,7 @@
 	names   names      // that the router sent
 	numbers *numbering // of those sent to it
 	box     *mailbox[*peerpb.AdmitReply]
+	heard   time.Time // the last message
 }
 
 func newHosted(h *Host, scope string) *hosted {
@@ -40,7 +41,7 @@
 }
 
 func (on *hosted) open(router string) *session {
-	s := &session{on: on, router: router, numbers: newNumbering(), box: newMailbox[*peerpb.AdmitReply]()}
+	s := &session{on: on, router: router, numbers: newNumbering(), box: newMailbox[*peerpb.AdmitReply](), heard: time.Now()}
 	if old := on.sessions[router]; old != nil {
 		old.box.close()
 	}
@@ -59,6 +60,8 @@
 	if h.scopes[s.on.scope] != s.on || s.on.sessions[s.router] != s {
 		return errors.New("session replaced")
 	}
+	s.heard = now
+	s.on.pool.Heard(now, s.router, true)
 	s.take(now, req)
 	s.on.step(now)
 	if req.Sync {
@@ -159,6 +162,15 @@
 	})
 }
 
+// noteSilence tells the pool which routers send no sign of life.
+func (on *hosted) noteSilence(now time.Time) {
+	for router, s := range on.sessions {
+		if now.Sub(s.heard) > silentAfter {
+			on.pool.Heard(now, router, false)
+		}
+	}
+}
+
 // signOfLife sends something to the routers that wait, so that they can tell
 // a long queue from a lost owner.
 func (on *hosted) signOfLife() {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -23,10 +23,11 @@
 	stepEvery = 50 * time.Millisecond
 	// usageEvery is how often it takes in other routers' usage.
 	usageEvery = 500 * time.Millisecond
-	// signEvery is how often it sends something to routers that wait.
+	// signEvery is how often it sends something to routers that wait, and they
+	// to it while they hold slots.
 	signEvery = 500 * time.Millisecond
-	// silentAfter is how long a router waits for such a sign, and for the
-	// answer to its first message.
+	// silentAfter is how long either side waits for such a sign, and a router
+	// for the answer to its first message.
 	silentAfter = 3 * signEvery
 	// reportEvery is how often a router tells the progress of its requests
 	// and looks whether the owner is silent.
--- a/internal/pool/session.go
+++ b/internal/pool/session.go
@@ -174,6 +174,7 @@
 		case <-ticker.C:
 		}
 		b.sendProgress()
+		b.signOfLife()
 		if b.silent() {
 			end(errSilent)
 		}
--- a/standin/runner/batch.go
+++ b/standin/runner/batch.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -94,7 +95,12 @@
 func (s *Server) cut(token int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faults.CutShort && token >= silentAt
+	once := s.faults.CutOnce
+	if token < silentAt || !s.faults.CutShort && !once {
+		return false
+	}
+	s.faults.CutOnce = false
+	return true
 }
 
 func (s *Server) echo(id string) string {
@@ -106,6 +112,16 @@
 	return id
 }
 
+// resumeFrom is the number of a stream's events that the router has already,
+// or 0 if it asks for the whole stream.
+func resumeFrom(r *http.Request, events int) int {
+	from, err := strconv.Atoi(r.Header.Get(ResumeHeader))
+	if err != nil || from < 0 || from > events {
+		return 0
+	}
+	return from
+}
+
 // answer returns the tokens that the runner generates: the same for the same
 // request.
 func answer(name string, req Request) []string {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -11,8 +11,12 @@
 	"time"
 )
 
-// RequestIDHeader carries the router's request id there and back.
-const RequestIDHeader = "X-Request-Id"
+// The header fields between a router and a model runner.
+const (
+	RequestIDHeader = "X-Request-Id" // the router's request id, there and back
+	ResumeHeader    = "Resume-From"  // events of the stream already received
+	ResumedHeader   = "Resumed"      // "true": the stream goes on from there
+)
 
 // Options say how a runner behaves.
 type Options struct {
@@ -27,6 +31,7 @@
 	Crash    bool   `json:"crash"`     // break every connection
 	Silent   bool   `json:"silent"`    // stop sending in mid-stream
 	CutShort bool   `json:"cut_short"` // end streams without the end marker
+	CutOnce  bool   `json:"cut_once"`  // end the next stream without the end marker
 	Cross    bool   `json:"cross"`     // answer with another request's id
 	CrashOn  string `json:"crash_on"`  // turn cold and break all streams on a prompt with this text
 }
@@ -132,8 +137,12 @@
 
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, req Request, id string, life int, tokens []string) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	from := resumeFrom(r, len(tokens))
+	if from > 0 {
+		w.Header().Set(ResumedHeader, "true")
+	}
 	out := http.NewResponseController(w)
-	for i, token := range tokens {
+	for i, token := range tokens[from:] {
 		if !s.pace(r, life, i) {
 			panic(http.ErrAbortHandler)
 		}
--- a/test/session/processes_test.go
+++ b/test/session/processes_test.go
@@ -20,6 +20,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/internal/opsclient"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/settings"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/submit"
+	"github.com/cyclamenwinch/cyclamenwinch/standin/runner"
 )
 
 const (
@@ -190,6 +191,16 @@
 	return all
 }
 
+// runnerStats returns a model runner's own counts.
+func runnerStats(url string) runner.Stats {
+	resp, err := http.Get(url + "/stats")
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var stats runner.Stats
+	Expect(json.NewDecoder(resp.Body).Decode(&stats)).To(Succeed())
+	return stats
+}
+
 // nextPort is where freeAddress looks on. The range lies below that of
 // outgoing connections, so nobody is given a port between its choice and its
 // use.
--- a/test/session/session_test.go
+++ b/test/session/session_test.go
@@ -74,7 +74,11 @@
 		t.awaitGeneration("1")
 
 		t.section("Model requests")
-		t.call("stream", "router-b", chat(hotelKey, true, 12))
+		whole := t.call("stream", "router-b", chat(hotelKey, true, 12))
+		setFaults(f.runners["runner-2"], `{"cut_once":true}`)
+		resumed := t.call("stream that is cut and goes on", "router-b", chat(hotelKey, true, 12))
+		Expect(resumed.Text).To(Equal(whole.Text))
+		Expect(runnerStats(f.runners["runner-2"]).Started).To(Equal(3), "one request was sent twice")
 		t.call("whole", "router-a", chat(cafeKey, false, 6))
 
 		t.section("Refusals")
