A next owner hears that a slot was granted at a cold endpoint

Cause: found by reading. An endpoint that restarted, and whose break was seen only by a router that is gone, was believed warm by a next owner: another router's older word of its warmth counted for up to 30 s, since a request ran there.

Change: a router that was granted a slot at an endpoint not proved warm remembers that, and tells a next owner, who believes no older word.

Before: the new spec fails without the change.

--- a/internal/pool/broker.go
+++ b/internal/pool/broker.go
@@ -66,6 +66,9 @@
 	toldAt    time.Time
 }
 
+// warmth is what this router knows of an endpoint: the slots that were proved
+// when a request was granted that ended whole, or 0 if it broke or was not
+// proved warm at that time. A next owner so believes no older word.
 type warmth struct {
 	proved uint32
 	at     time.Time
@@ -274,6 +277,9 @@
 		granted:     time.Now(),
 		toldAt:      time.Now(),
 	}
+	if g.Proved == 0 {
+		b.warmth[endpoint] = warmth{at: time.Now()}
+	}
 	p.result <- result{endpoint: endpoint, pauses: b.awake}
 }
 
--- a/internal/pool/pool_suite_test.go
+++ b/internal/pool/pool_suite_test.go
@@ -291,6 +291,14 @@
 		Eventually(r.usage, patience).Should(Equal(fair.Cost(15)))
 	})
 
+	It("let a next owner know that a slot was granted at a cold endpoint", func() {
+		build(runner("e", 6, 1))
+		slot, err := third.acquire(0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(third.client.KnowsCold(scope, "e")).To(BeTrue())
+		slot.Release(admission.Done, 5, time.Millisecond)
+	})
+
 	It("of an owner that stood still end, and what it granted is reported anew", func() {
 		build(runner("e", 2, 2))
 		slot, err := third.acquire(0)
