--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -266,7 +266,7 @@
 			p.grant(now, r, e)
 			return true
 		}
-		p.book.Skip(name)
+		p.book.PassOver(name)
 	}
 }
 
--- a/core/fair/fair.go
+++ b/core/fair/fair.go
@@ -112,9 +112,9 @@
 	return b.heap[0].name, true
 }
 
-// Skip takes a backlogged account out of the choice until Resume, because
+// PassOver takes a backlogged account out of the choice until Resume, because
 // none of its requests can use what is free.
-func (b *Book) Skip(account string) {
+func (b *Book) PassOver(account string) {
 	e := b.entry(account)
 	if e.pos == absent {
 		return
--- a/core/fair/fair_suite_test.go
+++ b/core/fair/fair_suite_test.go
@@ -152,7 +152,7 @@
 	It("does not choose a skipped account before it is resumed", func() {
 		b := fair.NewBook(fair.DefaultLead)
 		b.Enqueue("a")
-		b.Skip("a")
+		b.PassOver("a")
 		_, ok := b.Next()
 		Expect(ok).To(BeFalse())
 		b.Resume()
