A cut stream is resumed only after the endpoint could notice the cut

Cause: found by reading for two requests at one cold slot. A stream that went silent, or was cut, was resumed at once over a new connection, in the same slot. The endpoint may still run the old one for a moment: it then bears two, and a cold one falls over.

Ruled out: no resume at endpoints not proved warm (the relay does not know, and a silent connection would end every stream there).

Change: 200 ms, the settle time of admission, between the cut and the resume.

Before: the new test fails with no pause; after: it passes.

--- a/internal/callerapi/relay.go
+++ b/internal/callerapi/relay.go
@@ -14,8 +14,14 @@
 	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
 )
 
-// maxResumes is how often one stream is resumed after a cut.
-const maxResumes = 1
+const (
+	// maxResumes is how often one stream is resumed after a cut.
+	maxResumes = 1
+	// resumeAfter is the time that an endpoint gets to notice that the old
+	// connection is closed: until then it may run the stream twice, which a
+	// cold one does not bear.
+	resumeAfter = 200 * time.Millisecond
+)
 
 // relayStream passes a streamed answer to the caller, event by event. A
 // stream that is cut after the caller has received a part is resumed at the
@@ -33,6 +39,11 @@
 		if err == nil || events == 0 || resumes == maxResumes || !retryable(err) || !c.api.mayRetry(c.call, c.pool.Name, err) {
 			return err
 		}
+		select {
+		case <-c.r.Context().Done():
+			return err
+		case <-time.After(resumeAfter):
+		}
 		out.Fresh, out.ResumeFrom = true, events
 	}
 }
--- a/internal/callerapi/relay_test.go
+++ b/internal/callerapi/relay_test.go
@@ -60,6 +60,25 @@
 		Expect(w.Body.String()).To(HaveSuffix("data: [DONE]\n\n"))
 	})
 
+	It("is resumed only after the endpoint had time to notice the closed connection", func() {
+		const silence, notice = 20 * time.Millisecond, 200 * time.Millisecond
+		var began []time.Time // of each connection's handler; they run one after the other
+		handle := func(w http.ResponseWriter, r *http.Request) {
+			began = append(began, time.Now())
+			w.Header().Set("Resumed", "true")
+			fmt.Fprintf(w, "data: {\"id\":%q,\"piece\":%d}\n\n", r.Header.Get("X-Request-Id"), len(began))
+			if len(began) == 1 {
+				http.NewResponseController(w).Flush()
+				<-r.Context().Done()
+				return
+			}
+			io.WriteString(w, "data: [DONE]\n\n")
+		}
+		w := newRouterWith(hang, silence, 1, handle).send(chatPath, chatBody)
+		Expect(pieces(w.Body.String())).To(Equal("12"))
+		Expect(began[1].Sub(began[0])).To(BeNumerically(">=", silence+notice))
+	})
+
 	It("is never passed as whole if the endpoint does not resume it", func() {
 		var connections atomic.Int32
 		o := newOneRouter(hang, cutOnce(false, &connections))
