--- /dev/null
+++ b/cmd/cyclamenwinchd/edge.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/edge"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+	"github.com/cyclamenwinch/cyclamenwinch/platform"
+)
+
+// edgeCommand runs the router on a prepared platform.
+type edgeCommand struct {
+	Metrics string `long:"metrics" description:"address of the metrics, as IP:port or :port"`
+	Check   bool   `long:"check" description:"check the settings file and exit"`
+}
+
+// logFlush bounds the writing of the last log lines.
+const logFlush = 200 * time.Millisecond
+
+func runEdge(opts edgeCommand, out, errs io.Writer) int {
+	path := os.Getenv(platform.SettingsVariable)
+	if path == "" {
+		fmt.Fprintf(errs, "The environment variable %s must name the settings file.\n", platform.SettingsVariable)
+		return exitUsage
+	}
+	s, store, err := platform.LoadSettings(path)
+	if err != nil {
+		fmt.Fprintf(errs, "%v\nNext: %s\n", err, code.As(err).Code.Info().Next)
+		return exitUsage
+	}
+	if opts.Check {
+		fmt.Fprintln(out, "The settings are right.")
+		return exitDone
+	}
+	s.Metrics = opts.Metrics
+	log := oplog.New(out, slog.String("router", s.Name))
+	defer func() {
+		limit, cancel := context.WithTimeout(context.Background(), logFlush)
+		defer cancel()
+		log.Close(limit)
+	}()
+	if err := serveEdge(s, store, path, log); err != nil {
+		log.Log(oplog.Belief, "router.failed", slog.String("error", err.Error()))
+		return exitFailed
+	}
+	return exitDone
+}
+
+// serveEdge runs the router until a signal stops it.
+func serveEdge(s edge.Settings, store, path string, log *oplog.Logger) error {
+	client := platform.NewStore(store)
+	e, err := edge.New(s, edge.Platform{
+		Source: client, Registry: client, Decoder: platform.Records{}, Protocol: platform.Headers{},
+		DirectoryHandler: platform.DirectoryHandler, ReadyHandler: platform.ReadyHandler,
+	}, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go e.KeepSettings(ctx, path, func(path string) (edge.Settings, error) {
+		s, _, err := platform.LoadSettings(path)
+		return s, err
+	})
+	return e.Run(ctx)
+}
--- a/cmd/cyclamenwinchd/main.go
+++ b/cmd/cyclamenwinchd/main.go
@@ -21,8 +21,10 @@
 )
 
 type options struct {
-	Settings string `long:"settings" required:"true" description:"JSON file with the settings"`
+	Settings string `long:"settings" description:"JSON file with the settings"`
 	Check    bool   `long:"check" description:"check the settings and the files they name, and exit"`
+
+	Edge edgeCommand `command:"edge" description:"run on a prepared platform, whose settings file the environment names"`
 }
 
 // The exit codes, which docs/OPERATIONS.md lists.
@@ -39,7 +41,9 @@
 
 func run(args []string, out, errs io.Writer) int {
 	var opts options
-	if _, err := flag.NewParser(&opts, flag.HelpFlag|flag.PassDoubleDash).ParseArgs(args); err != nil {
+	parser := flag.NewParser(&opts, flag.HelpFlag|flag.PassDoubleDash)
+	parser.SubcommandsOptional = true
+	if _, err := parser.ParseArgs(args); err != nil {
 		if flag.WroteHelp(err) {
 			fmt.Fprintln(out, err)
 			return exitDone
@@ -47,6 +51,13 @@
 		fmt.Fprintln(errs, err)
 		return exitUsage
 	}
+	if parser.Active != nil {
+		return runEdge(opts.Edge, out, errs)
+	}
+	if opts.Settings == "" {
+		fmt.Fprintln(errs, "the required flag `--settings' was not specified")
+		return exitUsage
+	}
 	s, err := settings.Load(opts.Settings)
 	if err != nil {
 		fmt.Fprintf(errs, "%v\nNext: %s\n", err, code.As(err).Code.Info().Next)
--- /dev/null
+++ b/core/dispatch/dispatch.go
@@ -0,0 +1,345 @@
+// Package dispatch decides, on one router, which endpoint gets which request
+// and when. It holds the router's book of every endpoint (its own requests
+// and what the other routers report of theirs), the queue of requests that
+// wait, the usage of the client accounts, and the limits of cold endpoints
+// and of retries.
+//
+// Every router decides by itself. What must hold for the whole fleet is
+// divided among the routers beforehand (cold endpoints, retries), so that it
+// holds under any partition; what only has to be good (load, fair shares) is
+// read from the peers' reports and may be some tens of milliseconds old.
+//
+// The package has no input, output, clock or goroutine. A Dispatcher is not
+// safe for concurrent use.
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+)
+
+// Part is a piece of a prompt. Requests share parts; a part is cached only
+// together with all parts before it.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Request is what the decision needs to know of a request.
+type Request struct {
+	ID        string
+	Account   string // empty: no client account
+	Service   string
+	Parts     []Part // empty: not a model request
+	Prompt    int    // tokens in the prompt
+	Output    int    // tokens that the answer will probably have
+	Arrived   time.Time
+	Objective time.Time // a first event by then earns full credit
+	Deadline  time.Time // nobody waits for the answer after it
+	Tried     []string  // IDs of endpoints that must not get it again
+	Repeat    bool      // an endpoint may have got it before; its cost is already booked
+}
+
+// cost is what a request counts against its account's share: a token read
+// once, a token generated twice, a plain request one.
+func (r *Request) cost() float64 {
+	if len(r.Parts) == 0 && r.Prompt == 0 {
+		return 1
+	}
+	return float64(r.Prompt + 2*r.Output)
+}
+
+// State says where a ticket stands.
+type State int
+
+// The states of a ticket.
+const (
+	Waiting State = iota + 1
+	Granted
+	Refused
+	Finished
+)
+
+// Reason says why a request was refused.
+type Reason int
+
+// The reasons of a refusal.
+const (
+	NoEndpoint Reason = iota + 1 // the service has no endpoint that may be used
+	TooLong                      // the wait would be too long
+	Expired                      // it waited as long as it could
+)
+
+// String returns the reason as logs show it.
+func (r Reason) String() string {
+	switch r {
+	case NoEndpoint:
+		return "no_endpoint"
+	case TooLong:
+		return "wait_too_long"
+	case Expired:
+		return "waited_out"
+	}
+	return ""
+}
+
+// Ticket is a request in the dispatcher's hands.
+type Ticket struct {
+	Request    Request
+	State      State
+	Endpoint   topology.Endpoint // where to send it, once granted
+	Reason     Reason
+	RetryAfter time.Duration // advice that goes with a refusal
+
+	GrantedAt time.Time
+	Predicted time.Duration // until the first event, as predicted at the grant
+	Missing   int           // prompt tokens that the endpoint probably has to read
+	Spilled   bool          // not at the endpoint that probably holds its shared parts
+
+	book    *book
+	pending int // tokens that count as not yet read
+	late    bool
+}
+
+// Outcome says how a granted request ended.
+type Outcome int
+
+// The outcomes.
+const (
+	Served      Outcome = iota + 1 // whole answer
+	Failed                         // answer that says the endpoint failed
+	Broken                         // connection or answer broke off
+	Unreachable                    // no connection; nothing was sent
+	Rejected                       // the endpoint said that it did not run it
+	Misdirected                    // the address belongs to another endpoint
+	Abandoned                      // the caller left or the deadline passed
+)
+
+// Options are the fixed figures of a dispatcher.
+type Options struct {
+	Self string // name of the router
+	Zone string
+	// Retry budget of the fleet for each service and window.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
+
+// Dispatcher is the state of one router's decisions.
+type Dispatcher struct {
+	opts     Options
+	table    *topology.Table
+	books    map[string]*book // by endpoint ID
+	order    []*book          // the same by ID, so that ties go the same way each time
+	services map[string]*serviceState
+	zonesOut map[string]bool
+	peers    map[string]*peerReport
+	routers  []string // all known routers, sorted; itself among them
+}
+
+// New returns a dispatcher that knows no endpoint.
+func New(opts Options) *Dispatcher {
+	return &Dispatcher{
+		opts:     opts,
+		table:    topology.NewTable(topology.Config{}),
+		books:    map[string]*book{},
+		services: map[string]*serviceState{},
+		zonesOut: map[string]bool{},
+		peers:    map[string]*peerReport{},
+		routers:  []string{opts.Self},
+	}
+}
+
+// SetTable sets the configuration in force.
+func (d *Dispatcher) SetTable(t *topology.Table) { d.table = t }
+
+// SetRouters sets the names of all routers that may be running, sorted.
+// Limits are divided by their number.
+func (d *Dispatcher) SetRouters(names []string) {
+	d.routers = names
+	for _, b := range d.books {
+		b.rank = -1
+	}
+}
+
+// SetZonesOut sets the availability zones that get nothing new. Endpoints of
+// a zone that comes back count as cold: operators may have restarted them.
+func (d *Dispatcher) SetZonesOut(now time.Time, zones map[string]bool) {
+	for zone := range d.zonesOut {
+		if zones[zone] {
+			continue
+		}
+		for _, b := range d.books {
+			if b.Zone == zone {
+				d.markCold(b, now, d.coldFor(b))
+			}
+		}
+	}
+	d.zonesOut = zones
+}
+
+// SetEndpoints sets the endpoints that exist. What is booked of requests in
+// progress stays.
+func (d *Dispatcher) SetEndpoints(now time.Time, endpoints []topology.Endpoint) {
+	seen := make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		seen[e.ID] = true
+		d.setEndpoint(now, e)
+	}
+	for id := range d.books {
+		if !seen[id] {
+			delete(d.books, id)
+		}
+	}
+	d.order = slices.SortedFunc(maps.Values(d.books), func(a, b *book) int { return strings.Compare(a.ID, b.ID) })
+}
+
+func (d *Dispatcher) setEndpoint(now time.Time, e topology.Endpoint) {
+	b, known := d.books[e.ID]
+	if !known || b.Incarnation() != e.Incarnation() || b.Service != e.Service || b.Address != e.Address {
+		b = newBook(e)
+		d.books[e.ID] = b
+		b.peers = d.peerLoad(e.ID)
+	}
+	if e.ColdFor > 0 && e.ColdFor != b.ColdFor || !known && e.ColdFor > 0 {
+		d.markCold(b, now, e.ColdFor)
+	}
+	b.Endpoint = e
+}
+
+// service returns the state of a service.
+func (d *Dispatcher) service(name string) *serviceState {
+	s, ok := d.services[name]
+	if !ok {
+		s = newServiceState()
+		d.services[name] = s
+	}
+	return s
+}
+
+// Submit takes a request. The ticket is granted or refused at once, or waits
+// until Poll decides.
+func (d *Dispatcher) Submit(now time.Time, r Request) *Ticket {
+	t := &Ticket{Request: r, State: Waiting}
+	s := d.service(r.Service)
+	if !r.Repeat {
+		s.ask(now, r.Account, r.cost())
+	}
+	if !d.usable(r) {
+		return refuse(t, NoEndpoint, noEndpointRetry, now)
+	}
+	if s.mayOvertake(t) && d.place(now, s, t) {
+		return t
+	}
+	if wait := s.expectedWait(now, t, d.ownThroughput(s, now)); wait > d.patience(now, s, t) {
+		return refuse(t, TooLong, wait, now)
+	}
+	s.enqueue(t)
+	return t
+}
+
+// Poll decides what it can of the requests that wait and returns their
+// tickets, granted or refused.
+func (d *Dispatcher) Poll(now time.Time) []*Ticket {
+	var decided []*Ticket
+	for _, s := range d.services {
+		decided = d.pollService(now, s, decided)
+	}
+	return decided
+}
+
+// missesInRow ends one pass over a queue: after so many requests that fit
+// nowhere the endpoints are full, and looking further costs only time.
+const missesInRow = 12
+
+func (d *Dispatcher) pollService(now time.Time, s *serviceState, decided []*Ticket) []*Ticket {
+	if len(s.queue) == 0 {
+		return decided
+	}
+	d.sortQueue(now, s)
+	kept := s.queue[:0]
+	misses := 0
+	for _, t := range s.queue {
+		switch {
+		case t.State != Waiting:
+			continue
+		case !now.Before(t.waitUntil()):
+			decided = append(decided, refuse(t, Expired, 0, now))
+		case misses < missesInRow && d.place(now, s, t):
+			decided = append(decided, t)
+		default:
+			misses++
+			kept = append(kept, t)
+		}
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+	return decided
+}
+
+// Waiting returns the number of requests that wait.
+func (d *Dispatcher) Waiting() int {
+	n := 0
+	for _, s := range d.services {
+		n += len(s.queue)
+	}
+	return n
+}
+
+// Cancel takes a ticket back whose caller has left.
+func (d *Dispatcher) Cancel(now time.Time, t *Ticket) {
+	switch t.State {
+	case Waiting:
+		t.State = Finished
+	case Granted:
+		d.Finish(now, t, Abandoned)
+	}
+}
+
+// refuse ends a ticket. The advice is never longer than a third of the time
+// that the caller has left, since callers cut it there.
+func refuse(t *Ticket, why Reason, after time.Duration, now time.Time) *Ticket {
+	t.State, t.Reason = Refused, why
+	t.RetryAfter = min(max(after, shortestRetry), max(0, t.Request.Deadline.Sub(now)/3))
+	return t
+}
+
+// FirstEvent notes that the endpoint has read the prompt: the first event of
+// the answer is here.
+func (d *Dispatcher) FirstEvent(now time.Time, t *Ticket) {
+	if t.State != Granted || t.book == nil {
+		return
+	}
+	t.book.read(t)
+	t.book.observe(now.Sub(t.GrantedAt), t.Predicted)
+}
+
+// Finish ends a granted ticket.
+func (d *Dispatcher) Finish(now time.Time, t *Ticket, how Outcome) {
+	if t.State != Granted {
+		return
+	}
+	t.State = Finished
+	b := t.book
+	b.release(t)
+	s := d.service(t.Request.Service)
+	switch how {
+	case Served:
+		b.succeeded(now)
+		s.errors.note(now, false)
+	case Failed, Broken:
+		b.failed(now)
+		s.errors.note(now, true)
+	case Unreachable:
+		d.unreachable(now, b)
+	case Rejected:
+		b.rejected(now)
+	case Misdirected:
+		b.misdirected = true
+	case Abandoned:
+	}
+}
--- /dev/null
+++ b/core/dispatch/place.go
@@ -0,0 +1,261 @@
+package dispatch
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+)
+
+const (
+	// rereadPenalty is what a millisecond-per-token of reading a shared part
+	// again counts beside the time that it takes: it harms the other requests
+	// of the endpoint and costs capacity.
+	rereadPenalty = 0.08 // ms a token
+	// cachedFor is how long a part probably stays cached after its use: the
+	// memory of an engine over the rate at which it reads.
+	cachedFor = 6 * time.Second
+	// partsKept bounds the parts remembered for an endpoint.
+	partsKept = 4096
+	// otherZone is what another availability zone counts: the way there and
+	// back, and the price of bytes between zones.
+	otherZone = 6 * time.Millisecond
+	// plainWork is the usual time of a plain request.
+	plainWork = 20 * time.Millisecond
+	// errorPenalty is what failing every request counts.
+	errorPenalty = 2 * time.Second
+
+	// The bounds up to which endpoints are filled, as parts of their slots or
+	// of the time to the objective. Requests within their account's share go
+	// first: what is beyond it, or late already, leaves room for them.
+	fullSlots   = 0.95
+	spareSlots  = 0.75
+	fullWait    = 0.7
+	spareWait   = 0.35
+	memoryShare = 0.92
+	// plainQueue is how many requests may wait inside a plain endpoint, as a
+	// part of its slots.
+	plainQueue = 1.0
+
+	// defaultSlots stands for an endpoint that states no slots.
+	defaultSlots = 8
+)
+
+// usable reports whether the service has an endpoint that may get the
+// request at all, now or soon.
+func (d *Dispatcher) usable(r Request) bool {
+	for _, b := range d.order {
+		if d.allowed(b, &r) {
+			return true
+		}
+	}
+	return false
+}
+
+// allowed reports whether an endpoint may get a request when it has room.
+func (d *Dispatcher) allowed(b *book, r *Request) bool {
+	if b.Service != r.Service || b.Draining || b.misdirected || d.zonesOut[b.Zone] {
+		return false
+	}
+	for _, id := range r.Tried {
+		if id == b.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// place grants a request to the best endpoint that has room for it.
+func (d *Dispatcher) place(now time.Time, s *serviceState, t *Ticket) bool {
+	engine := d.engine(t.Request.Service)
+	prefix := sharedPrefix(t.Request.Parts)
+	home := d.home(t.Request.Service, prefix)
+	limits := d.limits(now, s, t)
+	var best *book
+	var bestScore, bestMissing = math.Inf(1), 0
+	for _, b := range d.order {
+		if !d.allowed(b, &t.Request) || now.Before(b.pausedUntil) {
+			continue
+		}
+		missing := b.missing(now, t.Request.Parts, t.Request.Prompt, b == home)
+		if !limits.room(b, engine, t) || !d.coldAllows(b, now) {
+			continue
+		}
+		if score := d.score(now, s, b, t, missing); score < bestScore {
+			best, bestScore, bestMissing = b, score, missing
+		}
+	}
+	if best == nil {
+		return false
+	}
+	d.grant(now, s, t, best, bestMissing)
+	t.Spilled = prefix != 0 && best != home
+	return true
+}
+
+func (d *Dispatcher) grant(now time.Time, s *serviceState, t *Ticket, b *book, missing int) {
+	t.State, t.GrantedAt, t.Missing = Granted, now, missing
+	t.Endpoint = b.Endpoint
+	t.Predicted = b.predict(missing)
+	d.coldTake(b, now)
+	b.take(now, t)
+	if !t.Request.Repeat {
+		s.serve(now, t.Request.Account, t.Request.cost())
+	}
+	s.throughput.add(now, t.Request.cost(), throughputWindow)
+}
+
+// score is what a placement costs, in milliseconds.
+func (d *Dispatcher) score(now time.Time, s *serviceState, b *book, t *Ticket, missing int) float64 {
+	load := b.load()
+	var wait float64
+	if t.Request.Prompt > 0 {
+		shared := missing - unsharedTokens(t.Request.Parts, t.Request.Prompt)
+		wait = ms(b.predict(missing)) + float64(max(0, shared))*rereadPenalty
+		wait += float64(load.Active) * b.slowness
+	} else {
+		wait = ms(plainWork) * float64(load.Active+1) / float64(slotsOf(b)) * b.slowness
+	}
+	if b.Zone != d.opts.Zone {
+		wait += ms(otherZone)
+	}
+	return wait + max(0, b.errors.share(now)-s.errors.share(now))*ms(errorPenalty)
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// limits bound how full an endpoint may get by one request.
+type limits struct {
+	slots float64       // part of the slots
+	wait  time.Duration // until the first event
+}
+
+// limits returns the bounds for a request: narrower for what is late or
+// beyond the share of its account.
+func (d *Dispatcher) limits(now time.Time, s *serviceState, t *Ticket) limits {
+	objective := t.Request.Objective.Sub(t.Request.Arrived)
+	left := t.Request.Objective.Sub(now)
+	t.late = left < firstStep
+	if t.late || s.overShare(now, t.Request.Account, d.tokensPerSecond(t.Request.Service)) {
+		return limits{slots: spareSlots, wait: time.Duration(spareWait * float64(objective))}
+	}
+	return limits{slots: fullSlots, wait: time.Duration(fullWait * float64(objective))}
+}
+
+// room reports whether the endpoint has room for the request. An endpoint
+// with nothing to read takes any request, however long its prompt is.
+func (l limits) room(b *book, engine *topology.Engine, t *Ticket) bool {
+	load := b.load()
+	slots := float64(slotsOf(b))
+	if t.Request.Prompt == 0 || engine == nil {
+		return float64(load.Active) < slots*(1+plainQueue)
+	}
+	if float64(load.Active) >= slots*l.slots {
+		return false
+	}
+	if need := load.Resident + t.Request.Prompt + t.Request.Output; engine.MemoryTokens > 0 &&
+		load.Active > 0 && float64(need) > memoryShare*float64(engine.MemoryTokens) {
+		return false
+	}
+	return load.Pending == 0 || b.predict(0) <= l.wait
+}
+
+func slotsOf(b *book) int {
+	if b.Slots > 0 {
+		return b.Slots
+	}
+	return defaultSlots
+}
+
+// engine returns the engine of a service, or nil.
+func (d *Dispatcher) engine(service string) *topology.Engine {
+	if s := d.table.Service(service); s != nil {
+		return s.Engine
+	}
+	return nil
+}
+
+// tokensPerSecond is what all endpoints of a service do together; 0: not
+// known, or a plain service.
+func (d *Dispatcher) tokensPerSecond(service string) float64 {
+	if d.engine(service) == nil {
+		return 0
+	}
+	return d.table.Config.Limits.TokensPerSec
+}
+
+// sharedPrefix returns the last part of a prompt that requests share; 0: none.
+func sharedPrefix(parts []Part) uint64 {
+	if len(parts) < 2 {
+		return 0
+	}
+	return parts[len(parts)-2].ID
+}
+
+// unsharedTokens returns the tokens that no other request has sent.
+func unsharedTokens(parts []Part, prompt int) int {
+	if len(parts) < 2 {
+		return prompt
+	}
+	return parts[len(parts)-1].Tokens
+}
+
+// home returns the endpoint that all routers prefer for a shared prefix, by
+// rendezvous over the endpoints that can be used; nil: none.
+func (d *Dispatcher) home(service string, prefix uint64) *book {
+	if prefix == 0 {
+		return nil
+	}
+	var best *book
+	var bestWeight uint64
+	for _, b := range d.order {
+		if b.Service != service || b.Draining || b.misdirected || d.zonesOut[b.Zone] || b.failures > 0 {
+			continue
+		}
+		if w := rendezvous(prefix, b.ID); best == nil || w > bestWeight {
+			best, bestWeight = b, w
+		}
+	}
+	return best
+}
+
+func rendezvous(key uint64, name string) uint64 {
+	var buf [8]byte
+	binary.LittleEndian.PutUint64(buf[:], key)
+	h := xxhash.New()
+	h.Write(buf[:])
+	h.WriteString(name)
+	return h.Sum64()
+}
+
+// missing estimates the prompt tokens that the endpoint has to read. At the
+// home of a prefix the shared parts count as cached: the other routers send
+// them there too.
+func (b *book) missing(now time.Time, parts []Part, prompt int, home bool) int {
+	missing := prompt
+	for i, p := range parts {
+		shared := i < len(parts)-1
+		if used, ok := b.parts[p.ID]; !(ok && now.Sub(used) < cachedFor) && !(home && shared) {
+			break
+		}
+		missing -= p.Tokens
+	}
+	return max(missing, 0)
+}
+
+// remember notes the parts of a prompt that was sent.
+func (b *book) remember(now time.Time, parts []Part) {
+	if len(b.parts) > partsKept {
+		for id, used := range b.parts {
+			if now.Sub(used) > cachedFor {
+				delete(b.parts, id)
+			}
+		}
+	}
+	for _, p := range parts {
+		b.parts[p.ID] = now
+	}
+}
--- /dev/null
+++ b/core/dispatch/queue.go
@@ -0,0 +1,190 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// shareWindow is the time over which the use of an account is compared
+	// with its share.
+	shareWindow = 4 * time.Second
+	// throughputWindow is the time over which a router's own throughput is
+	// measured.
+	throughputWindow = 2 * time.Second
+	// shareEvery is how often the shares are worked out anew.
+	shareEvery = 100 * time.Millisecond
+
+	// patienceShare is the part of the time to its deadline that a request
+	// within its account's share may be expected to wait; beyond it the
+	// request is refused at once, while the caller can still go elsewhere.
+	patienceShare = 0.4
+	// runReserve is the part of the time between arrival and deadline after
+	// which a request that still waits is refused: the answer would not be
+	// whole in time.
+	runReserve = 0.7
+	// longestBacklog bounds the wait of a request beyond its account's share,
+	// in objectives.
+	longestBacklog = 1.0
+
+	shortestRetry   = 50 * time.Millisecond
+	noEndpointRetry = 300 * time.Millisecond
+)
+
+// serviceState is what the requests of one service share.
+type serviceState struct {
+	queue      []*Ticket
+	accounts   map[string]*usage
+	throughput decayed // cost granted here
+	errors     errorRate
+	retries    retryWindow
+
+	share   float64 // cost an account may use in shareWindow; +Inf: no limit
+	sharedA time.Time
+}
+
+// usage is what an account asked for and got, here and at the peers.
+type usage struct {
+	asked, served         decayed
+	peerAsked, peerServed float64 // sums of the peers' reports
+}
+
+func newServiceState() *serviceState {
+	return &serviceState{accounts: map[string]*usage{}, share: math.Inf(1)}
+}
+
+func (s *serviceState) account(name string) *usage {
+	u, ok := s.accounts[name]
+	if !ok {
+		u = &usage{}
+		s.accounts[name] = u
+	}
+	return u
+}
+
+func (s *serviceState) ask(now time.Time, account string, cost float64) {
+	s.account(account).asked.add(now, cost, shareWindow)
+}
+
+func (s *serviceState) serve(now time.Time, account string, cost float64) {
+	s.account(account).served.add(now, cost, shareWindow)
+}
+
+// level is what the account got of late, in the whole fleet.
+func (u *usage) level(now time.Time) float64 {
+	return u.served.value(now, shareWindow) + u.peerServed
+}
+
+// overShare reports whether an account has used up its max-min share of the
+// given capacity, in cost a second.
+func (s *serviceState) overShare(now time.Time, account string, perSecond float64) bool {
+	if perSecond <= 0 {
+		return false
+	}
+	if now.Sub(s.sharedA) >= shareEvery {
+		s.sharedA = now
+		s.share = s.maxMin(now, perSecond*shareWindow.Seconds())
+	}
+	return s.account(account).level(now) > s.share
+}
+
+// maxMin returns the level up to which every account is served when capacity
+// is shared by max-min: accounts that ask for less get what they ask for, the
+// others the same. It is +Inf while the capacity covers all.
+func (s *serviceState) maxMin(now time.Time, capacity float64) float64 {
+	asked := make([]float64, 0, len(s.accounts))
+	for _, u := range s.accounts {
+		asked = append(asked, u.asked.value(now, shareWindow)+u.peerAsked)
+	}
+	slices.Sort(asked)
+	for i, a := range asked {
+		even := capacity / float64(len(asked)-i)
+		if a > even {
+			return even
+		}
+		capacity -= a
+	}
+	return math.Inf(1)
+}
+
+func (s *serviceState) enqueue(t *Ticket) { s.queue = append(s.queue, t) }
+
+// mayOvertake reports whether a new request may be placed before those that
+// wait: only if none of them could use the room.
+func (s *serviceState) mayOvertake(t *Ticket) bool {
+	for _, w := range s.queue {
+		if w.State == Waiting && w.Request.Account == t.Request.Account && w.Request.Prompt <= t.Request.Prompt && !w.late {
+			return false
+		}
+	}
+	return true
+}
+
+// sortQueue orders the requests that wait: what can still meet its objective
+// before what is late, then the account that got least, then the earliest
+// objective.
+func (d *Dispatcher) sortQueue(now time.Time, s *serviceState) {
+	levels := make(map[string]float64, len(s.accounts))
+	for _, t := range s.queue {
+		if _, ok := levels[t.Request.Account]; !ok {
+			levels[t.Request.Account] = s.account(t.Request.Account).level(now)
+		}
+		t.late = t.Request.Objective.Sub(now) < firstStep
+	}
+	slices.SortStableFunc(s.queue, func(a, b *Ticket) int {
+		if a.late != b.late {
+			if b.late {
+				return -1
+			}
+			return 1
+		}
+		la, lb := levels[a.Request.Account], levels[b.Request.Account]
+		if la != lb {
+			if la < lb {
+				return -1
+			}
+			return 1
+		}
+		return a.Request.Objective.Compare(b.Request.Objective)
+	})
+}
+
+// waitUntil is the instant at which a request that still waits is refused.
+func (t *Ticket) waitUntil() time.Time {
+	whole := t.Request.Deadline.Sub(t.Request.Arrived)
+	return t.Request.Arrived.Add(time.Duration(runReserve * float64(whole)))
+}
+
+// expectedWait is the time until the queue before a new request is worked
+// off at the router's throughput, in cost a second.
+func (s *serviceState) expectedWait(now time.Time, t *Ticket, perSecond float64) time.Duration {
+	level := s.account(t.Request.Account).level(now)
+	ahead := 0.0
+	for _, w := range s.queue {
+		if w.State == Waiting && s.account(w.Request.Account).level(now) <= level {
+			ahead += w.Request.cost()
+		}
+	}
+	return time.Duration(ahead / perSecond * float64(time.Second))
+}
+
+// patience is the longest wait for which a new request is taken on.
+func (d *Dispatcher) patience(now time.Time, s *serviceState, t *Ticket) time.Duration {
+	left := time.Duration(patienceShare * float64(t.Request.Deadline.Sub(now)))
+	if s.overShare(now, t.Request.Account, d.tokensPerSecond(t.Request.Service)) {
+		objective := t.Request.Objective.Sub(t.Request.Arrived)
+		return min(left, time.Duration(longestBacklog*float64(objective)))
+	}
+	return left
+}
+
+// ownThroughput is the cost a second that this router gets through, at least
+// its even part of what the service does.
+func (d *Dispatcher) ownThroughput(s *serviceState, now time.Time) float64 {
+	const least = 100 // cost a second; a plain service's requests cost one
+	even := d.table.Config.Limits.TokensPerSec / float64(len(d.routers))
+	return max(s.throughput.value(now, throughputWindow)/throughputWindow.Seconds(), even/2, least)
+}
+
+func fade(dt, tau time.Duration) float64 { return math.Exp(-float64(dt) / float64(tau)) }
--- /dev/null
+++ b/core/dispatch/report.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// reportAge is how long a peer's report counts: the requests of a router
+// that is silent for longer have probably ended with it.
+const reportAge = 2 * time.Second
+
+// EndpointReport is a router's load at an endpoint.
+type EndpointReport struct {
+	Endpoint string
+	Load
+}
+
+// ColdReport says that an endpoint is cold for some more time.
+type ColdReport struct {
+	Endpoint string
+	Born     int64
+	Left     time.Duration
+}
+
+// AccountReport is what an account asked for and got at one router of late.
+type AccountReport struct {
+	Service, Account string
+	Asked, Served    float64 // cost in shareWindow
+}
+
+// Report is what a router tells the others.
+type Report struct {
+	Endpoints []EndpointReport
+	Cold      []ColdReport
+	Accounts  []AccountReport
+}
+
+// peerReport is the newest report of another router.
+type peerReport struct {
+	at     time.Time
+	report Report
+}
+
+// Report returns what the other routers need to know.
+func (d *Dispatcher) Report(now time.Time) Report {
+	r := Report{Cold: d.coldEndpoints(now)}
+	for id, b := range d.books {
+		if b.own.Active > 0 {
+			r.Endpoints = append(r.Endpoints, EndpointReport{Endpoint: id, Load: b.own})
+		}
+	}
+	slices.SortFunc(r.Endpoints, func(a, b EndpointReport) int { return strings.Compare(a.Endpoint, b.Endpoint) })
+	for name, s := range d.services {
+		r.Accounts = s.report(now, name, r.Accounts)
+	}
+	return r
+}
+
+func (s *serviceState) report(now time.Time, service string, out []AccountReport) []AccountReport {
+	const least = 0.5 // cost that is worth a report
+	for account, u := range s.accounts {
+		a := AccountReport{Service: service, Account: account,
+			Asked: u.asked.value(now, shareWindow), Served: u.served.value(now, shareWindow)}
+		if a.Asked > least || a.Served > least {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// SetPeer takes over the newest report of another router.
+func (d *Dispatcher) SetPeer(now time.Time, peer string, r Report) {
+	d.replacePeer(peer, &peerReport{at: now, report: r})
+	for _, c := range r.Cold {
+		if b, ok := d.books[c.Endpoint]; ok && b.Born == c.Born {
+			d.markCold(b, now, c.Left)
+		}
+	}
+}
+
+// ForgetPeers drops the reports of routers that have been silent.
+func (d *Dispatcher) ForgetPeers(now time.Time) {
+	for peer, p := range d.peers {
+		if now.Sub(p.at) > reportAge {
+			d.replacePeer(peer, nil)
+		}
+	}
+}
+
+// replacePeer takes a peer's old report out of the sums and adds the new one.
+func (d *Dispatcher) replacePeer(peer string, next *peerReport) {
+	if old, ok := d.peers[peer]; ok {
+		d.addReport(old.report, -1)
+		delete(d.peers, peer)
+	}
+	if next != nil {
+		d.peers[peer] = next
+		d.addReport(next.report, 1)
+	}
+}
+
+func (d *Dispatcher) addReport(r Report, sign int) {
+	for _, e := range r.Endpoints {
+		if b, ok := d.books[e.Endpoint]; ok {
+			b.peers.add(Load{Active: sign * e.Active, Pending: sign * e.Pending, Resident: sign * e.Resident})
+		}
+	}
+	for _, a := range r.Accounts {
+		u := d.service(a.Service).account(a.Account)
+		u.peerAsked = max(0, u.peerAsked+float64(sign)*a.Asked)
+		u.peerServed = max(0, u.peerServed+float64(sign)*a.Served)
+	}
+}
+
+// peerLoad sums up what the peers report of an endpoint.
+func (d *Dispatcher) peerLoad(id string) Load {
+	var l Load
+	for _, p := range d.peers {
+		for _, e := range p.report.Endpoints {
+			if e.Endpoint == id {
+				l.add(e.Load)
+			}
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/internal/edge/beliefs.go
@@ -0,0 +1,118 @@
+package edge
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/replica"
+)
+
+// beliefs are the decoded records, kept to log what changes.
+type beliefs struct {
+	mu        sync.Mutex
+	version   int64
+	endpoints map[string]topology.Endpoint
+	addresses map[string]bool
+	zonesOut  map[string]bool
+}
+
+// usesAddress reports whether an endpoint that may get requests has the
+// address.
+func (b *beliefs) usesAddress(address string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.addresses[address]
+}
+
+// changed takes over a collection that has changed.
+func (e *Edge) changed(kind replica.Kind, v replica.View) {
+	switch kind {
+	case replica.Config:
+		e.configChanged(v)
+	case replica.Endpoints:
+		e.endpointsChanged(v)
+	case replica.ZonesOut:
+		e.zonesChanged(v)
+	}
+}
+
+func (e *Edge) configChanged(v replica.View) {
+	c, ok, err := e.platform.Decoder.Config(v.Records)
+	if err != nil {
+		e.log.Log(oplog.Belief, "config.unreadable", slog.Int64("revision", v.Revision), slog.String("from", v.From), slog.String("error", err.Error()))
+		return
+	}
+	if !ok {
+		return
+	}
+	e.beliefs.mu.Lock()
+	old := e.beliefs.version
+	e.beliefs.version = max(old, c.Version)
+	e.beliefs.mu.Unlock()
+	if c.Version <= old {
+		return
+	}
+	table := topology.NewTable(c)
+	e.desk.Update(func(_ time.Time, core *dispatch.Dispatcher) { core.SetTable(table) })
+	e.relay.SetTable(table)
+	metrics.GetOrCreateGauge("cyclamenwinch_config_version", nil).Set(float64(c.Version))
+	e.log.Log(oplog.Belief, "config.in_force", slog.Int64("version", c.Version), slog.Int64("old_version", old), slog.Int64("revision", v.Revision),
+		slog.String("from", v.From), slog.Int("routes", len(c.Routes)), slog.Int("accounts", len(c.Accounts)))
+}
+
+func (e *Edge) endpointsChanged(v replica.View) {
+	now := map[string]topology.Endpoint{}
+	for _, r := range v.Records {
+		endpoint, err := e.platform.Decoder.Endpoint(r)
+		if err != nil {
+			e.log.Log(oplog.Belief, "endpoint.unreadable", slog.String("endpoint", r.Name), slog.Int64("revision", r.Revision), slog.String("error", err.Error()))
+			continue
+		}
+		now[r.Name] = endpoint
+	}
+	list := slices.Collect(maps.Values(now))
+	e.desk.Update(func(at time.Time, core *dispatch.Dispatcher) { core.SetEndpoints(at, list) })
+	e.beliefs.mu.Lock()
+	old := e.beliefs.endpoints
+	e.beliefs.endpoints = now
+	e.beliefs.addresses = map[string]bool{}
+	for _, endpoint := range now {
+		e.beliefs.addresses[endpoint.Address] = !endpoint.Draining
+	}
+	e.beliefs.mu.Unlock()
+	e.logEndpoints(old, now, v)
+}
+
+// logEndpoints logs each endpoint that came, changed or went.
+func (e *Edge) logEndpoints(old, now map[string]topology.Endpoint, v replica.View) {
+	for id, endpoint := range now {
+		if was, ok := old[id]; ok && was == endpoint {
+			continue
+		}
+		e.log.Log(oplog.Belief, "endpoint.changed", slog.String("endpoint", id), slog.String("address", endpoint.Address), slog.String("service", endpoint.Service),
+			slog.String("zone", endpoint.Zone), slog.Bool("draining", endpoint.Draining), slog.Duration("cold_for", endpoint.ColdFor),
+			slog.Int64("born", endpoint.Born), slog.Int64("revision", v.Revision), slog.String("from", v.From))
+	}
+	for id := range old {
+		if _, ok := now[id]; !ok {
+			e.log.Log(oplog.Belief, "endpoint.gone", slog.String("endpoint", id), slog.Int64("revision", v.Revision), slog.String("from", v.From))
+		}
+	}
+}
+
+func (e *Edge) zonesChanged(v replica.View) {
+	zones := map[string]bool{}
+	for _, r := range v.Records {
+		zones[e.platform.Decoder.ZoneOut(r)] = true
+	}
+	e.desk.Update(func(at time.Time, core *dispatch.Dispatcher) { core.SetZonesOut(at, zones) })
+	e.log.Log(oplog.Belief, "zones.out", slog.Any("zones", slices.Sorted(maps.Keys(zones))), slog.Int64("revision", v.Revision), slog.String("from", v.From))
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,271 @@
+// Package edge is the router on a prepared platform: it wires the relay, the
+// dispatcher, the copy of the platform's records and the mesh of routers
+// together, supervises them, and stops them gracefully.
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
+	"google.golang.org/grpc"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/mesh"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/relay"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/replica"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/upstream"
+)
+
+// Settings are what a router learns from its settings file.
+type Settings struct {
+	Name      string
+	Zone      string
+	Region    string
+	Address   netip.Addr
+	Front     string // IP:port for clients' requests
+	Ready     string // IP:port of the readiness check
+	Directory string // IP:port where clients ask for addresses
+	Metrics   string // address of the metrics; empty: none
+	PeerPort  uint16 // the same at all routers
+	Seeds     []netip.Addr
+
+	StopGrace   time.Duration // between SIGTERM and SIGKILL
+	MemoryBytes int64         // of the process; 0: no limit
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
+
+// Entry is a router's entry in the platform's store.
+type Entry struct {
+	Name     string
+	Address  string // IP
+	Zone     string
+	Revision int64 // 0: not stored yet
+}
+
+// Registry keeps the entries of routers.
+type Registry interface {
+	Routers(ctx context.Context) ([]Entry, error)
+	Register(ctx context.Context, e Entry) error
+	Unregister(ctx context.Context, e Entry) error
+}
+
+// Decoder reads the platform's records.
+type Decoder interface {
+	// Config returns the configuration; false if there is none.
+	Config([]replica.Record) (topology.Config, bool, error)
+	// Endpoint returns an endpoint; the error says why the record names none.
+	Endpoint(replica.Record) (topology.Endpoint, error)
+	// ZoneOut returns the zone that a record takes out.
+	ZoneOut(replica.Record) string
+}
+
+// Platform is all that a router needs of the platform.
+type Platform struct {
+	Source           replica.Source
+	Registry         Registry
+	Decoder          Decoder
+	Protocol         relay.Protocol
+	DirectoryHandler func(answer func(zone string) (addresses []string, keep time.Duration)) http.Handler
+	ReadyHandler     func(ready func() bool) http.Handler
+}
+
+const (
+	// memoryShare is the part of the memory limit at which the garbage
+	// collector works harder; stacks and kernel buffers need the rest.
+	memoryShare = 0.6
+	// Bounds of what a client may take; the platform's configuration has
+	// the same or lower ones.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 20 * time.Second
+	headerBytes   = 64 << 10
+)
+
+// Edge is one router.
+type Edge struct {
+	settings Settings
+	platform Platform
+	log      *oplog.Logger
+	desk     *relay.Desk
+	relay    *relay.Relay
+	pool     *upstream.Pool
+	replica  *replica.Replica
+	mesh     *mesh.Mesh
+	calls    *grpc.Server
+	leaving  atomic.Bool
+
+	beliefs beliefs
+	regMu   sync.Mutex
+	entries map[string]Entry // of other routers, as last listed
+}
+
+// New wires a router and opens its socket for beats.
+func New(s Settings, p Platform, log *oplog.Logger) (*Edge, error) {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	e := &Edge{settings: s, platform: p, log: log, pool: upstream.NewPool(), entries: map[string]Entry{}}
+	e.desk = relay.NewDesk(dispatch.New(dispatch.Options{
+		Self: s.Name, Zone: s.Zone, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
+	}))
+	e.relay = relay.New(relay.Options{Protocol: p.Protocol, Desk: e.desk, Pool: e.pool, Log: log})
+	e.replica = replica.New(e.changed)
+	var err error
+	e.mesh, err = mesh.New(mesh.Options{
+		Name: s.Name, Zone: s.Zone, Incarnation: time.Now().UnixNano(), Front: s.Front,
+		Address: netip.AddrPortFrom(s.Address, s.PeerPort), Replica: e.replica, Log: log,
+		State: e.state, OnReport: e.report, OnRouters: e.routers,
+	})
+	if err != nil {
+		return nil, err
+	}
+	for _, seed := range s.Seeds {
+		e.mesh.AddPeer("", seed, false)
+	}
+	e.calls = mesh.NewServer(e.replica)
+	return e, nil
+}
+
+// state is what the router tells the others in each beat.
+func (e *Edge) state() mesh.State {
+	s := mesh.State{Ready: e.ready(), Leaving: e.leaving.Load()}
+	e.desk.Update(func(now time.Time, core *dispatch.Dispatcher) { s.Report = core.Report(now) })
+	return s
+}
+
+func (e *Edge) report(peer string, r dispatch.Report) {
+	e.desk.Update(func(now time.Time, core *dispatch.Dispatcher) { core.SetPeer(now, peer, r) })
+}
+
+func (e *Edge) routers(names []string) {
+	e.log.Log(oplog.Belief, "routers.known", slog.Any("routers", names))
+	e.desk.Update(func(_ time.Time, core *dispatch.Dispatcher) { core.SetRouters(names) })
+}
+
+// ready reports whether clients may be sent here.
+func (e *Edge) ready() bool { return e.relay.Ready() && !e.leaving.Load() }
+
+// addressesKept is how long clients keep an answer of the directory: short,
+// so that they soon leave a router that has gone. Some keep it three times as
+// long.
+const addressesKept = time.Second
+
+// directory returns where clients should connect: at all routers that are
+// ready.
+func (e *Edge) directory(string) ([]string, time.Duration) {
+	var out []string
+	if e.ready() {
+		out = append(out, e.settings.Front)
+	}
+	for _, r := range e.mesh.Alive() {
+		if r.Ready && !r.Leaving {
+			out = append(out, r.Front)
+		}
+	}
+	return out, addressesKept
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (e *Edge) Run(ctx context.Context) error {
+	defer e.mesh.Close()
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	servers, err := e.servers()
+	if err != nil {
+		return err
+	}
+	root := suture.New("edge", suture.Spec{EventHook: e.supervised, Timeout: time.Second})
+	for _, p := range e.parts(servers) {
+		root.Add(p)
+	}
+	ended := root.ServeBackground(work)
+	e.log.Log(oplog.Belief, "router.started", slog.String("front", e.settings.Front), slog.Int("peer_port", int(e.settings.PeerPort)))
+	select {
+	case <-ctx.Done():
+	case err := <-ended:
+		return errors.Wrap(err, "supervisor ended")
+	}
+	e.drain(servers[0].server)
+	stop()
+	<-ended
+	return nil
+}
+
+// part is one supervised service.
+type part struct {
+	name  string
+	serve func(context.Context) error
+}
+
+// Serve runs the part until the context ends.
+func (p part) Serve(ctx context.Context) error { return p.serve(ctx) }
+
+// String returns the part's name for the supervisor's events.
+func (p part) String() string { return p.name }
+
+func (e *Edge) parts(servers []webServer) []part {
+	parts := []part{
+		{"desk", e.desk.Serve},
+		{"beats out", e.mesh.Send},
+		{"beats in", e.mesh.Receive},
+		{"expiry", e.replica.KeepExpiring},
+		{"registration", e.keepRegistered},
+		{"connections", e.keepConnections},
+		{"calls", e.serveCalls},
+	}
+	for _, kind := range replica.Kinds {
+		parts = append(parts, part{"follow " + string(kind), func(ctx context.Context) error {
+			return e.replica.Follow(ctx, e.platform.Source, kind, e.log)
+		}})
+	}
+	for _, s := range servers {
+		parts = append(parts, part{"web " + s.name, s.serve})
+	}
+	return parts
+}
+
+// supervised logs what the supervisor does.
+func (e *Edge) supervised(event suture.Event) {
+	metrics.GetOrCreateCounter("cyclamenwinch_supervisor_events_total").Inc()
+	e.log.Log(oplog.Belief, "part.event", slog.String("what", event.String()))
+}
+
+func (e *Edge) serveCalls(ctx context.Context) error {
+	l, err := net.Listen("tcp", netip.AddrPortFrom(e.settings.Address, e.settings.PeerPort).String())
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	stop := context.AfterFunc(ctx, e.calls.Stop)
+	defer stop()
+	return e.calls.Serve(l)
+}
+
+// sweepEvery is how often idle connections are looked at.
+const sweepEvery = time.Second
+
+// keepConnections closes idle connections that have become useless.
+func (e *Edge) keepConnections(ctx context.Context) error {
+	ticks := time.NewTicker(sweepEvery)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks.C:
+			e.pool.Drop(e.beliefs.usesAddress)
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/register.go
@@ -0,0 +1,120 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/retry"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+)
+
+const (
+	// registryTimeout bounds one call of the registration.
+	registryTimeout = time.Second
+	// deadAfter is how long a registered router must be silent before its
+	// entry is removed.
+	deadAfter = 2 * time.Minute
+	// tidyEvery is how often entries of dead routers are looked for.
+	tidyEvery = time.Minute
+)
+
+var registryBackoff = retry.Backoff{First: 200 * time.Millisecond, Longest: 2 * time.Second}
+
+// keepRegistered stores the router's entry and learns the other routers from
+// theirs. Who registers later sees who was first, and beats do the rest, so
+// the entries need no watch.
+func (e *Edge) keepRegistered(ctx context.Context) error {
+	for failures := 0; ; {
+		err := e.register(ctx)
+		if err == nil {
+			break
+		}
+		failures++
+		e.log.Log(oplog.Belief, "registration.failed", slog.Int("failures", failures), slog.String("error", err.Error()))
+		if !sleep(ctx, registryBackoff.Delay(failures, rand.Float64())) {
+			return ctx.Err()
+		}
+	}
+	for sleep(ctx, tidyEvery) {
+		e.tidy(ctx)
+	}
+	return ctx.Err()
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// register stores the entry, unless it is there already, and then reads all
+// entries.
+func (e *Edge) register(ctx context.Context) error {
+	limit, cancel := context.WithTimeout(ctx, 2*registryTimeout)
+	defer cancel()
+	own := Entry{Name: e.settings.Name, Address: e.settings.Address.String(), Zone: e.settings.Zone}
+	entries, err := e.platform.Registry.Routers(limit)
+	if err != nil {
+		return err
+	}
+	stored := false
+	for _, entry := range entries {
+		if entry.Name == own.Name {
+			own.Revision = entry.Revision
+			stored = entry.Address == own.Address && entry.Zone == own.Zone
+		}
+	}
+	if !stored {
+		if err := e.platform.Registry.Register(limit, own); err != nil {
+			return err
+		}
+		if entries, err = e.platform.Registry.Routers(limit); err != nil {
+			return err
+		}
+	}
+	e.learn(entries)
+	e.log.Log(oplog.Belief, "registration.done", slog.Int("routers", len(entries)))
+	return nil
+}
+
+func (e *Edge) learn(entries []Entry) {
+	e.regMu.Lock()
+	defer e.regMu.Unlock()
+	for _, entry := range entries {
+		address, err := netip.ParseAddr(entry.Address)
+		if err != nil {
+			e.log.Log(oplog.Belief, "registration.unreadable", slog.String("router", entry.Name), slog.String("address", entry.Address))
+			continue
+		}
+		e.entries[entry.Name] = entry
+		e.mesh.AddPeer(entry.Name, address, true)
+	}
+}
+
+// tidy removes the entries of routers that are long dead. The first of those
+// that are alive does it.
+func (e *Edge) tidy(ctx context.Context) {
+	alive := e.mesh.Alive()
+	if len(alive) > 0 && alive[0].Name < e.settings.Name {
+		return
+	}
+	for _, r := range e.mesh.Dead(deadAfter) {
+		e.regMu.Lock()
+		entry, ok := e.entries[r.Name]
+		delete(e.entries, r.Name)
+		e.regMu.Unlock()
+		if !ok {
+			continue
+		}
+		limit, cancel := context.WithTimeout(ctx, registryTimeout)
+		err := e.platform.Registry.Unregister(limit, entry)
+		cancel()
+		e.log.Log(oplog.Belief, "registration.removed", slog.String("router", r.Name), slog.Any("error", err))
+	}
+}
--- /dev/null
+++ b/internal/edge/reload.go
@@ -0,0 +1,68 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+)
+
+// settingsEvery is how often the settings file is compared: it may change
+// without a signal.
+const settingsEvery = 2 * time.Second
+
+// KeepSettings reads the settings again on SIGHUP and when the file has
+// changed, until the context ends. Settings that can't be read are logged and
+// those in use stay.
+func (e *Edge) KeepSettings(ctx context.Context, path string, load func(path string) (Settings, error)) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticks := time.NewTicker(settingsEvery)
+	defer ticks.Stop()
+	last, err := os.ReadFile(path)
+	if err != nil {
+		e.log.Log(oplog.Belief, "settings.unreadable", slog.String("error", err.Error()))
+	}
+	for {
+		cause := "file"
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			cause = "signal"
+		case <-ticks.C:
+		}
+		data, err := os.ReadFile(path)
+		if err == nil && cause == "file" && bytes.Equal(data, last) {
+			continue
+		}
+		last = data
+		e.reload(cause, path, load)
+	}
+}
+
+// reload takes over what may change while the router runs: seeds and the
+// retry budget. Addresses and limits of the process need a restart.
+func (e *Edge) reload(cause, path string, load func(path string) (Settings, error)) {
+	s, err := load(path)
+	if err != nil {
+		e.log.Log(oplog.Belief, "settings.rejected", slog.String("cause", cause), slog.String("error", err.Error()))
+		return
+	}
+	for _, seed := range s.Seeds {
+		e.mesh.AddPeer("", seed, false)
+	}
+	e.desk.Update(func(_ time.Time, core *dispatch.Dispatcher) {
+		core.SetRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow)
+	})
+	restart := s.Front != e.settings.Front || s.Ready != e.settings.Ready || s.Directory != e.settings.Directory ||
+		s.Address != e.settings.Address || s.PeerPort != e.settings.PeerPort
+	e.log.Log(oplog.Belief, "settings.reloaded", slog.String("cause", cause), slog.Bool("needs_restart", restart))
+}
--- /dev/null
+++ b/internal/edge/web.go
@@ -0,0 +1,112 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+)
+
+// webServer is one HTTP listener.
+type webServer struct {
+	name     string
+	server   *http.Server
+	listener net.Listener
+}
+
+func (s webServer) serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { s.server.Close() })
+	defer stop()
+	err := s.server.Serve(s.listener)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return errors.Wrap(err, "serve "+s.name)
+}
+
+// servers opens all listeners; the first is that of clients' requests.
+func (e *Edge) servers() ([]webServer, error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	var out []webServer
+	for _, l := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"front", e.settings.Front, e.relay},
+		{"ready", e.settings.Ready, e.platform.ReadyHandler(e.ready)},
+		{"directory", e.settings.Directory, e.platform.DirectoryHandler(e.directory)},
+		{"metrics", e.settings.Metrics, mux},
+	} {
+		if l.address == "" {
+			continue
+		}
+		listener, err := listen(l.address)
+		if err != nil {
+			return nil, errors.Wrap(err, "listen for "+l.name)
+		}
+		out = append(out, webServer{name: l.name, listener: listener, server: &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+			ErrorLog: log.New(serverErrors{e.log, l.name}, "", 0),
+		}})
+	}
+	return out, nil
+}
+
+// listen opens a listener whose connections notice a client that is gone.
+func listen(address string) (net.Listener, error) {
+	c := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}}
+	return c.Listen(context.Background(), "tcp", address)
+}
+
+// serverErrors passes the HTTP server's own lines to the log.
+type serverErrors struct {
+	log  *oplog.Logger
+	name string
+}
+
+// Write logs one line.
+func (s serverErrors) Write(p []byte) (int, error) {
+	s.log.Log(oplog.Failure, "web.error", slog.String("server", s.name), slog.String("error", string(bytes.TrimSpace(p))))
+	return len(p), nil
+}
+
+const (
+	// addressesForgotten is when clients have stopped using an address that
+	// left the directory's answers: some keep an answer three times as long
+	// as they are told.
+	addressesForgotten = 3*addressesKept + 300*time.Millisecond
+	// exitReserve is the time before the end of the grace by which the
+	// process exits.
+	exitReserve = 500 * time.Millisecond
+	drainPoll   = 20 * time.Millisecond
+)
+
+// drain stops gracefully: the router leaves the directory, serves what comes
+// until clients have moved on, lets the last request end, and closes.
+func (e *Edge) drain(front *http.Server) {
+	started := time.Now()
+	end := started.Add(e.settings.StopGrace - exitReserve)
+	e.leaving.Store(true)
+	e.relay.Leave()
+	e.mesh.Beat()
+	e.log.Log(oplog.Belief, "router.stopping", slog.Int64("open", e.relay.Open()))
+	time.Sleep(min(addressesForgotten, time.Until(end)))
+	e.relay.Refuse()
+	for e.relay.Open() > 0 && time.Now().Before(end) {
+		time.Sleep(drainPoll)
+	}
+	left := e.relay.Open()
+	limit, cancel := context.WithDeadline(context.Background(), end.Add(drainPoll))
+	defer cancel()
+	err := front.Shutdown(limit)
+	e.log.Log(oplog.Belief, "router.stopped", slog.Int64("cut", left), slog.Duration("took", time.Since(started)), slog.Any("error", err))
+}
--- /dev/null
+++ b/internal/mesh/calls.go
@@ -0,0 +1,171 @@
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/replica"
+)
+
+const (
+	// fetchTimeout bounds a call to a peer; one that fails is made again with
+	// the next beat, on a new connection.
+	fetchTimeout = 500 * time.Millisecond
+	// fetchBytes bounds a collection: an object of the store has 1 MB at most.
+	fetchBytes = 16 << 20
+)
+
+// calls holds the connections to peers.
+type calls struct {
+	mu    *sync.Mutex
+	conns map[netip.Addr]*grpc.ClientConn
+}
+
+func newCalls() calls {
+	return calls{mu: &sync.Mutex{}, conns: map[netip.Addr]*grpc.ClientConn{}}
+}
+
+func (c calls) conn(to netip.AddrPort) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[to.Addr()]; ok {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+to.String(),
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(fetchBytes)),
+		grpc.WithNoProxy(),
+		grpc.WithIdleTimeout(10*time.Second),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.5, MaxDelay: time.Second}, MinConnectTimeout: fetchTimeout}))
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to peer")
+	}
+	c.conns[to.Addr()] = conn
+	return conn, nil
+}
+
+// drop closes a connection on which a call failed: it may have gone silent.
+func (c calls) drop(to netip.Addr) {
+	c.mu.Lock()
+	conn := c.conns[to]
+	delete(c.conns, to)
+	c.mu.Unlock()
+	if conn != nil {
+		conn.Close()
+	}
+}
+
+func (c calls) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+// catchUp fetches the collections of which a peer knows newer changes.
+func (m *Mesh) catchUp(ctx context.Context, p *Router, theirs map[string]int64) {
+	ours := m.opts.Replica.Revisions()
+	for _, kind := range replica.Kinds {
+		revision, ok := theirs[string(kind)]
+		if mine, known := ours[kind]; !ok || known && mine >= revision {
+			continue
+		}
+		m.mu.Lock()
+		busy := p.fetching[kind]
+		p.fetching[kind] = true
+		m.mu.Unlock()
+		if !busy {
+			go m.fetch(ctx, p, kind, revision)
+		}
+	}
+}
+
+// fetchDelay lets the store's own watch bring a change first; most do.
+const fetchDelay = 60 * time.Millisecond
+
+func (m *Mesh) fetch(ctx context.Context, p *Router, kind replica.Kind, revision int64) {
+	defer func() {
+		m.mu.Lock()
+		delete(p.fetching, kind)
+		m.mu.Unlock()
+	}()
+	ours, known := m.opts.Replica.Revisions()[kind]
+	if known {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(fetchDelay):
+		}
+		if ours = m.opts.Replica.Revisions()[kind]; ours >= revision {
+			return
+		}
+	}
+	s, err := m.call(ctx, p.Address, kind)
+	if err != nil {
+		m.calls.drop(p.Address)
+		m.opts.Log.Log(oplog.Belief, "peer.fetch_failed", slog.String("peer", p.Name), slog.String("collection", string(kind)), slog.String("error", err.Error()))
+		return
+	}
+	if m.opts.Replica.Adopt(time.Now(), kind, s, p.Name) {
+		m.opts.Log.Log(oplog.Belief, "peer.records_adopted", slog.String("peer", p.Name), slog.String("collection", string(kind)),
+			slog.Int64("from_revision", ours), slog.Int64("revision", s.Revision))
+	}
+}
+
+func (m *Mesh) call(ctx context.Context, to netip.Addr, kind replica.Kind) (replica.Snapshot, error) {
+	conn, err := m.calls.conn(netip.AddrPortFrom(to, m.opts.Address.Port()))
+	if err != nil {
+		return replica.Snapshot{}, err
+	}
+	limit, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	set, err := peerpb.NewRecordsClient(conn).Fetch(limit, &peerpb.FetchRequest{Kind: string(kind)})
+	if err != nil {
+		return replica.Snapshot{}, errors.Wrap(err, "fetch records")
+	}
+	if !set.Known {
+		return replica.Snapshot{}, errors.New("the peer has no copy")
+	}
+	s := replica.Snapshot{Revision: set.Revision}
+	for _, r := range set.Records {
+		s.Records = append(s.Records, replica.Record{Name: r.Name, Revision: r.Revision, Data: r.Data})
+	}
+	return s, nil
+}
+
+// records serves the calls of peers.
+type records struct {
+	peerpb.UnimplementedRecordsServer
+	replica *replica.Replica
+}
+
+// Fetch returns this router's copy of a collection.
+func (r records) Fetch(_ context.Context, req *peerpb.FetchRequest) (*peerpb.RecordSet, error) {
+	s, known := r.replica.Snapshot(replica.Kind(req.Kind))
+	set := &peerpb.RecordSet{Known: known, Revision: s.Revision}
+	for _, rec := range s.Records {
+		set.Records = append(set.Records, &peerpb.PlatformRecord{Name: rec.Name, Revision: rec.Revision, Data: rec.Data})
+	}
+	return set, nil
+}
+
+// NewServer returns the gRPC server of the mesh's calls.
+func NewServer(r *replica.Replica) *grpc.Server {
+	s := grpc.NewServer(grpc.MaxSendMsgSize(fetchBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 5 * time.Second, Timeout: 2 * time.Second, MaxConnectionIdle: 30 * time.Second}))
+	peerpb.RegisterRecordsServer(s, records{replica: r})
+	return s
+}
--- /dev/null
+++ b/internal/mesh/convert.go
@@ -0,0 +1,38 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
+)
+
+func encodeReport(b *peerpb.Beat, r dispatch.Report) {
+	for _, e := range r.Endpoints {
+		b.Endpoints = append(b.Endpoints, &peerpb.EndpointLoad{
+			Id: e.Endpoint, Active: unsigned(e.Active), Pending: unsigned(e.Pending), Resident: unsigned(e.Resident)})
+	}
+	for _, c := range r.Cold {
+		b.Cold = append(b.Cold, &peerpb.ColdEndpoint{Id: c.Endpoint, Born: c.Born, LeftMs: unsigned(int(c.Left / time.Millisecond))})
+	}
+	for _, a := range r.Accounts {
+		b.Accounts = append(b.Accounts, &peerpb.AccountUse{Service: a.Service, Account: a.Account, Asked: float32(a.Asked), Served: float32(a.Served)})
+	}
+}
+
+func unsigned(n int) uint32 { return uint32(max(n, 0)) }
+
+func decodeReport(b *peerpb.Beat) dispatch.Report {
+	var r dispatch.Report
+	for _, e := range b.Endpoints {
+		r.Endpoints = append(r.Endpoints, dispatch.EndpointReport{Endpoint: e.Id,
+			Load: dispatch.Load{Active: int(e.Active), Pending: int(e.Pending), Resident: int(e.Resident)}})
+	}
+	for _, c := range b.Cold {
+		r.Cold = append(r.Cold, dispatch.ColdReport{Endpoint: c.Id, Born: c.Born, Left: time.Duration(c.LeftMs) * time.Millisecond})
+	}
+	for _, a := range b.Accounts {
+		r.Accounts = append(r.Accounts, dispatch.AccountReport{Service: a.Service, Account: a.Account, Asked: float64(a.Asked), Served: float64(a.Served)})
+	}
+	return r
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,326 @@
+// Package mesh is what the routers of a prepared platform tell each other.
+// State and load go out as datagrams many times a second: each holds the
+// newest state whole, so a lost one does no harm and no connection can go
+// silent. The platform's records go by gRPC calls, when a datagram says that
+// a peer knows newer ones.
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/replica"
+)
+
+const (
+	// beatEvery is the shortest time between two beats: what peers know of a
+	// router's load is about that old.
+	beatEvery = 40 * time.Millisecond
+	// beatPerPeer spaces beats further apart in a large fleet, so that a
+	// router sends and receives about 200 a second.
+	beatPerPeer = 5 * time.Millisecond
+	// silentEvery is the time between two beats to a peer that is not heard.
+	silentEvery = 500 * time.Millisecond
+	// aliveFor is how long a router counts as running after its last beat.
+	aliveFor = 1500 * time.Millisecond
+	// knownFor is how long a router that is not registered counts for the
+	// division of limits after its last beat.
+	knownFor = 30 * time.Second
+	// maxDatagram is the largest payload of a UDP datagram.
+	maxDatagram = 65_507
+)
+
+var (
+	beatsSent     = metrics.NewCounter(`cyclamenwinch_beats_total{direction="sent"}`)
+	beatsReceived = metrics.NewCounter(`cyclamenwinch_beats_total{direction="received"}`)
+	beatsBad      = metrics.NewCounter("cyclamenwinch_beats_unreadable_total")
+)
+
+// State is what this router says of itself in each beat.
+type State struct {
+	Ready   bool
+	Leaving bool
+	Report  dispatch.Report
+}
+
+// Options are the parts that a Mesh works with.
+type Options struct {
+	Name        string
+	Zone        string
+	Incarnation int64
+	Front       string         // IP:port where clients connect
+	Address     netip.AddrPort // of the datagrams and the calls; the port is the same at all routers
+	Replica     *replica.Replica
+	Log         *oplog.Logger
+	State       func() State
+	OnReport    func(peer string, r dispatch.Report)
+	OnRouters   func(names []string) // all routers that may be running, sorted
+}
+
+// Router is another router as this one knows it.
+type Router struct {
+	Name        string
+	Address     netip.Addr
+	Front       string
+	Zone        string
+	Incarnation int64
+	Ready       bool
+	Leaving     bool
+	Registered  bool // has an entry in the platform's store
+	Heard       time.Time
+
+	number   uint64
+	sentAt   time.Time
+	alive    bool // as last logged
+	fetching map[replica.Kind]bool
+}
+
+// Mesh is this router's part. It is safe for concurrent use.
+type Mesh struct {
+	opts Options
+	conn *net.UDPConn
+
+	mu      sync.Mutex
+	peers   map[netip.Addr]*Router
+	number  uint64
+	routers []string // as last told to OnRouters
+	calls   calls
+}
+
+// New returns a mesh without peers; its socket is open.
+func New(opts Options) (*Mesh, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(opts.Address))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for beats")
+	}
+	return &Mesh{opts: opts, conn: conn, peers: map[netip.Addr]*Router{}, calls: newCalls()}, nil
+}
+
+// Close closes the socket and the connections to peers.
+func (m *Mesh) Close() {
+	m.conn.Close()
+	m.calls.close()
+}
+
+// AddPeer makes the router known at an address. The name may be empty until
+// a beat comes; registered says that the platform's store names it.
+func (m *Mesh) AddPeer(name string, address netip.Addr, registered bool) {
+	if address == m.opts.Address.Addr() {
+		return
+	}
+	m.mu.Lock()
+	p := m.peer(address)
+	if p.Name == "" {
+		p.Name = name
+	}
+	p.Registered = p.Registered || registered
+	m.mu.Unlock()
+	m.tellRouters(time.Now())
+}
+
+// peer returns the peer at an address; the lock is held.
+func (m *Mesh) peer(address netip.Addr) *Router {
+	p, ok := m.peers[address]
+	if !ok {
+		p = &Router{Address: address, fetching: map[replica.Kind]bool{}}
+		m.peers[address] = p
+	}
+	return p
+}
+
+// Alive returns the routers that have been heard of late, by name.
+func (m *Mesh) Alive() []Router {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	var out []Router
+	for _, p := range m.peers {
+		if p.Name != "" && now.Sub(p.Heard) < aliveFor {
+			out = append(out, *p)
+		}
+	}
+	slices.SortFunc(out, func(a, b Router) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Send sends beats until the context ends.
+func (m *Mesh) Send(ctx context.Context) error {
+	for {
+		m.Beat()
+		m.noteSilence(time.Now())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(m.interval()):
+		}
+	}
+}
+
+func (m *Mesh) interval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(beatEvery, time.Duration(len(m.peers))*beatPerPeer)
+}
+
+// Beat sends one beat to the peers that are heard, and now and then to those
+// that are not.
+func (m *Mesh) Beat() {
+	datagram, err := proto.Marshal(m.beat())
+	if err != nil || len(datagram) > maxDatagram {
+		m.opts.Log.Log(oplog.Belief, "mesh.beat_not_sent", slog.Int("bytes", len(datagram)), slog.Any("error", err))
+		return
+	}
+	for _, to := range m.due(time.Now()) {
+		// A beat that can't be sent is as good as lost; silence is logged.
+		if _, err := m.conn.WriteToUDPAddrPort(datagram, netip.AddrPortFrom(to, m.opts.Address.Port())); err == nil {
+			beatsSent.Inc()
+		}
+	}
+}
+
+func (m *Mesh) due(now time.Time) []netip.Addr {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []netip.Addr
+	for address, p := range m.peers {
+		if now.Sub(p.Heard) < aliveFor || now.Sub(p.sentAt) >= silentEvery {
+			p.sentAt = now
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+func (m *Mesh) beat() *peerpb.Beat {
+	state := m.opts.State()
+	m.mu.Lock()
+	m.number++
+	number := m.number
+	m.mu.Unlock()
+	b := &peerpb.Beat{
+		Name: m.opts.Name, Incarnation: m.opts.Incarnation, Number: number, Front: m.opts.Front, Zone: m.opts.Zone,
+		Ready: state.Ready, Leaving: state.Leaving, Revisions: map[string]int64{},
+	}
+	for kind, revision := range m.opts.Replica.Revisions() {
+		b.Revisions[string(kind)] = revision
+	}
+	encodeReport(b, state.Report)
+	return b
+}
+
+// Receive takes beats until the context ends.
+func (m *Mesh) Receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { m.conn.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := m.conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return errors.Wrap(err, "read beats")
+		}
+		var b peerpb.Beat
+		if err := proto.Unmarshal(buf[:n], &b); err != nil || b.Name == "" {
+			beatsBad.Inc()
+			continue
+		}
+		beatsReceived.Inc()
+		m.received(ctx, from.Addr().Unmap(), &b)
+	}
+}
+
+func (m *Mesh) received(ctx context.Context, from netip.Addr, b *peerpb.Beat) {
+	now := time.Now()
+	m.mu.Lock()
+	p := m.peer(from)
+	if b.Incarnation < p.Incarnation || b.Incarnation == p.Incarnation && b.Number <= p.number {
+		m.mu.Unlock()
+		return // overtaken on its way
+	}
+	changed := !p.alive || p.Ready != b.Ready || p.Leaving != b.Leaving || p.Incarnation != b.Incarnation
+	p.Name, p.Front, p.Zone, p.Incarnation, p.number = b.Name, b.Front, b.Zone, b.Incarnation, b.Number
+	p.Ready, p.Leaving, p.Heard, p.alive = b.Ready, b.Leaving, now, true
+	m.mu.Unlock()
+	if changed {
+		m.opts.Log.Log(oplog.Belief, "peer.state", slog.String("peer", b.Name), slog.Int64("incarnation", b.Incarnation),
+			slog.Bool("ready", b.Ready), slog.Bool("leaving", b.Leaving))
+		m.tellRouters(now)
+	}
+	m.opts.OnReport(b.Name, decodeReport(b))
+	m.catchUp(ctx, p, b.Revisions)
+}
+
+// noteSilence logs peers that have fallen silent and forgets those that were
+// never registered.
+func (m *Mesh) noteSilence(now time.Time) {
+	var silent []Router
+	m.mu.Lock()
+	for address, p := range m.peers {
+		if p.alive && now.Sub(p.Heard) >= aliveFor {
+			p.alive = false
+			silent = append(silent, *p)
+		}
+		if !p.alive && !p.Registered && !p.Heard.IsZero() && now.Sub(p.Heard) >= knownFor {
+			delete(m.peers, address)
+		}
+	}
+	m.mu.Unlock()
+	for _, p := range silent {
+		m.opts.Log.Log(oplog.Belief, "peer.silent", slog.String("peer", p.Name), slog.Duration("age", now.Sub(p.Heard)))
+	}
+	if len(silent) > 0 {
+		m.tellRouters(now)
+	}
+}
+
+// tellRouters passes on which routers may be running, if that has changed.
+func (m *Mesh) tellRouters(now time.Time) {
+	m.mu.Lock()
+	names := map[string]bool{m.opts.Name: true}
+	for _, p := range m.peers {
+		if p.Name != "" && (p.Registered || now.Sub(p.Heard) < knownFor) {
+			names[p.Name] = true
+		}
+	}
+	sorted := slices.Sorted(maps.Keys(names))
+	same := slices.Equal(sorted, m.routers)
+	m.routers = sorted
+	m.mu.Unlock()
+	if !same {
+		m.opts.OnRouters(sorted)
+	}
+}
+
+// Dead returns the registered routers that have been silent for longer than
+// the given time since they were last heard.
+func (m *Mesh) Dead(silent time.Duration) []Router {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Router
+	for _, p := range m.peers {
+		if p.Registered && !p.Heard.IsZero() && time.Since(p.Heard) > silent {
+			out = append(out, *p)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/relay/desk.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+)
+
+const (
+	// pollEvery is how often requests that wait are looked at, beside each
+	// time that a request of this router ends.
+	pollEvery = 10 * time.Millisecond
+	// forgetEvery is how often the reports of silent peers are dropped.
+	forgetEvery = 200 * time.Millisecond
+)
+
+// Desk lets many goroutines use one dispatcher. It is safe for concurrent
+// use.
+type Desk struct {
+	mu      sync.Mutex
+	core    *dispatch.Dispatcher
+	waiting map[*dispatch.Ticket]chan struct{}
+}
+
+// NewDesk returns a desk that owns the dispatcher.
+func NewDesk(core *dispatch.Dispatcher) *Desk {
+	return &Desk{core: core, waiting: map[*dispatch.Ticket]chan struct{}{}}
+}
+
+// Acquire returns a ticket that is granted or refused. The error is that of
+// the context; nothing is held then.
+func (d *Desk) Acquire(ctx context.Context, r dispatch.Request) (*dispatch.Ticket, error) {
+	d.mu.Lock()
+	t := d.core.Submit(time.Now(), r)
+	if t.State != dispatch.Waiting {
+		d.mu.Unlock()
+		return t, nil
+	}
+	decided := make(chan struct{})
+	d.waiting[t] = decided
+	d.mu.Unlock()
+	select {
+	case <-decided:
+		return t, nil
+	case <-ctx.Done():
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.waiting, t)
+		d.core.Cancel(time.Now(), t)
+		return nil, ctx.Err()
+	}
+}
+
+// FirstEvent notes that the answer has begun.
+func (d *Desk) FirstEvent(t *dispatch.Ticket) {
+	d.Update(func(now time.Time, core *dispatch.Dispatcher) { core.FirstEvent(now, t) })
+}
+
+// Finish ends a granted ticket.
+func (d *Desk) Finish(t *dispatch.Ticket, how dispatch.Outcome) {
+	d.Update(func(now time.Time, core *dispatch.Dispatcher) { core.Finish(now, t, how) })
+}
+
+// Update changes the dispatcher's state and then grants what has become
+// possible.
+func (d *Desk) Update(change func(now time.Time, core *dispatch.Dispatcher)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	change(now, d.core)
+	d.poll(now)
+}
+
+func (d *Desk) poll(now time.Time) {
+	if len(d.waiting) == 0 {
+		return
+	}
+	for _, t := range d.core.Poll(now) {
+		close(d.waiting[t])
+		delete(d.waiting, t)
+	}
+}
+
+// Serve polls until the context ends.
+func (d *Desk) Serve(ctx context.Context) error {
+	ticks := time.NewTicker(pollEvery)
+	defer ticks.Stop()
+	forgot := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticks.C:
+			d.mu.Lock()
+			if now.Sub(forgot) >= forgetEvery {
+				d.core.ForgetPeers(now)
+				forgot = now
+			}
+			d.poll(now)
+			d.mu.Unlock()
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/follow.go
@@ -0,0 +1,133 @@
+package replica
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/retry"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+)
+
+const (
+	// watchWait is how long one watch waits. A connection that has gone
+	// silent is found out soon after it.
+	watchWait = 2500 * time.Millisecond
+	// storeTimeout bounds a call beside its wait: a slow store takes some
+	// hundred milliseconds.
+	storeTimeout = 700 * time.Millisecond
+	// expireEvery is how often lapsed records are looked at.
+	expireEvery = 100 * time.Millisecond
+)
+
+// storeBackoff keeps the fleet's calls few while the store is away: six
+// routers with three collections each make under forty calls a second at its
+// longest.
+var storeBackoff = retry.Backoff{First: 100 * time.Millisecond, Longest: 600 * time.Millisecond}
+
+// Follow keeps one collection up to date until the context ends.
+func (r *Replica) Follow(ctx context.Context, source Source, kind Kind, log *oplog.Logger) error {
+	f := follower{replica: r, source: source, kind: kind, log: log}
+	for ctx.Err() == nil {
+		f.step(ctx)
+	}
+	return ctx.Err()
+}
+
+// follower is the state of following one collection.
+type follower struct {
+	replica  *Replica
+	source   Source
+	kind     Kind
+	log      *oplog.Logger
+	since    int64 // 0: a list is needed
+	failures int
+}
+
+func (f *follower) step(ctx context.Context) {
+	err := f.read(ctx)
+	switch {
+	case err == nil:
+		f.regained()
+	case ctx.Err() != nil:
+	case errors.Is(err, ErrCompacted):
+		f.log.Log(oplog.Belief, "store.history_dropped", slog.String("collection", string(f.kind)), slog.Int64("revision", f.since))
+		f.since = 0
+	case errors.Is(err, ErrCut):
+		f.log.Log(oplog.Belief, "store.watch_cut", slog.String("collection", string(f.kind)), slog.Int64("revision", f.since))
+		f.pause(ctx, storeBackoff.Delay(1, rand.Float64()))
+	default:
+		f.lost(ctx, err)
+	}
+}
+
+// read makes one call: a list if the collection has to be read anew, a watch
+// otherwise.
+func (f *follower) read(ctx context.Context) error {
+	if f.since == 0 {
+		return f.list(ctx)
+	}
+	limit, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
+	defer cancel()
+	changes, err := f.source.Watch(limit, f.kind, f.since, watchWait)
+	if err != nil {
+		return err
+	}
+	f.since = changes.Revision
+	f.replica.Apply(time.Now(), f.kind, changes, "store")
+	return nil
+}
+
+func (f *follower) list(ctx context.Context) error {
+	limit, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	defer cancel()
+	s, err := f.source.List(limit, f.kind)
+	if err != nil {
+		return err
+	}
+	f.since = s.Revision
+	f.replica.Adopt(time.Now(), f.kind, s, "store")
+	return nil
+}
+
+func (f *follower) lost(ctx context.Context, err error) {
+	f.replica.Failed(time.Now())
+	f.failures++
+	metrics.GetOrCreateCounter(`cyclamenwinch_store_failures_total{collection="` + string(f.kind) + `"}`).Inc()
+	if f.failures == 1 {
+		f.log.Log(oplog.Belief, "store.lost", slog.String("collection", string(f.kind)), slog.Int64("revision", f.since), slog.String("error", err.Error()))
+	}
+	f.pause(ctx, storeBackoff.Delay(f.failures, rand.Float64()))
+}
+
+func (f *follower) regained() {
+	if f.failures > 0 {
+		f.log.Log(oplog.Belief, "store.regained", slog.String("collection", string(f.kind)), slog.Int("failures", f.failures))
+		f.failures = 0
+	}
+}
+
+func (f *follower) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// KeepExpiring drops lapsed records in time until the context ends.
+func (r *Replica) KeepExpiring(ctx context.Context) error {
+	ticks := time.NewTicker(expireEvery)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticks.C:
+			r.Expire(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,263 @@
+// Package replica keeps a router's copy of the platform's records: the
+// configuration, the endpoints and the zones that are out. Records come from
+// the platform's store by list and watch, and from other routers that know
+// newer ones, so that a router that is cut off from the store learns of
+// changes too.
+//
+// Every collection carries the revision of its newest change. A copy only
+// moves to higher revisions: what a router believes never goes back.
+package replica
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind names a collection of records.
+type Kind string
+
+// The collections.
+const (
+	Config    Kind = "config"
+	Endpoints Kind = "endpoints"
+	ZonesOut  Kind = "zones-out"
+)
+
+// Kinds lists all collections.
+var Kinds = []Kind{Config, Endpoints, ZonesOut}
+
+// Record is one object of the platform, not decoded.
+type Record struct {
+	Name     string
+	Revision int64 // of its last change
+	Data     []byte
+}
+
+// Snapshot is a collection as of a revision of the store.
+type Snapshot struct {
+	Revision int64
+	Records  []Record
+}
+
+// Change is one change of a collection.
+type Change struct {
+	Record
+	Deleted bool
+}
+
+// Changes follow a revision.
+type Changes struct {
+	Changes  []Change
+	Revision int64 // to continue from
+}
+
+// ErrCompacted says that the store has no history from the revision on.
+var ErrCompacted = errors.New("the store has dropped this history")
+
+// ErrCut says that the store ended a watch that was waiting; the store itself
+// may be well.
+var ErrCut = errors.New("the watch was cut off")
+
+// Source reads the platform's store.
+type Source interface {
+	// List returns a collection as it is now.
+	List(ctx context.Context, kind Kind) (Snapshot, error)
+	// Watch returns what changed after a revision, or nothing after the wait.
+	// The error may be ErrCompacted or ErrCut.
+	Watch(ctx context.Context, kind Kind, since int64, wait time.Duration) (Changes, error)
+}
+
+// returnGrace is how long endpoints that lapsed while the store was away may
+// stay away after its return; then they are gone.
+const returnGrace = 2200 * time.Millisecond
+
+// collection is the copy of one kind.
+type collection struct {
+	records map[string]Record
+	lapsed  map[string]lapse
+	changed int64 // revision of the newest change that is known
+	known   bool  // there was a list
+	from    string
+	at      time.Time
+}
+
+// lapse is a record that was removed while the store was away.
+type lapse struct {
+	record Record
+	until  time.Time
+}
+
+// View is a collection as it is to be used.
+type View struct {
+	Records  []Record
+	Revision int64
+	From     string // where the newest change came from: "store" or a router
+}
+
+// Replica holds the copies. It is safe for concurrent use.
+type Replica struct {
+	mu          sync.Mutex
+	collections map[Kind]*collection
+	trouble     time.Time // last time the store failed a call
+	onChange    func(Kind, View)
+}
+
+// New returns a replica without records. onChange is called after each
+// change, one call at a time.
+func New(onChange func(Kind, View)) *Replica {
+	r := &Replica{collections: map[Kind]*collection{}, onChange: onChange}
+	for _, k := range Kinds {
+		r.collections[k] = &collection{records: map[string]Record{}, lapsed: map[string]lapse{}}
+	}
+	return r
+}
+
+// Revisions returns the newest change known of each collection; a collection
+// that was never read is left out.
+func (r *Replica) Revisions() map[Kind]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[Kind]int64{}
+	for k, c := range r.collections {
+		if c.known {
+			out[k] = c.changed
+		}
+	}
+	return out
+}
+
+// Snapshot returns the copy of a collection for another router; false if it
+// was never read.
+func (r *Replica) Snapshot(kind Kind) (Snapshot, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c, ok := r.collections[kind]
+	if !ok || !c.known {
+		return Snapshot{}, false
+	}
+	return Snapshot{Revision: c.changed, Records: c.list()}, true
+}
+
+func (c *collection) list() []Record {
+	out := make([]Record, 0, len(c.records))
+	for _, rec := range c.records {
+		out = append(out, rec)
+	}
+	return out
+}
+
+// Failed notes that the store failed a call.
+func (r *Replica) Failed(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trouble = now
+}
+
+// Adopt takes a whole collection over if it is newer than the copy. It
+// reports whether anything changed.
+func (r *Replica) Adopt(now time.Time, kind Kind, s Snapshot, from string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c, ok := r.collections[kind]
+	if !ok || c.known && s.Revision < c.changed {
+		return false
+	}
+	next := make(map[string]Record, len(s.Records))
+	for _, rec := range s.Records {
+		next[rec.Name] = rec
+	}
+	differs := !c.known
+	for name, old := range c.records {
+		if _, ok := next[name]; !ok {
+			differs = true
+			r.remove(now, kind, c, old)
+		}
+	}
+	for name, rec := range next {
+		if c.records[name].Revision != rec.Revision {
+			differs = true
+		}
+		delete(c.lapsed, name)
+	}
+	if !differs {
+		return false
+	}
+	c.records, c.changed, c.known = next, max(c.changed, s.Revision), true
+	r.publish(now, kind, c, from)
+	return true
+}
+
+// remove notes that a record is gone. An endpoint's record that went while
+// the store was away may have lapsed only for that: it is kept for as long as
+// the endpoint has to renew it.
+func (r *Replica) remove(now time.Time, kind Kind, c *collection, old Record) {
+	delete(c.records, old.Name)
+	if until := r.trouble.Add(returnGrace); kind == Endpoints && !r.trouble.IsZero() && now.Before(until) {
+		c.lapsed[old.Name] = lapse{record: old, until: until}
+	}
+}
+
+// Apply takes changes over that follow the copy.
+func (r *Replica) Apply(now time.Time, kind Kind, changes Changes, from string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.collections[kind]
+	differs := false
+	for _, ch := range changes.Changes {
+		if r.apply(now, kind, c, ch, changes.Revision) {
+			differs = true
+		}
+	}
+	if differs {
+		r.publish(now, kind, c, from)
+	}
+}
+
+func (r *Replica) apply(now time.Time, kind Kind, c *collection, ch Change, revision int64) bool {
+	old, known := c.records[ch.Name]
+	if ch.Deleted {
+		if !known || old.Revision > ch.Revision {
+			return false
+		}
+		r.remove(now, kind, c, old)
+		c.changed = max(c.changed, ch.Revision, revision)
+		return true
+	}
+	if known && old.Revision >= ch.Revision || !known && ch.Revision <= c.changed {
+		return false
+	}
+	c.records[ch.Name] = ch.Record
+	delete(c.lapsed, ch.Name)
+	c.changed = max(c.changed, ch.Revision)
+	return true
+}
+
+// Expire drops endpoints whose records lapsed and did not return.
+func (r *Replica) Expire(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for kind, c := range r.collections {
+		dropped := false
+		for name, l := range c.lapsed {
+			if !now.Before(l.until) {
+				delete(c.lapsed, name)
+				dropped = true
+			}
+		}
+		if dropped {
+			r.publish(now, kind, c, c.from)
+		}
+	}
+}
+
+func (r *Replica) publish(now time.Time, kind Kind, c *collection, from string) {
+	c.from, c.at = from, now
+	v := View{Records: c.list(), Revision: c.changed, From: from}
+	for _, l := range c.lapsed {
+		v.Records = append(v.Records, l.record)
+	}
+	r.onChange(kind, v)
+}
