--- a/core/dispatch/book.go
+++ b/core/dispatch/book.go
@@ -63,11 +63,11 @@
 	coldGrant time.Time // when the cold limit allows the next request
 	rank      int       // place of this router among those that may use it while cold; -1: not worked out
 
-	parts map[uint64]time.Time // prompt parts sent to it, with the time of their last use
+	cache cache
 }
 
 func newBook(e topology.Endpoint) *book {
-	return &book{Endpoint: e, slowness: 1, rank: -1, parts: map[uint64]time.Time{}}
+	return &book{Endpoint: e, slowness: 1, rank: -1, cache: cache{used: map[uint64]int{}}}
 }
 
 // load returns what all routers have in progress there.
@@ -78,10 +78,9 @@
 }
 
 // take books a granted request.
-func (b *book) take(now time.Time, t *Ticket) {
+func (b *book) take(t *Ticket) {
 	t.book, t.pending = b, t.Missing
 	b.own.add(Load{Active: 1, Pending: t.Missing, Resident: t.Request.Prompt + t.Request.Output})
-	b.remember(now, t.Request.Parts)
 }
 
 // read books that the prompt of a request has been read.
--- /dev/null
+++ b/core/dispatch/cache.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+)
+
+const (
+	// retained is the part of an engine's memory that holds what was used
+	// last; running requests need the rest.
+	retained = 0.6
+	// defaultRetained stands for an engine that states no memory, in tokens.
+	defaultRetained = 200_000
+	// partsKept bounds the parts remembered for an endpoint.
+	partsKept = 8192
+	// placementsFor is how long a placement is told to the other routers:
+	// some beats, since one may be lost.
+	placementsFor = 150 * time.Millisecond
+)
+
+// cache is what the routers know of an endpoint's cached prompt parts. Its
+// clock counts the tokens that the endpoint has put into its memory: the
+// least recently used parts yield to them.
+type cache struct {
+	clock int
+	used  map[uint64]int // part: clock at its last use
+}
+
+// touch notes that a request with these shared parts was sent, which puts
+// fresh tokens into the memory.
+func (c *cache) touch(parts []uint64, fresh int) {
+	c.clock += fresh
+	if len(c.used) > partsKept {
+		for id, at := range c.used {
+			if c.clock-at > defaultRetained {
+				delete(c.used, id)
+			}
+		}
+	}
+	for _, id := range parts {
+		c.used[id] = c.clock
+	}
+}
+
+// missing estimates the prompt tokens that the endpoint has to read: all
+// after the first part that is not cached.
+func (b *book) missing(engine *topology.Engine, parts []Part, prompt int) int {
+	memory := defaultRetained
+	if engine != nil && engine.MemoryTokens > 0 {
+		memory = int(retained * float64(engine.MemoryTokens))
+	}
+	missing := prompt
+	for _, p := range parts {
+		at, ok := b.cache.used[p.ID]
+		if !ok || b.cache.clock-at > memory {
+			break
+		}
+		missing -= p.Tokens
+	}
+	return max(missing, 0)
+}
+
+// Placement says that a request was sent to an endpoint, which therefore
+// holds the parts of its prompt.
+type Placement struct {
+	Number   uint64 // grows with each placement of a router
+	Endpoint string
+	Parts    []uint64 // shared with other requests, and the request's own
+	Fresh    int      // tokens that it puts into the memory
+	at       time.Time
+}
+
+// placed notes a placement of this router.
+func (d *Dispatcher) placed(now time.Time, t *Ticket) {
+	if t.Request.Prompt == 0 {
+		return
+	}
+	p := Placement{Endpoint: t.book.ID, Fresh: t.Missing + t.Request.Output, at: now}
+	for _, part := range t.Request.Parts {
+		p.Parts = append(p.Parts, part.ID)
+	}
+	t.book.cache.touch(p.Parts, p.Fresh)
+	d.numbered++
+	p.Number = d.numbered
+	d.placements = append(d.placements, p)
+}
+
+// newPlacements returns the placements that the other routers may not know.
+func (d *Dispatcher) newPlacements(now time.Time) []Placement {
+	old := 0
+	for old < len(d.placements) && now.Sub(d.placements[old].at) > placementsFor {
+		old++
+	}
+	d.placements = slices.Delete(d.placements, 0, old)
+	return slices.Clone(d.placements)
+}
+
+// peerPlacements takes over the placements of a peer that are new; last is
+// the number of the newest one known. It returns the newest number.
+func (d *Dispatcher) peerPlacements(list []Placement, last uint64) uint64 {
+	for _, p := range list {
+		if p.Number <= last {
+			continue
+		}
+		last = p.Number
+		if b, ok := d.books[p.Endpoint]; ok {
+			b.cache.touch(p.Parts, p.Fresh)
+		}
+	}
+	return last
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -139,6 +139,9 @@
 	zonesOut map[string]bool
 	peers    map[string]*peerReport
 	routers  []string // all known routers, sorted; itself among them
+
+	placements []Placement // of this router, newest last
+	numbered   uint64
 }
 
 // New returns a dispatcher that knows no endpoint.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -14,12 +14,15 @@
 	// rereadPenalty is what a millisecond-per-token of reading a shared part
 	// again counts beside the time that it takes: it harms the other requests
 	// of the endpoint and costs capacity.
-	rereadPenalty = 0.08 // ms a token
-	// cachedFor is how long a part probably stays cached after its use: the
-	// memory of an engine over the rate at which it reads.
-	cachedFor = 6 * time.Second
-	// partsKept bounds the parts remembered for an endpoint.
-	partsKept = 4096
+	rereadPenalty = 0.25 // ms a token
+	// holdTokens and holdShare let a request wait for an endpoint that holds
+	// its shared parts: if it would have to read so many shared tokens again
+	// elsewhere, for this part of the time to its objective.
+	holdTokens = 400
+	holdShare  = 0.25
+	// homeBonus makes all routers choose the same endpoint for a prefix that
+	// none holds.
+	homeBonus = 40.0 // ms
 	// otherZone is what another availability zone counts: the way there and
 	// back, and the price of bytes between zones.
 	otherZone = 6 * time.Millisecond
@@ -35,6 +38,7 @@
 	spareSlots  = 0.75
 	fullWait    = 0.7
 	spareWait   = 0.35
+	cachedWait  = 0.75
 	memoryShare = 0.92
 	// plainQueue is how many requests may wait inside a plain endpoint, as a
 	// part of its slots.
@@ -71,37 +75,53 @@
 // place grants a request to the best endpoint that has room for it.
 func (d *Dispatcher) place(now time.Time, s *serviceState, t *Ticket) bool {
 	engine := d.engine(t.Request.Service)
-	prefix := sharedPrefix(t.Request.Parts)
-	home := d.home(t.Request.Service, prefix)
+	home := d.home(t.Request.Service, sharedPrefix(t.Request.Parts))
 	limits := d.limits(now, s, t)
 	var best *book
 	var bestScore, bestMissing = math.Inf(1), 0
+	unshared := unsharedTokens(t.Request.Parts, t.Request.Prompt)
+	least := math.MaxInt // shared tokens missing at the best of all endpoints, full ones too
 	for _, b := range d.order {
 		if !d.allowed(b, &t.Request) || now.Before(b.pausedUntil) {
 			continue
 		}
-		missing := b.missing(now, t.Request.Parts, t.Request.Prompt, b == home)
-		if !limits.room(b, engine, t) || !d.coldAllows(b, now) {
+		missing := b.missing(engine, t.Request.Parts, t.Request.Prompt)
+		least = min(least, missing-unshared)
+		if !limits.room(b, engine, t, t.Request.Prompt-missing >= holdTokens) || !d.coldAllows(b, now) {
 			continue
 		}
-		if score := d.score(now, s, b, t, missing); score < bestScore {
+		score := d.score(now, s, b, t, missing)
+		if b == home {
+			score -= homeBonus
+		}
+		if score < bestScore {
 			best, bestScore, bestMissing = b, score, missing
 		}
 	}
 	if best == nil {
 		return false
 	}
+	again := bestMissing - unshared
+	if again >= holdTokens && least < again && now.Sub(t.Request.Arrived) < holdFor(t) {
+		return false
+	}
 	d.grant(now, s, t, best, bestMissing)
-	t.Spilled = prefix != 0 && best != home
+	t.Spilled = again > max(least, 0)
 	return true
 }
 
+// holdFor is how long a request waits for an endpoint that holds its parts.
+func holdFor(t *Ticket) time.Duration {
+	return time.Duration(holdShare * float64(t.Request.Objective.Sub(t.Request.Arrived)))
+}
+
 func (d *Dispatcher) grant(now time.Time, s *serviceState, t *Ticket, b *book, missing int) {
 	t.State, t.GrantedAt, t.Missing = Granted, now, missing
 	t.Endpoint = b.Endpoint
 	t.Predicted = b.predict(missing)
 	d.coldTake(b, now)
-	b.take(now, t)
+	b.take(t)
+	d.placed(now, t)
 	if !t.Request.Repeat {
 		s.serve(now, t.Request.Account, t.Request.cost())
 	}
@@ -129,8 +149,9 @@
 
 // limits bound how full an endpoint may get by one request.
 type limits struct {
-	slots float64       // part of the slots
-	wait  time.Duration // until the first event
+	slots  float64       // part of the slots
+	wait   time.Duration // until the endpoint begins to read the prompt
+	cached time.Duration // the same, where the endpoint holds much of the prompt
 }
 
 // limits returns the bounds for a request: narrower for what is late or
@@ -139,15 +160,16 @@
 	objective := t.Request.Objective.Sub(t.Request.Arrived)
 	left := t.Request.Objective.Sub(now)
 	t.late = left < firstStep
+	cached := time.Duration(cachedWait * float64(objective))
 	if t.late || s.overShare(now, t.Request.Account, d.tokensPerSecond(t.Request.Service)) {
-		return limits{slots: spareSlots, wait: time.Duration(spareWait * float64(objective))}
+		return limits{slots: spareSlots, wait: time.Duration(spareWait * float64(objective)), cached: cached}
 	}
-	return limits{slots: fullSlots, wait: time.Duration(fullWait * float64(objective))}
+	return limits{slots: fullSlots, wait: time.Duration(fullWait * float64(objective)), cached: cached}
 }
 
 // room reports whether the endpoint has room for the request. An endpoint
 // with nothing to read takes any request, however long its prompt is.
-func (l limits) room(b *book, engine *topology.Engine, t *Ticket) bool {
+func (l limits) room(b *book, engine *topology.Engine, t *Ticket, cached bool) bool {
 	load := b.load()
 	slots := float64(slotsOf(b))
 	if t.Request.Prompt == 0 || engine == nil {
@@ -160,7 +182,11 @@
 		load.Active > 0 && float64(need) > memoryShare*float64(engine.MemoryTokens) {
 		return false
 	}
-	return load.Pending == 0 || b.predict(0) <= l.wait
+	wait := l.wait
+	if cached {
+		wait = max(wait, l.cached)
+	}
+	return load.Pending == 0 || b.predict(0) <= wait
 }
 
 func slotsOf(b *book) int {
@@ -230,32 +256,3 @@
 	h.WriteString(name)
 	return h.Sum64()
 }
-
-// missing estimates the prompt tokens that the endpoint has to read. At the
-// home of a prefix the shared parts count as cached: the other routers send
-// them there too.
-func (b *book) missing(now time.Time, parts []Part, prompt int, home bool) int {
-	missing := prompt
-	for i, p := range parts {
-		shared := i < len(parts)-1
-		if used, ok := b.parts[p.ID]; !(ok && now.Sub(used) < cachedFor) && !(home && shared) {
-			break
-		}
-		missing -= p.Tokens
-	}
-	return max(missing, 0)
-}
-
-// remember notes the parts of a prompt that was sent.
-func (b *book) remember(now time.Time, parts []Part) {
-	if len(b.parts) > partsKept {
-		for id, used := range b.parts {
-			if now.Sub(used) > cachedFor {
-				delete(b.parts, id)
-			}
-		}
-	}
-	for _, p := range parts {
-		b.parts[p.ID] = now
-	}
-}
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -34,17 +34,21 @@
 	Endpoints []EndpointReport
 	Cold      []ColdReport
 	Accounts  []AccountReport
+
+	Incarnation int64 // of the router; placements are numbered within it
+	Placements  []Placement
 }
 
 // peerReport is the newest report of another router.
 type peerReport struct {
 	at     time.Time
 	report Report
+	placed uint64 // number of the newest placement taken over
 }
 
 // Report returns what the other routers need to know.
 func (d *Dispatcher) Report(now time.Time) Report {
-	r := Report{Cold: d.coldEndpoints(now)}
+	r := Report{Cold: d.coldEndpoints(now), Placements: d.newPlacements(now)}
 	for id, b := range d.books {
 		if b.own.Active > 0 {
 			r.Endpoints = append(r.Endpoints, EndpointReport{Endpoint: id, Load: b.own})
@@ -71,7 +75,12 @@
 
 // SetPeer takes over the newest report of another router.
 func (d *Dispatcher) SetPeer(now time.Time, peer string, r Report) {
-	d.replacePeer(peer, &peerReport{at: now, report: r})
+	next := &peerReport{at: now, report: r}
+	if old, ok := d.peers[peer]; ok && old.report.Incarnation == r.Incarnation {
+		next.placed = old.placed
+	}
+	next.placed = d.peerPlacements(r.Placements, next.placed)
+	d.replacePeer(peer, next)
 	for _, c := range r.Cold {
 		if b, ok := d.books[c.Endpoint]; ok && b.Born == c.Born {
 			d.markCold(b, now, c.Left)
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -15,6 +15,9 @@
 	for _, c := range r.Cold {
 		b.Cold = append(b.Cold, &peerpb.ColdEndpoint{Id: c.Endpoint, Born: c.Born, LeftMs: unsigned(int(c.Left / time.Millisecond))})
 	}
+	for _, p := range r.Placements {
+		b.Placements = append(b.Placements, &peerpb.Placement{Number: p.Number, Id: p.Endpoint, Parts: p.Parts, Fresh: unsigned(p.Fresh)})
+	}
 	for _, a := range r.Accounts {
 		b.Accounts = append(b.Accounts, &peerpb.AccountUse{Service: a.Service, Account: a.Account, Asked: float32(a.Asked), Served: float32(a.Served)})
 	}
@@ -23,7 +26,10 @@
 func unsigned(n int) uint32 { return uint32(max(n, 0)) }
 
 func decodeReport(b *peerpb.Beat) dispatch.Report {
-	var r dispatch.Report
+	r := dispatch.Report{Incarnation: b.Incarnation}
+	for _, p := range b.Placements {
+		r.Placements = append(r.Placements, dispatch.Placement{Number: p.Number, Endpoint: p.Id, Parts: p.Parts, Fresh: int(p.Fresh)})
+	}
 	for _, e := range b.Endpoints {
 		r.Endpoints = append(r.Endpoints, dispatch.EndpointReport{Endpoint: e.Id,
 			Load: dispatch.Load{Active: int(e.Active), Pending: int(e.Pending), Resident: int(e.Resident)}})
