--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -34,10 +34,10 @@
 	// The bounds up to which endpoints are filled, as parts of their slots or
 	// of the time to the objective. Requests within their account's share go
 	// first: what is beyond it, or late already, leaves room for them.
-	fullSlots   = 0.95
-	spareSlots  = 0.75
+	fullSlots   = 1.0
+	spareSlots  = 0.9
 	fullWait    = 0.7
-	spareWait   = 0.35
+	spareWait   = 0.5
 	cachedWait  = 0.75
 	memoryShare = 0.92
 	// plainQueue is how many requests may wait inside a plain endpoint, as a
