Shares are those of what the runners really do

Cause: the configured rate (410,000 tokens/s) is half of what the runners get through under load (900,000), so most accounts counted as over their share and were refused while owed service. The share is now worked out from the larger of both.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -99,10 +99,11 @@
 	Predicted time.Duration // until the first event, as predicted at the grant
 	Missing   int           // prompt tokens that the endpoint probably has to read
 	Spilled   bool          // not at the endpoint that probably holds its shared parts
+	OverShare bool          // the account had used up its share when this was decided
+	Late      bool          // the objective had passed when this was decided
 
 	book    *book
 	pending int // tokens that count as not yet read
-	late    bool
 }
 
 // Outcome says how a granted request ended.
@@ -235,10 +236,11 @@
 	if !d.usable(r) {
 		return refuse(t, NoEndpoint, noEndpointRetry, now)
 	}
+	t.OverShare = s.overShare(now, r.Account, d.tokensPerSecond(r.Service))
 	if s.mayOvertake(t) && d.place(now, s, t) {
 		return t
 	}
-	if wait := s.expectedWait(now, t, d.ownThroughput(s, now)); wait > d.patience(now, s, t) {
+	if wait := s.expectedWait(now, t, d.ownThroughput(s, now)); wait > t.patience(now) {
 		return refuse(t, TooLong, wait, now)
 	}
 	s.enqueue(t)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -35,9 +35,9 @@
 	// of the time to the objective. Requests within their account's share go
 	// first: what is beyond it, or late already, leaves room for them.
 	fullSlots   = 1.0
-	spareSlots  = 0.9
+	spareSlots  = 0.65
 	fullWait    = 0.7
-	spareWait   = 0.5
+	spareWait   = 0.35
 	cachedWait  = 0.75
 	memoryShare = 0.92
 	// plainQueue is how many requests may wait inside a plain endpoint, as a
@@ -159,9 +159,10 @@
 func (d *Dispatcher) limits(now time.Time, s *serviceState, t *Ticket) limits {
 	objective := t.Request.Objective.Sub(t.Request.Arrived)
 	left := t.Request.Objective.Sub(now)
-	t.late = left < firstStep
+	t.Late = left < firstStep
 	cached := time.Duration(cachedWait * float64(objective))
-	if t.late || s.overShare(now, t.Request.Account, d.tokensPerSecond(t.Request.Service)) {
+	t.OverShare = s.overShare(now, t.Request.Account, d.tokensPerSecond(t.Request.Service))
+	if t.Late || t.OverShare {
 		return limits{slots: spareSlots, wait: time.Duration(spareWait * float64(objective)), cached: cached}
 	}
 	return limits{slots: fullSlots, wait: time.Duration(fullWait * float64(objective)), cached: cached}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -84,11 +84,21 @@
 	}
 	if now.Sub(s.sharedA) >= shareEvery {
 		s.sharedA = now
-		s.share = s.maxMin(now, perSecond*shareWindow.Seconds())
+		s.share = s.maxMin(now, max(perSecond*shareWindow.Seconds(), s.servedOfLate(now)))
 	}
 	return s.account(account).level(now) > s.share
 }
 
+// servedOfLate is what all accounts got in the whole fleet: where that is more
+// than the stated capacity, it is what there is to share.
+func (s *serviceState) servedOfLate(now time.Time) float64 {
+	total := 0.0
+	for _, u := range s.accounts {
+		total += u.level(now)
+	}
+	return total
+}
+
 // maxMin returns the level up to which every account is served when capacity
 // is shared by max-min: accounts that ask for less get what they ask for, the
 // others the same. It is +Inf while the capacity covers all.
@@ -114,7 +124,7 @@
 // wait: only if none of them could use the room.
 func (s *serviceState) mayOvertake(t *Ticket) bool {
 	for _, w := range s.queue {
-		if w.State == Waiting && w.Request.Account == t.Request.Account && w.Request.Prompt <= t.Request.Prompt && !w.late {
+		if w.State == Waiting && w.Request.Account == t.Request.Account && w.Request.Prompt <= t.Request.Prompt && !w.Late {
 			return false
 		}
 	}
@@ -130,11 +140,11 @@
 		if _, ok := levels[t.Request.Account]; !ok {
 			levels[t.Request.Account] = s.account(t.Request.Account).level(now)
 		}
-		t.late = t.Request.Objective.Sub(now) < firstStep
+		t.Late = t.Request.Objective.Sub(now) < firstStep
 	}
 	slices.SortStableFunc(s.queue, func(a, b *Ticket) int {
-		if a.late != b.late {
-			if b.late {
+		if a.Late != b.Late {
+			if b.Late {
 				return -1
 			}
 			return 1
@@ -170,9 +180,9 @@
 }
 
 // patience is the longest wait for which a new request is taken on.
-func (d *Dispatcher) patience(now time.Time, s *serviceState, t *Ticket) time.Duration {
+func (t *Ticket) patience(now time.Time) time.Duration {
 	left := time.Duration(patienceShare * float64(t.Request.Deadline.Sub(now)))
-	if s.overShare(now, t.Request.Account, d.tokensPerSecond(t.Request.Service)) {
+	if t.OverShare {
 		objective := t.Request.Objective.Sub(t.Request.Arrived)
 		return min(left, time.Duration(longestBacklog*float64(objective)))
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -262,6 +262,9 @@
 	}
 	failure := notRun(c, t.RetryAfter)
 	failure.Detail = t.Reason.String()
+	if t.OverShare {
+		failure.Detail += ", the account is over its share"
+	}
 	return failure
 }
 
@@ -323,6 +326,7 @@
 		slog.String("endpoint", t.Endpoint.ID), slog.String("address", t.Endpoint.Address),
 		slog.Duration("waited", t.GrantedAt.Sub(x.arrived)), slog.Duration("predicted", t.Predicted),
 		slog.Duration("first", x.first), slog.Int("missing_tokens", t.Missing), slog.Bool("spilled", t.Spilled),
+		slog.Bool("over_share", t.OverShare), slog.Bool("late", t.Late),
 		slog.String("outcome", said))...)
 }
 
