--- a/core/dispatch/book.go
+++ b/core/dispatch/book.go
@@ -19,6 +19,12 @@
 	// slownessSlack keeps small absolute errors of a prediction from counting
 	// as slowness.
 	slownessSlack = 60 * time.Millisecond
+	// paceGain is the weight of one new observation of the time that a token
+	// takes.
+	paceGain = 0.1
+	// finishSlack is how far the expected end of an answer may lie beyond its
+	// deadline: the length is known to about that factor.
+	finishSlack = 1.2
 	// slowestFactor bounds what one observation can say.
 	slowestFactor = 8.0
 
@@ -53,7 +59,8 @@
 	own   Load
 	peers Load // sum of the other routers' reports
 
-	slowness    float64 // observed over predicted time to the first event, smoothed
+	slowness    float64       // observed over predicted time to the first event, smoothed
+	pace        time.Duration // of one token of one request, smoothed; 0: not seen yet
 	errors      errorRate
 	pausedUntil time.Time
 	failures    int // connections in a row that could not be made
@@ -109,6 +116,26 @@
 	b.slowness += slownessGain * (ratio - b.slowness)
 }
 
+// generated learns from the time that some tokens of a stream took.
+func (b *book) generated(tokens int, took time.Duration) {
+	if tokens <= 0 {
+		return
+	}
+	pace := took / time.Duration(tokens)
+	if b.pace == 0 {
+		b.pace = pace
+		return
+	}
+	b.pace += time.Duration(paceGain * float64(pace-b.pace))
+}
+
+// canFinish reports whether an answer of the expected length would probably
+// be whole before the deadline. Estimates of the length are rough.
+func (b *book) canFinish(now time.Time, r *Request, missing int) bool {
+	whole := b.predict(missing) + time.Duration(r.Output)*b.pace
+	return whole <= time.Duration(finishSlack*float64(r.Deadline.Sub(now)))
+}
+
 func (b *book) succeeded(now time.Time) {
 	b.failures = 0
 	b.errors.note(now, false)
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -72,6 +72,7 @@
 	NoEndpoint Reason = iota + 1 // the service has no endpoint that may be used
 	TooLong                      // the wait would be too long
 	Expired                      // it waited as long as it could
+	TooLate                      // the answer would not be whole by the deadline
 )
 
 // String returns the reason as logs show it.
@@ -83,6 +84,8 @@
 		return "wait_too_long"
 	case Expired:
 		return "waited_out"
+	case TooLate:
+		return "not_whole_in_time"
 	}
 	return ""
 }
@@ -102,8 +105,9 @@
 	OverShare bool          // the account had used up its share when this was decided
 	Late      bool          // the objective had passed when this was decided
 
-	book    *book
-	pending int // tokens that count as not yet read
+	book     *book
+	pending  int  // tokens that count as not yet read
+	hopeless bool // no endpoint could end the answer in time, as last seen
 }
 
 // Outcome says how a granted request ended.
@@ -240,6 +244,9 @@
 	if s.mayOvertake(t) && d.place(now, s, t) {
 		return t
 	}
+	if t.hopeless {
+		return refuse(t, TooLate, 0, now)
+	}
 	if wait := s.expectedWait(now, t, d.ownThroughput(s, now)); wait > t.patience(now) {
 		return refuse(t, TooLong, wait, now)
 	}
@@ -276,6 +283,8 @@
 			decided = append(decided, refuse(t, Expired, 0, now))
 		case misses < missesInRow && d.place(now, s, t):
 			decided = append(decided, t)
+		case t.hopeless:
+			decided = append(decided, refuse(t, TooLate, 0, now))
 		default:
 			misses++
 			kept = append(kept, t)
@@ -323,6 +332,14 @@
 	t.book.observe(now.Sub(t.GrantedAt), t.Predicted)
 }
 
+// Generated notes that the endpoint took some time for some tokens of a
+// stream.
+func (d *Dispatcher) Generated(t *Ticket, tokens int, took time.Duration) {
+	if t.State == Granted && t.book != nil {
+		t.book.generated(tokens, took)
+	}
+}
+
 // Finish ends a granted ticket.
 func (d *Dispatcher) Finish(now time.Time, t *Ticket, how Outcome) {
 	if t.State != Granted {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -80,6 +80,7 @@
 	var best *book
 	var bestScore, bestMissing = math.Inf(1), 0
 	unshared := unsharedTokens(t.Request.Parts, t.Request.Prompt)
+	t.hopeless = t.Request.Output > 0
 	least := math.MaxInt // shared tokens missing at the best of all endpoints, full ones too
 	for _, b := range d.order {
 		if !d.allowed(b, &t.Request) || now.Before(b.pausedUntil) {
@@ -87,6 +88,10 @@
 		}
 		missing := b.missing(engine, t.Request.Parts, t.Request.Prompt)
 		least = min(least, missing-unshared)
+		if t.Request.Output > 0 && !b.canFinish(now, &t.Request, missing) {
+			continue
+		}
+		t.hopeless = false
 		if !limits.room(b, engine, t, t.Request.Prompt-missing >= holdTokens) || !d.coldAllows(b, now) {
 			continue
 		}
--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -81,6 +81,7 @@
 type Engine struct {
 	Slots        int // requests that run at once
 	MemoryTokens int // tokens that running requests and cached prompts share
+	EventTokens  int // tokens in one event of a stream
 }
 
 // Service is a group of alike endpoints.
--- a/internal/relay/desk.go
+++ b/internal/relay/desk.go
@@ -58,6 +58,13 @@
 	d.Update(func(now time.Time, core *dispatch.Dispatcher) { core.FirstEvent(now, t) })
 }
 
+// Generated notes how long some tokens of a stream took.
+func (d *Desk) Generated(t *dispatch.Ticket, tokens int, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.Generated(t, tokens, took)
+}
+
 // Finish ends a granted ticket.
 func (d *Desk) Finish(t *dispatch.Ticket, how dispatch.Outcome) {
 	d.Update(func(now time.Time, core *dispatch.Dispatcher) { core.Finish(now, t, how) })
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -108,6 +108,7 @@
 	held      *whole   // an endpoint's failure, delivered unless a further attempt does better
 	started   bool     // a part of a stream has been passed on
 	lastEvent string   // newest event of the stream passed on
+	events    int      // of the stream, passed on
 	trail     []string // one entry for each attempt, for the log
 	first     time.Duration
 }
@@ -326,6 +327,7 @@
 		slog.String("endpoint", t.Endpoint.ID), slog.String("address", t.Endpoint.Address),
 		slog.Duration("waited", t.GrantedAt.Sub(x.arrived)), slog.Duration("predicted", t.Predicted),
 		slog.Duration("first", x.first), slog.Int("missing_tokens", t.Missing), slog.Bool("spilled", t.Spilled),
+		slog.Int("events", x.events), slog.Int("max_output", x.meta.MaxOutput), slog.Int("hint", x.meta.Hint),
 		slog.Bool("over_share", t.OverShare), slog.Bool("late", t.Late),
 		slog.String("outcome", said))...)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -26,6 +26,7 @@
 	s := events{after: x.lastEvent}
 	buf := make([]byte, streamBuffer)
 	first := true
+	pace := paceMeter{eventTokens: x.eventTokens()}
 	for {
 		conn.SetReadDeadline(x.silentUntil(t, first))
 		n, err := answer.Body.Read(buf)
@@ -43,6 +44,9 @@
 				conn.Close()
 				return failed(dispatch.Abandoned, true, code.CallerLeft, "the client closed its connection")
 			}
+			if tokens, took := pace.add(x.events, time.Now()); tokens > 0 {
+				x.h.opts.Desk.Generated(t, tokens, took)
+			}
 		}
 		switch {
 		case err == nil:
@@ -87,6 +91,7 @@
 	if last != "" {
 		x.lastEvent = last
 	}
+	x.events += bytes.Count(events, eventEnd)
 	return true
 }
 
@@ -107,6 +112,40 @@
 	return end
 }
 
+// eventTokens returns how many tokens an event of the service holds.
+func (x *exchange) eventTokens() int {
+	if s := x.table.Service(x.service); s != nil && s.Engine != nil {
+		return s.Engine.EventTokens
+	}
+	return 0
+}
+
+// paceEvents is how many events make one observation of a stream's pace.
+const paceEvents = 8
+
+// paceMeter observes how fast a stream's tokens come.
+type paceMeter struct {
+	eventTokens int
+	events      int // at the last observation
+	at          time.Time
+}
+
+// add takes the number of events passed on so far. It returns the tokens and
+// the time of an observation, or 0 tokens if there is none yet.
+func (m *paceMeter) add(events int, now time.Time) (int, time.Duration) {
+	if m.at.IsZero() {
+		m.events, m.at = events, now
+		return 0, 0
+	}
+	n := events - m.events
+	if n < paceEvents {
+		return 0, 0
+	}
+	took := now.Sub(m.at)
+	m.events, m.at = events, now
+	return n * m.eventTokens, took
+}
+
 // events cuts a stream into whole events.
 type events struct {
 	after string // events up to this ID were passed on before
