Streams wait no longer than their clients do

Cause: clients abandon a stream without an event after two seconds at the earliest; requests were granted at 2.3 s and abandoned at 2.4 s.

--- a/core/dispatch/book.go
+++ b/core/dispatch/book.go
@@ -132,7 +132,11 @@
 // canFinish reports whether an answer of the expected length would probably
 // be whole before the deadline. Estimates of the length are rough.
 func (b *book) canFinish(now time.Time, r *Request, missing int) bool {
-	whole := b.predict(missing) + time.Duration(r.Output)*b.pace
+	first := b.predict(missing)
+	if first > r.FirstBy.Sub(now) {
+		return false
+	}
+	whole := first + time.Duration(r.Output)*b.pace
 	return whole <= time.Duration(finishSlack*float64(r.Deadline.Sub(now)))
 }
 
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -39,6 +39,7 @@
 	Output    int    // tokens that the answer will probably have
 	Arrived   time.Time
 	Objective time.Time // a first event by then earns full credit
+	FirstBy   time.Time // the caller leaves if there is no event by then
 	Deadline  time.Time // nobody waits for the answer after it
 	Tried     []string  // IDs of endpoints that must not get it again
 	Repeat    bool      // an endpoint may have got it before; its cost is already booked
@@ -101,7 +102,7 @@
 	GrantedAt time.Time
 	Predicted time.Duration // until the first event, as predicted at the grant
 	Missing   int           // prompt tokens that the endpoint probably has to read
-	Spilled   bool          // not at the endpoint that probably holds its shared parts
+	Again     int           // of these, tokens that other requests share
 	OverShare bool          // the account had used up its share when this was decided
 	Late      bool          // the objective had passed when this was decided
 
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -111,7 +111,7 @@
 		return false
 	}
 	d.grant(now, s, t, best, bestMissing)
-	t.Spilled = again > max(least, 0)
+	t.Again = max(again, 0)
 	return true
 }
 
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -16,14 +16,14 @@
 	// shareEvery is how often the shares are worked out anew.
 	shareEvery = 100 * time.Millisecond
 
-	// patienceShare is the part of the time to its deadline that a request
-	// within its account's share may be expected to wait; beyond it the
-	// request is refused at once, while the caller can still go elsewhere.
-	patienceShare = 0.4
-	// runReserve is the part of the time between arrival and deadline after
-	// which a request that still waits is refused: the answer would not be
-	// whole in time.
-	runReserve = 0.7
+	// patienceShare is the part of the time for which its caller waits for a
+	// first event that a request within its account's share may be expected
+	// to wait; beyond it the request is refused at once, while the caller can
+	// still go elsewhere.
+	patienceShare = 0.5
+	// runReserve is the part of that time after which a request that still
+	// waits is refused: there would be no event in time.
+	runReserve = 0.8
 	// longestBacklog bounds the wait of a request beyond its account's share,
 	// in objectives.
 	longestBacklog = 1.0
@@ -162,7 +162,7 @@
 
 // waitUntil is the instant at which a request that still waits is refused.
 func (t *Ticket) waitUntil() time.Time {
-	whole := t.Request.Deadline.Sub(t.Request.Arrived)
+	whole := t.Request.FirstBy.Sub(t.Request.Arrived)
 	return t.Request.Arrived.Add(time.Duration(runReserve * float64(whole)))
 }
 
@@ -181,7 +181,7 @@
 
 // patience is the longest wait for which a new request is taken on.
 func (t *Ticket) patience(now time.Time) time.Duration {
-	left := time.Duration(patienceShare * float64(t.Request.Deadline.Sub(now)))
+	left := time.Duration(patienceShare * float64(t.Request.FirstBy.Sub(now)))
 	if t.OverShare {
 		objective := t.Request.Objective.Sub(t.Request.Arrived)
 		return min(left, time.Duration(longestBacklog*float64(objective)))
--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -49,6 +49,7 @@
 	MaxAttempts int  // endpoints that one attempt of the client may be sent to
 	Timeout     time.Duration
 	Objective   time.Duration // a first event or answer within it earns full credit
+	Pause       time.Duration // longest pause between events that counts as on time; streams only
 	Targets     []Target
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -226,11 +226,30 @@
 	return dispatch.Request{
 		ID: x.meta.ID, Account: x.account, Service: x.service,
 		Parts: x.meta.Parts, Prompt: x.meta.Prompt, Output: output,
-		Arrived: x.arrived, Objective: x.arrived.Add(objective), Deadline: x.deadline,
+		Arrived: x.arrived, Objective: x.arrived.Add(objective), FirstBy: x.firstBy(objective), Deadline: x.deadline,
 		Tried: x.tried, Repeat: x.sends > 0,
 	}
 }
 
+// Clients abandon a stream without an event after the longest of these.
+const (
+	abandonLeast      = 2 * time.Second
+	abandonObjectives = 4
+	abandonPauses     = 8
+)
+
+// firstBy is the instant by which the client needs a first event.
+func (x *exchange) firstBy(objective time.Duration) time.Time {
+	if x.route.Kind != topology.Stream {
+		return x.deadline
+	}
+	by := x.arrived.Add(max(abandonLeast, abandonObjectives*objective, abandonPauses*x.route.Pause))
+	if by.After(x.deadline) {
+		return x.deadline
+	}
+	return by
+}
+
 // run sends the request until an attempt ends it.
 func (x *exchange) run(ctx context.Context) *code.Error {
 	desk := x.h.opts.Desk
@@ -326,7 +345,7 @@
 	x.h.opts.Log.Log(oplog.Routine, "request.sent", x.attrs(
 		slog.String("endpoint", t.Endpoint.ID), slog.String("address", t.Endpoint.Address),
 		slog.Duration("waited", t.GrantedAt.Sub(x.arrived)), slog.Duration("predicted", t.Predicted),
-		slog.Duration("first", x.first), slog.Int("missing_tokens", t.Missing), slog.Bool("spilled", t.Spilled),
+		slog.Duration("first", x.first), slog.Int("missing_tokens", t.Missing), slog.Int("shared_tokens_missing", t.Again),
 		slog.Int("events", x.events), slog.Int("max_output", x.meta.MaxOutput), slog.Int("hint", x.meta.Hint),
 		slog.Bool("over_share", t.OverShare), slog.Bool("late", t.Late),
 		slog.String("outcome", said))...)
