--- a/core/dispatch/cache.go
+++ b/core/dispatch/cache.go
@@ -10,7 +10,7 @@
 const (
 	// retained is the part of an engine's memory that holds what was used
 	// last; running requests need the rest.
-	retained = 0.6
+	retained = 1.0
 	// defaultRetained stands for an engine that states no memory, in tokens.
 	defaultRetained = 200_000
 	// partsKept bounds the parts remembered for an endpoint.
