--- a/core/dispatch/book.go
+++ b/core/dispatch/book.go
@@ -58,6 +58,9 @@
 	topology.Endpoint
 	own   Load
 	peers Load // sum of the other routers' reports
+	// wanted is how many requests wait for a slot here because their prompts
+	// are cached; slots for others are kept free for them.
+	wanted int
 
 	slowness    float64       // observed over predicted time to the first event, smoothed
 	pace        time.Duration // of one token of one request, smoothed; 0: not seen yet
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -108,6 +108,7 @@
 
 	book     *book
 	pending  int  // tokens that count as not yet read
+	holding  bool // it waits for the endpoint that holds its prompt
 	hopeless bool // no endpoint could end the answer in time, as last seen
 }
 
@@ -231,7 +232,7 @@
 }
 
 // Submit takes a request. The ticket is granted or refused at once, or waits
-// until Poll decides.
+// until Poll decides: a request never overtakes those that wait by itself.
 func (d *Dispatcher) Submit(now time.Time, r Request) *Ticket {
 	t := &Ticket{Request: r, State: Waiting}
 	s := d.service(r.Service)
@@ -242,7 +243,7 @@
 		return refuse(t, NoEndpoint, noEndpointRetry, now)
 	}
 	t.OverShare = s.overShare(now, r.Account, d.tokensPerSecond(r.Service))
-	if s.mayOvertake(t) && d.place(now, s, t) {
+	if len(s.queue) == 0 && d.place(now, s, t) {
 		return t
 	}
 	if t.hopeless {
@@ -259,6 +260,9 @@
 // tickets, granted or refused.
 func (d *Dispatcher) Poll(now time.Time) []*Ticket {
 	var decided []*Ticket
+	for _, b := range d.order {
+		b.wanted = 0
+	}
 	for _, s := range d.services {
 		decided = d.pollService(now, s, decided)
 	}
@@ -270,9 +274,6 @@
 const missesInRow = 12
 
 func (d *Dispatcher) pollService(now time.Time, s *serviceState, decided []*Ticket) []*Ticket {
-	if len(s.queue) == 0 {
-		return decided
-	}
 	d.sortQueue(now, s)
 	kept := s.queue[:0]
 	misses := 0
@@ -287,7 +288,9 @@
 		case t.hopeless:
 			decided = append(decided, refuse(t, TooLate, 0, now))
 		default:
-			misses++
+			if !t.holding {
+				misses++
+			}
 			kept = append(kept, t)
 		}
 	}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -39,6 +39,7 @@
 	fullWait    = 0.7
 	spareWait   = 0.35
 	cachedWait  = 0.75
+	cachedSlots = 0.9
 	memoryShare = 0.92
 	// plainQueue is how many requests may wait inside a plain endpoint, as a
 	// part of its slots.
@@ -77,7 +78,7 @@
 	engine := d.engine(t.Request.Service)
 	home := d.home(t.Request.Service, sharedPrefix(t.Request.Parts))
 	limits := d.limits(now, s, t)
-	var best *book
+	var best, holder *book // holder: the one that misses least, if it is full
 	var bestScore, bestMissing = math.Inf(1), 0
 	unshared := unsharedTokens(t.Request.Parts, t.Request.Prompt)
 	t.hopeless = t.Request.Output > 0
@@ -87,12 +88,14 @@
 			continue
 		}
 		missing := b.missing(engine, t.Request.Parts, t.Request.Prompt)
-		least = min(least, missing-unshared)
+		if missing-unshared < least {
+			least, holder = missing-unshared, b
+		}
 		if t.Request.Output > 0 && !b.canFinish(now, &t.Request, missing) {
 			continue
 		}
 		t.hopeless = false
-		if !limits.room(b, engine, t, t.Request.Prompt-missing >= holdTokens) || !d.coldAllows(b, now) {
+		if !limits.room(b, engine, t, missing) || !d.coldAllows(b, now) {
 			continue
 		}
 		score := d.score(now, s, b, t, missing)
@@ -103,11 +106,16 @@
 			best, bestScore, bestMissing = b, score, missing
 		}
 	}
+	again := bestMissing - unshared
 	if best == nil {
+		again = t.Request.Prompt - unshared
+	}
+	t.holding = again-least >= holdTokens && now.Sub(t.Request.Arrived) < holdFor(t)
+	if t.holding {
+		holder.wanted++
 		return false
 	}
-	again := bestMissing - unshared
-	if again >= holdTokens && least < again && now.Sub(t.Request.Arrived) < holdFor(t) {
+	if best == nil {
 		return false
 	}
 	d.grant(now, s, t, best, bestMissing)
@@ -175,23 +183,25 @@
 
 // room reports whether the endpoint has room for the request. An endpoint
 // with nothing to read takes any request, however long its prompt is.
-func (l limits) room(b *book, engine *topology.Engine, t *Ticket, cached bool) bool {
+func (l limits) room(b *book, engine *topology.Engine, t *Ticket, missing int) bool {
 	load := b.load()
+	wait, part := l.wait, l.slots
+	if t.Request.Prompt-missing >= holdTokens {
+		wait, part = max(wait, l.cached), max(part, cachedSlots)
+	} else {
+		load.Active += b.wanted
+	}
 	slots := float64(slotsOf(b))
 	if t.Request.Prompt == 0 || engine == nil {
 		return float64(load.Active) < slots*(1+plainQueue)
 	}
-	if float64(load.Active) >= slots*l.slots {
+	if float64(load.Active) >= slots*part {
 		return false
 	}
 	if need := load.Resident + t.Request.Prompt + t.Request.Output; engine.MemoryTokens > 0 &&
 		load.Active > 0 && float64(need) > memoryShare*float64(engine.MemoryTokens) {
 		return false
 	}
-	wait := l.wait
-	if cached {
-		wait = max(wait, l.cached)
-	}
 	return load.Pending == 0 || b.predict(0) <= wait
 }
 
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -120,17 +120,6 @@
 
 func (s *serviceState) enqueue(t *Ticket) { s.queue = append(s.queue, t) }
 
-// mayOvertake reports whether a new request may be placed before those that
-// wait: only if none of them could use the room.
-func (s *serviceState) mayOvertake(t *Ticket) bool {
-	for _, w := range s.queue {
-		if w.State == Waiting && w.Request.Account == t.Request.Account && w.Request.Prompt <= t.Request.Prompt && !w.Late {
-			return false
-		}
-	}
-	return true
-}
-
 // sortQueue orders the requests that wait: what can still meet its objective
 // before what is late, then the account that got least, then the earliest
 // objective.
--- a/internal/relay/desk.go
+++ b/internal/relay/desk.go
@@ -22,6 +22,7 @@
 	mu      sync.Mutex
 	core    *dispatch.Dispatcher
 	waiting map[*dispatch.Ticket]chan struct{}
+	waited  bool // requests waited at the last poll
 }
 
 // NewDesk returns a desk that owns the dispatcher.
@@ -33,13 +34,15 @@
 // the context; nothing is held then.
 func (d *Desk) Acquire(ctx context.Context, r dispatch.Request) (*dispatch.Ticket, error) {
 	d.mu.Lock()
-	t := d.core.Submit(time.Now(), r)
+	now := time.Now()
+	t := d.core.Submit(now, r)
 	if t.State != dispatch.Waiting {
 		d.mu.Unlock()
 		return t, nil
 	}
 	decided := make(chan struct{})
 	d.waiting[t] = decided
+	d.poll(now)
 	d.mu.Unlock()
 	select {
 	case <-decided:
@@ -81,9 +84,10 @@
 }
 
 func (d *Desk) poll(now time.Time) {
-	if len(d.waiting) == 0 {
+	if len(d.waiting) == 0 && !d.waited {
 		return
 	}
+	d.waited = len(d.waiting) > 0 // one more poll follows the last that waited
 	for _, t := range d.core.Poll(now) {
 		close(d.waiting[t])
 		delete(d.waiting, t)
