--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -8,8 +8,9 @@
 
 const (
 	// shareWindow is the time over which the use of an account is compared
-	// with its share.
-	shareWindow = 4 * time.Second
+	// with its share: well below the seconds over which fairness is felt, so
+	// that an account that got much before is not shut out for it.
+	shareWindow = 2 * time.Second
 	// throughputWindow is the time over which a router's own throughput is
 	// measured.
 	throughputWindow = 2 * time.Second
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -43,6 +43,7 @@
 
 	StopGrace   time.Duration // between SIGTERM and SIGKILL
 	MemoryBytes int64         // of the process; 0: no limit
+	MaxFiles    int           // descriptors of the process; 0: no limit
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
@@ -90,8 +91,11 @@
 	// Bounds of what a client may take; the platform's configuration has
 	// the same or lower ones.
 	headerTimeout = 5 * time.Second
-	idleTimeout   = 20 * time.Second
+	idleTimeout   = 14 * time.Second
 	headerBytes   = 64 << 10
+	// clientFiles is the part of the descriptors that clients' connections
+	// may take; beyond it each is closed after its answer.
+	clientFiles = 0.4
 )
 
 // Edge is one router.
@@ -121,7 +125,7 @@
 	e.desk = relay.NewDesk(dispatch.New(dispatch.Options{
 		Self: s.Name, Zone: s.Zone, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 	}))
-	e.relay = relay.New(relay.Options{Protocol: p.Protocol, Desk: e.desk, Pool: e.pool, Log: log})
+	e.relay = relay.New(relay.Options{Protocol: p.Protocol, Desk: e.desk, Pool: e.pool, Log: log, MaxConnections: int64(clientFiles * float64(s.MaxFiles))})
 	e.replica = replica.New(e.changed)
 	var err error
 	e.mesh, err = mesh.New(mesh.Options{
--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -58,6 +58,7 @@
 			ErrorLog: log.New(serverErrors{e.log, l.name}, "", 0),
 		}})
 	}
+	out[0].server.ConnState = e.relay.ConnState
 	return out, nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -48,12 +49,16 @@
 	Desk     *Desk
 	Pool     *upstream.Pool
 	Log      *oplog.Logger
+	// MaxConnections is the number of clients' connections beyond which each
+	// is closed after its answer; 0: no limit.
+	MaxConnections int64
 }
 
 // Relay serves clients. It is an http.Handler.
 type Relay struct {
 	opts    Options
 	table   atomic.Pointer[Table]
+	conns   atomic.Int64 // clients' connections
 	leaving atomic.Bool
 	closing atomic.Bool
 	open    atomic.Int64
@@ -85,6 +90,16 @@
 // Open returns the number of requests in progress.
 func (h *Relay) Open() int64 { return h.open.Load() }
 
+// ConnState counts clients' connections; it is the hook of an http.Server.
+func (h *Relay) ConnState(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		h.conns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		h.conns.Add(-1)
+	}
+}
+
 // exchange is one request of a client on its way.
 type exchange struct {
 	h       *Relay
@@ -117,7 +132,7 @@
 func (h *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.open.Add(1)
 	defer h.open.Add(-1)
-	if h.leaving.Load() {
+	if h.leaving.Load() || h.opts.MaxConnections > 0 && h.conns.Load() > h.opts.MaxConnections {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), meta: h.opts.Protocol.ReadRequest(r.Header)}
@@ -389,6 +404,9 @@
 	problem.Status = statusOf(failure)
 	header := x.w.Header()
 	header.Set("Content-Type", code.ProblemType)
+	if failure.NotRun {
+		header.Set("Connection", "close") // clients come back on a new connection
+	}
 	if failure.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -33,8 +33,9 @@
 	idleFor = 4 * time.Second
 	// idleMargin is the part of an endpoint's stated idle time that is used.
 	idleMargin = 0.6
-	// idlePerEndpoint bounds the connections kept to one endpoint.
-	idlePerEndpoint = 32
+	// idlePerEndpoint bounds the connections kept to one endpoint: endpoints
+	// reset connections beyond a number for all routers together.
+	idlePerEndpoint = 8
 	// largeBody is the size from which a body is sent beside reading the
 	// answer: an endpoint may answer before it has read it all.
 	largeBody = 64 << 10
