--- /dev/null
+++ b/core/dispatch/dispatch_suite_test.go
@@ -0,0 +1,241 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+)
+
+func TestDispatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Dispatch")
+}
+
+const (
+	model = "model"
+	plain = "plain"
+	slots = 8
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// config has a model service with cold endpoints and a plain one.
+func config() topology.Config {
+	return topology.Config{
+		Services: []topology.Service{
+			{Name: model, ColdFor: 3 * time.Second, ColdPerSecond: 18, Engine: &topology.Engine{Slots: slots, MemoryTokens: 600_000, EventTokens: 7}},
+			{Name: plain},
+		},
+		Limits: topology.Limits{TokensPerSec: 10_000},
+	}
+}
+
+func options(self string) dispatch.Options {
+	return dispatch.Options{Self: self, Zone: "a", RetryRatio: 0.2, RetrySlack: 12, RetryWindow: 10 * time.Second}
+}
+
+func endpoint(id, service, zone string) topology.Endpoint {
+	return topology.Endpoint{ID: id, Service: service, Address: id + ":1", Zone: zone, Slots: slots, Born: 1}
+}
+
+// newDispatcher returns a dispatcher that knows the endpoints.
+func newDispatcher(self string, endpoints ...topology.Endpoint) *dispatch.Dispatcher {
+	d := dispatch.New(options(self))
+	d.SetTable(topology.NewTable(config()))
+	d.SetEndpoints(start, endpoints)
+	return d
+}
+
+// chat is a short model request whose prompt ends with its own part.
+func chat(now time.Time, account string, own uint64) dispatch.Request {
+	return dispatch.Request{
+		ID: fmt.Sprint("r", own), Account: account, Service: model, Prompt: 1000, Output: 50,
+		Parts:   []dispatch.Part{{ID: 1, Tokens: 300}, {ID: own, Tokens: 700}},
+		Arrived: now, Objective: now.Add(300 * time.Millisecond), FirstBy: now.Add(2 * time.Second), Deadline: now.Add(10 * time.Second),
+	}
+}
+
+// draft is a long model request with a large shared part.
+func draft(now time.Time, account string, shared, own uint64) dispatch.Request {
+	r := chat(now, account, own)
+	r.Prompt, r.Objective = 7000, now.Add(600*time.Millisecond)
+	r.Parts = []dispatch.Part{{ID: shared, Tokens: 5000}, {ID: own, Tokens: 2000}}
+	return r
+}
+
+func order(now time.Time) dispatch.Request {
+	return dispatch.Request{ID: "o", Service: plain, Arrived: now, Objective: now.Add(100 * time.Millisecond), FirstBy: now.Add(time.Second), Deadline: now.Add(time.Second)}
+}
+
+var _ = Describe("Dispatcher", func() {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+	It("grants at once while there is room, and books the request", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		t := d.Submit(start, chat(start, "x", 10))
+		Expect(t.State).To(Equal(dispatch.Granted))
+		Expect(t.Endpoint.ID).To(Equal("e1"))
+		Expect(d.Report(start).Endpoints).To(ConsistOf(dispatch.EndpointReport{Endpoint: "e1", Load: dispatch.Load{Active: 1, Pending: 1000, Resident: 1050}}))
+		d.FirstEvent(at(30), t)
+		Expect(d.Report(at(30)).Endpoints[0].Pending).To(BeZero())
+		d.Finish(at(60), t, dispatch.Served)
+		Expect(d.Report(at(60)).Endpoints).To(BeEmpty())
+	})
+
+	It("refuses at once what no endpoint may get", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		t := d.Submit(start, order(start))
+		Expect(t.State).To(Equal(dispatch.Refused))
+		Expect(t.Reason).To(Equal(dispatch.NoEndpoint))
+		Expect(t.RetryAfter).To(And(BeNumerically(">", 0), BeNumerically("<=", time.Second/3)))
+	})
+
+	DescribeTable("gives nothing to an endpoint that",
+		func(change func(d *dispatch.Dispatcher), tried ...string) {
+			d := newDispatcher("r1", endpoint("e1", model, "a"), endpoint("e2", model, "b"))
+			change(d)
+			for i := range uint64(6) {
+				r := chat(start, "x", 10+i)
+				r.Tried = tried
+				t := d.Submit(start, r)
+				Expect(t.State).To(Equal(dispatch.Granted))
+				Expect(t.Endpoint.ID).To(Equal("e2"))
+			}
+		},
+		Entry("drains", func(d *dispatch.Dispatcher) {
+			e := endpoint("e1", model, "a")
+			e.Draining = true
+			d.SetEndpoints(start, []topology.Endpoint{e, endpoint("e2", model, "b")})
+		}),
+		Entry("is gone", func(d *dispatch.Dispatcher) { d.SetEndpoints(start, []topology.Endpoint{endpoint("e2", model, "b")}) }),
+		Entry("is in a zone that is out", func(d *dispatch.Dispatcher) { d.SetZonesOut(start, map[string]bool{"a": true}) }),
+		Entry("has had the request", func(*dispatch.Dispatcher) {}, "e1"),
+		Entry("answers for another one", func(d *dispatch.Dispatcher) {
+			r := chat(start, "x", 9)
+			r.Tried = []string{"e2"}
+			d.Finish(start, d.Submit(start, r), dispatch.Misdirected)
+		}),
+		Entry("could not be reached a moment ago", func(d *dispatch.Dispatcher) {
+			r := chat(start, "x", 9)
+			r.Tried = []string{"e2"}
+			d.Finish(start, d.Submit(start, r), dispatch.Unreachable)
+		}),
+	)
+
+	It("counts an endpoint as cold that is reached again, and a zone that returns", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		d.Finish(start, d.Submit(start, chat(start, "x", 9)), dispatch.Unreachable)
+		Expect(d.Report(at(200)).Cold).To(HaveLen(1))
+		d = newDispatcher("r1", endpoint("e1", model, "a"), endpoint("e2", model, "b"))
+		d.SetZonesOut(start, map[string]bool{"b": true})
+		d.SetZonesOut(at(100), map[string]bool{})
+		Expect(d.Report(at(100)).Cold).To(HaveLen(1))
+		Expect(d.Report(at(100)).Cold[0].Endpoint).To(Equal("e2"))
+	})
+
+	It("learns that an endpoint is cold from another router", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		d.SetPeer(start, "r2", dispatch.Report{Cold: []dispatch.ColdReport{{Endpoint: "e1", Born: 1, Left: time.Second}}})
+		Expect(d.Report(start).Cold).To(HaveLen(1))
+		d.SetPeer(start, "r2", dispatch.Report{Cold: []dispatch.ColdReport{{Endpoint: "e1", Born: 2, Left: time.Hour}}})
+		Expect(d.Report(at(2000)).Cold).To(BeEmpty(), "another life of the endpoint")
+	})
+
+	It("sends a prompt where its shared part is cached, also by another router", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"), endpoint("e2", model, "a"), endpoint("e3", model, "a"))
+		d.SetPeer(start, "r2", dispatch.Report{Incarnation: 1, Placements: []dispatch.Placement{{Number: 1, Endpoint: "e2", Parts: []uint64{77, 78}, Fresh: 7000}}})
+		for i := range uint64(3) {
+			t := d.Submit(start, draft(start, "x", 77, 100+i))
+			Expect(t.Endpoint.ID).To(Equal("e2"))
+			Expect(t.Missing).To(Equal(2000))
+			d.Finish(start, t, dispatch.Served)
+		}
+	})
+
+	It("waits for the endpoint that holds the prompt, but not for ever", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"), endpoint("e2", model, "a"))
+		first := d.Submit(start, draft(start, "x", 77, 100))
+		holder := first.Endpoint.ID
+		d.SetPeer(start, "r2", dispatch.Report{Endpoints: []dispatch.EndpointReport{{Endpoint: holder, Load: dispatch.Load{Active: slots}}}})
+		t := d.Submit(start, draft(start, "x", 77, 101))
+		Expect(t.State).To(Equal(dispatch.Waiting))
+		Expect(d.Poll(at(200))).To(BeEmpty())
+		Expect(d.Poll(at(310))).To(ConsistOf(t))
+		Expect(t.Endpoint.ID).NotTo(Equal(holder))
+		Expect(t.Again).To(Equal(5000))
+	})
+
+	It("refuses what would not be whole by the deadline", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		seen := d.Submit(start, chat(start, "x", 9))
+		d.Generated(seen, 100, 2*time.Second) // 20 ms a token
+		r := chat(start, "x", 10)
+		r.Output = 900
+		t := d.Submit(start, r)
+		Expect(t.State).To(Equal(dispatch.Refused))
+		Expect(t.Reason).To(Equal(dispatch.TooLate))
+	})
+
+	It("does not hold a request longer than its caller waits for an event", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		d.SetPeer(at(0), "r2", dispatch.Report{Endpoints: []dispatch.EndpointReport{{Endpoint: "e1", Load: dispatch.Load{Active: slots}}}})
+		t := d.Submit(start, chat(start, "x", 10))
+		Expect(t.State).To(Equal(dispatch.Waiting))
+		Expect(d.Poll(at(1500))).To(BeEmpty())
+		Expect(d.Poll(at(1700))).To(ConsistOf(t))
+		Expect(t.Reason).To(Equal(dispatch.Expired))
+	})
+
+	It("serves the account first that got least, and lets nobody overtake", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		var running []*dispatch.Ticket
+		for i := range uint64(slots) {
+			t := d.Submit(start, chat(start, "much", 10+i))
+			d.FirstEvent(start, t)
+			running = append(running, t)
+		}
+		waiting := d.Submit(start, chat(start, "little", 50))
+		Expect(waiting.State).To(Equal(dispatch.Waiting))
+		again := d.Submit(at(1), chat(at(1), "much", 51))
+		Expect(again.State).NotTo(Equal(dispatch.Granted))
+		d.Finish(at(2), running[0], dispatch.Served)
+		late := d.Submit(at(2), chat(at(2), "much", 52))
+		Expect(late.State).NotTo(Equal(dispatch.Granted), "a new request takes no slot that others wait for")
+		Expect(d.Poll(at(2))).To(ContainElement(waiting))
+		Expect(waiting.State).To(Equal(dispatch.Granted))
+	})
+
+	It("pauses an endpoint that says it is full and prefers those that do not fail", func() {
+		d := newDispatcher("r1", endpoint("e1", plain, "a"), endpoint("e2", plain, "a"))
+		t := d.Submit(start, order(start))
+		d.Finish(start, t, dispatch.Rejected)
+		next := d.Submit(at(1), order(at(1)))
+		Expect(next.Endpoint.ID).NotTo(Equal(t.Endpoint.ID))
+		d.Finish(at(1), next, dispatch.Served)
+		for i := range 12 {
+			r := order(at(100 + i))
+			r.Tried = []string{"e2"}
+			d.Finish(at(100+i), d.Submit(at(100+i), r), dispatch.Failed)
+		}
+		Expect(d.Submit(at(200), order(at(200))).Endpoint.ID).To(Equal("e2"))
+	})
+
+	It("forgets the load of a peer that has fallen silent", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		d.SetPeer(start, "r2", dispatch.Report{Endpoints: []dispatch.EndpointReport{{Endpoint: "e1", Load: dispatch.Load{Active: slots}}}})
+		t := d.Submit(start, chat(start, "x", 10))
+		d.ForgetPeers(at(1000))
+		Expect(d.Poll(at(1000))).To(BeEmpty())
+		r := chat(at(2100), "x", 11)
+		d.ForgetPeers(at(2100))
+		Expect(d.Submit(at(2100), r).State).NotTo(Equal(dispatch.Refused))
+		Expect(d.Poll(at(2100))).NotTo(BeEmpty())
+		Expect(t.State).To(Equal(dispatch.Refused), "its caller has left by then")
+	})
+})
--- /dev/null
+++ b/core/topology/topology_suite_test.go
@@ -0,0 +1,77 @@
+package topology_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+)
+
+func TestTopology(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Topology")
+}
+
+var _ = Describe("Table", func() {
+	table := topology.NewTable(topology.Config{
+		Routes: []topology.Route{
+			{Name: "all", Host: "a.example", Prefix: "/"},
+			{Name: "deep", Host: "a.example", Prefix: "/x/y/"},
+			{Name: "x", Host: "A.example", Prefix: "/x/"},
+		},
+		Accounts: []topology.Account{{Name: "one", Keys: []string{"k1", "k2"}}},
+	})
+
+	DescribeTable("matches the longest prefix of the host",
+		func(host, path, want string) {
+			route, ok := table.Match(host, path)
+			if want == "" {
+				Expect(ok).To(BeFalse())
+				return
+			}
+			Expect(route.Name).To(Equal(want))
+		},
+		Entry("longest", "a.example", "/x/y/z", "deep"),
+		Entry("shorter", "a.example", "/x/z", "x"),
+		Entry("no whole segment", "a.example", "/xy", "all"),
+		Entry("with a port", "a.example:8080", "/x/", "x"),
+		Entry("other case", "A.EXAMPLE", "/x/", "x"),
+		Entry("other host", "b.example", "/x/", ""),
+	)
+
+	It("finds an account by each of its keys", func() {
+		Expect(table.Account("k2").Name).To(Equal("one"))
+		Expect(table.Account("k3")).To(BeNil())
+	})
+})
+
+// TestPick checks that a split is stable and names only its own services.
+func TestPick(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(0, 9), 1, 4).Draw(t, "weights")
+		r := topology.Route{}
+		total := 0
+		for i, w := range weights {
+			r.Targets = append(r.Targets, topology.Target{Service: string(rune('a' + i)), Weight: w})
+			total += w
+		}
+		got := map[string]int{}
+		for hash := range uint64(total) {
+			got[r.Pick(hash)]++
+			if r.Pick(hash) != r.Pick(hash+uint64(total)) {
+				t.Fatal("the same place in the split names another service")
+			}
+		}
+		for i, w := range weights {
+			if got[string(rune('a'+i))] != w {
+				t.Fatalf("service %c: %d of %d, weight %d", 'a'+i, got[string(rune('a'+i))], total, w)
+			}
+		}
+		if total == 0 && r.Pick(1) != "" {
+			t.Fatal("an empty split names a service")
+		}
+	})
+}
--- /dev/null
+++ b/internal/relay/relay_suite_test.go
@@ -0,0 +1,187 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/relay"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/upstream"
+)
+
+func TestRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Relay")
+}
+
+// headers is a protocol of the test's own.
+type headers struct{}
+
+func (headers) ReadRequest(h http.Header) relay.Meta {
+	m := relay.Meta{ID: h.Get("Test-Id"), Key: h.Get("Test-Key"), LastEvent: h.Get("Test-Resume")}
+	ms, _ := strconv.Atoi(h.Get("Test-Wait"))
+	m.Wait = time.Duration(ms) * time.Millisecond
+	h.Del("Test-Key")
+	return m
+}
+
+func (headers) WriteRequest(h http.Header, f relay.Forward) {
+	h.Set("Test-Endpoint", f.Endpoint)
+	h.Set("Test-Account", f.Account)
+	h.Set("Test-Left", strconv.FormatInt(f.Left.Milliseconds(), 10))
+	if f.LastEvent != "" {
+		h.Set("Test-Resume", f.LastEvent)
+	}
+}
+
+func (headers) ReadAnswer(status int, h http.Header) relay.AnswerMeta {
+	return relay.AnswerMeta{ID: h.Get("Test-Id"), NotRun: h.Get("Test-Not-Run") != "" || status == http.StatusMisdirectedRequest}
+}
+
+// seen is a request as an endpoint got it.
+type seen struct {
+	method, uri, body string
+	header            http.Header
+}
+
+// fake is an endpoint that answers by a script: raw bytes for each request.
+type fake struct {
+	listener net.Listener
+	mu       sync.Mutex
+	got      []seen
+	gone     chan string // IDs of requests whose connection closed before the answer
+}
+
+// answer says what a fake writes. close ends the connection afterwards; hang
+// keeps it open without an answer until the router closes it.
+type answer struct {
+	raw         string
+	close, hang bool
+}
+
+func newFake(script func(n int, s seen) answer) *fake {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { l.Close() })
+	f := &fake{listener: l, gone: make(chan string, 10)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(c, script)
+		}
+	}()
+	return f
+}
+
+func (f *fake) serve(c net.Conn, script func(n int, s seen) answer) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		s := seen{method: req.Method, uri: req.RequestURI, body: string(body), header: req.Header}
+		f.mu.Lock()
+		f.got = append(f.got, s)
+		n := len(f.got)
+		f.mu.Unlock()
+		a := script(n, s)
+		io.WriteString(c, a.raw)
+		if a.hang {
+			io.Copy(io.Discard, r)
+			f.gone <- req.Header.Get("Test-Id")
+			return
+		}
+		if a.close {
+			return
+		}
+	}
+}
+
+func (f *fake) requests() []seen {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]seen(nil), f.got...)
+}
+
+// response is a whole answer to a request.
+func response(s seen, status int, body string, header ...string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nTest-Id: %s\r\nSeal: ok\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, s.header.Get("Test-Id"), strings.Join(header, ""), len(body), body)
+}
+
+// chunk is one chunk of a chunked body.
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+func streamHead(s seen) string {
+	return "HTTP/1.1 200 OK\r\nTest-Id: " + s.header.Get("Test-Id") + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
+// front serves a relay before the fakes; route changes the route.
+func front(route topology.Route, fakes ...*fake) (*httptest.Server, *relay.Relay) {
+	core := dispatch.New(dispatch.Options{Self: "r", Zone: "z", RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second})
+	route.Host, route.Prefix = "127.0.0.1", "/p/"
+	route.Targets = []topology.Target{{Service: "s", Weight: 1}}
+	if route.Timeout == 0 {
+		route.Timeout = 5 * time.Second
+	}
+	table := topology.NewTable(topology.Config{
+		Version: 1, Keyed: true, Routes: []topology.Route{route}, Services: []topology.Service{{Name: "s"}},
+		Accounts: []topology.Account{{Name: "acc", Keys: []string{"key"}}},
+	})
+	core.SetTable(table)
+	var endpoints []topology.Endpoint
+	for i, f := range fakes {
+		endpoints = append(endpoints, topology.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: f.listener.Addr().String(), Zone: "z", Slots: 4})
+	}
+	core.SetEndpoints(time.Now(), endpoints)
+	desk := relay.NewDesk(core)
+	log := oplog.New(io.Discard)
+	h := relay.New(relay.Options{Protocol: headers{}, Desk: desk, Pool: upstream.NewPool(), Log: log})
+	h.SetTable(table)
+	ctx, stop := context.WithCancel(context.Background())
+	go desk.Serve(ctx)
+	server := httptest.NewServer(h)
+	DeferCleanup(func() { server.CloseClientConnections(); server.Close(); stop() })
+	return server, h
+}
+
+// send makes a request with the test's key and ID.
+func send(server *httptest.Server, method, path, body string, header ...string) (*http.Response, string, error) {
+	req, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Test-Id", "id-1")
+	req.Header.Set("Test-Key", "key")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -205,34 +205,39 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.collections[kind]
+	newest := c.changed
 	differs := false
 	for _, ch := range changes.Changes {
-		if r.apply(now, kind, c, ch, changes.Revision) {
+		if revision := r.apply(now, kind, c, ch, changes.Revision); revision > 0 {
+			newest = max(newest, revision)
 			differs = true
 		}
 	}
+	c.changed = newest
 	if differs {
 		r.publish(now, kind, c, from)
 	}
 }
 
-func (r *Replica) apply(now time.Time, kind Kind, c *collection, ch Change, revision int64) bool {
+// apply takes one change over. It returns the revision up to which the copy
+// then knows the record's history, or 0 if the change was known: an unknown
+// record that is older than the copy was removed since. upTo is the revision
+// up to which the changes reach; a removal has none of its own.
+func (r *Replica) apply(now time.Time, kind Kind, c *collection, ch Change, upTo int64) int64 {
 	old, known := c.records[ch.Name]
 	if ch.Deleted {
 		if !known || old.Revision > ch.Revision {
-			return false
+			return 0
 		}
 		r.remove(now, kind, c, old)
-		c.changed = max(c.changed, ch.Revision, revision)
-		return true
+		return max(ch.Revision, upTo)
 	}
 	if known && old.Revision >= ch.Revision || !known && ch.Revision <= c.changed {
-		return false
+		return 0
 	}
 	c.records[ch.Name] = ch.Record
 	delete(c.lapsed, ch.Name)
-	c.changed = max(c.changed, ch.Revision)
-	return true
+	return ch.Revision
 }
 
 // Expire drops endpoints whose records lapsed and did not return.
--- /dev/null
+++ b/internal/replica/replica_suite_test.go
@@ -0,0 +1,242 @@
+package replica_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/replica"
+)
+
+func TestReplica(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Replica")
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func record(name string, revision int64) replica.Record {
+	return replica.Record{Name: name, Revision: revision, Data: []byte("{}")}
+}
+
+func snapshot(revision int64, records ...replica.Record) replica.Snapshot {
+	return replica.Snapshot{Revision: revision, Records: records}
+}
+
+func names(v replica.View) []string {
+	var out []string
+	for _, r := range v.Records {
+		out = append(out, fmt.Sprint(r.Name, "@", r.Revision))
+	}
+	slices.Sort(out)
+	return out
+}
+
+var _ = Describe("Replica", func() {
+	var r *replica.Replica
+	var last replica.View
+	var calls int
+	BeforeEach(func() {
+		calls = 0
+		r = replica.New(func(_ replica.Kind, v replica.View) { last = v; calls++ })
+		r.Adopt(start, replica.Endpoints, snapshot(10, record("a", 3), record("b", 5)), "store")
+	})
+	apply := func(revision int64, changes ...replica.Change) {
+		r.Apply(start, replica.Endpoints, replica.Changes{Changes: changes, Revision: revision}, "store")
+	}
+
+	It("follows changes", func() {
+		apply(12, replica.Change{Record: record("a", 12)}, replica.Change{Record: record("b", 5), Deleted: true}, replica.Change{Record: record("c", 11)})
+		Expect(names(last)).To(Equal([]string{"a@12", "c@11"}))
+	})
+
+	It("passes over what it knows already", func() {
+		apply(12, replica.Change{Record: record("a", 3)})
+		apply(12, replica.Change{Record: record("z", 2), Deleted: true})
+		Expect(r.Adopt(start, replica.Endpoints, snapshot(11, record("a", 3), record("b", 5)), "peer")).To(BeFalse())
+		Expect(calls).To(Equal(1))
+	})
+
+	It("takes over what a peer knows that is newer, and nothing older", func() {
+		Expect(r.Adopt(start, replica.Endpoints, snapshot(9, record("a", 2)), "peer")).To(BeFalse())
+		Expect(r.Adopt(start, replica.Endpoints, snapshot(15, record("a", 3)), "peer")).To(BeTrue())
+		Expect(names(last)).To(Equal([]string{"a@3"}))
+		Expect(last.From).To(Equal("peer"))
+		By("not letting the store's older events bring back what is gone")
+		apply(13, replica.Change{Record: record("b", 12)})
+		Expect(names(last)).To(Equal([]string{"a@3"}))
+	})
+
+	It("keeps endpoints for a moment that lapsed while the store was away", func() {
+		r.Failed(start)
+		r.Adopt(start.Add(time.Second), replica.Endpoints, snapshot(20, record("a", 3)), "store")
+		Expect(names(last)).To(Equal([]string{"a@3", "b@5"}))
+		r.Expire(start.Add(2100 * time.Millisecond))
+		Expect(names(last)).To(HaveLen(2))
+		r.Expire(start.Add(2300 * time.Millisecond))
+		Expect(names(last)).To(Equal([]string{"a@3"}))
+	})
+
+	It("drops them at once while the store is well", func() {
+		r.Failed(start)
+		r.Adopt(start.Add(3*time.Second), replica.Endpoints, snapshot(20, record("a", 3)), "store")
+		Expect(names(last)).To(Equal([]string{"a@3"}))
+	})
+
+	It("lets an endpoint that is back replace the one that lapsed", func() {
+		r.Failed(start)
+		r.Adopt(start.Add(time.Second), replica.Endpoints, snapshot(20, record("a", 3)), "store")
+		apply(21, replica.Change{Record: record("b", 21)})
+		Expect(names(last)).To(Equal([]string{"a@3", "b@21"}))
+	})
+
+	It("shares copies only of what it has read", func() {
+		_, known := r.Snapshot(replica.Config)
+		Expect(known).To(BeFalse())
+		s, known := r.Snapshot(replica.Endpoints)
+		Expect(known).To(BeTrue())
+		Expect(s.Revision).To(Equal(int64(10)))
+		Expect(r.Revisions()).To(Equal(map[replica.Kind]int64{replica.Endpoints: 10}))
+	})
+})
+
+// TestNeverBack checks that copies which hear of one history in any order,
+// from the store and from each other, only move on, and end equal.
+func TestNeverBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := []map[string]int64{{}} // state at each revision
+		var events []replica.Change
+		changes := rapid.Int64Range(1, 25).Draw(t, "changes")
+		for rev := int64(1); rev <= changes; rev++ {
+			state := map[string]int64{}
+			for k, v := range history[rev-1] {
+				state[k] = v
+			}
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			if _, ok := state[name]; ok && rapid.Bool().Draw(t, "delete") {
+				events = append(events, replica.Change{Record: record(name, state[name]), Deleted: true})
+				delete(state, name)
+			} else {
+				state[name] = rev
+				events = append(events, replica.Change{Record: record(name, rev)})
+			}
+			history = append(history, state)
+		}
+		at := func(rev int64) replica.Snapshot {
+			s := replica.Snapshot{Revision: rev}
+			for name, r := range history[rev] {
+				s.Records = append(s.Records, record(name, r))
+			}
+			return s
+		}
+		newest := int64(len(history) - 1)
+		var copies []*replica.Replica
+		since := make([]int64, 3)
+		for range 3 {
+			r := replica.New(func(replica.Kind, replica.View) {})
+			r.Adopt(start, replica.Config, at(0), "store")
+			copies = append(copies, r)
+		}
+		for range rapid.IntRange(0, 40).Draw(t, "steps") {
+			i := rapid.IntRange(0, 2).Draw(t, "copy")
+			before := copies[i].Revisions()[replica.Config]
+			switch rapid.IntRange(0, 2).Draw(t, "way") {
+			case 0:
+				to := rapid.Int64Range(since[i], newest).Draw(t, "to")
+				copies[i].Apply(start, replica.Config, replica.Changes{Changes: events[since[i]:to], Revision: to}, "store")
+				since[i] = to
+			case 1:
+				since[i] = rapid.Int64Range(since[i], newest).Draw(t, "to")
+				copies[i].Adopt(start, replica.Config, at(since[i]), "store")
+			case 2:
+				if s, ok := copies[rapid.IntRange(0, 2).Draw(t, "peer")].Snapshot(replica.Config); ok {
+					copies[i].Adopt(start, replica.Config, s, "peer")
+				}
+			}
+			if after := copies[i].Revisions()[replica.Config]; after < before {
+				t.Fatalf("from revision %d to %d", before, after)
+			}
+		}
+		for i, r := range copies {
+			r.Apply(start, replica.Config, replica.Changes{Changes: events[since[i]:], Revision: newest}, "store")
+			s, _ := r.Snapshot(replica.Config)
+			got := map[string]int64{}
+			for _, rec := range s.Records {
+				got[rec.Name] = rec.Revision
+			}
+			if fmt.Sprint(got) != fmt.Sprint(history[newest]) {
+				t.Fatalf("copy %d: %v, want %v", i, got, history[newest])
+			}
+		}
+	})
+}
+
+// source is a store whose answers a test sets.
+type source struct {
+	mu    sync.Mutex
+	lists int
+	watch func(n int, since int64) (replica.Changes, error)
+	n     int
+}
+
+func (s *source) List(context.Context, replica.Kind) (replica.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	return snapshot(int64(10*s.lists), record("a", int64(s.lists))), nil
+}
+
+func (s *source) Watch(ctx context.Context, _ replica.Kind, since int64, wait time.Duration) (replica.Changes, error) {
+	s.mu.Lock()
+	s.n++
+	n := s.n
+	s.mu.Unlock()
+	return s.watch(n, since)
+}
+
+// TestFollow checks in virtual time how a collection is followed through the
+// store's troubles.
+func TestFollow(t *testing.T) {
+	gone := errors.Mark(errors.New("410"), replica.ErrCompacted)
+	for name, c := range map[string]struct {
+		watch func(n int, since int64) (replica.Changes, error)
+		lists int // wanted after ten seconds
+		most  int // watches in that time
+	}{
+		"quiet": {func(_ int, since int64) (replica.Changes, error) {
+			time.Sleep(time.Second)
+			return replica.Changes{Revision: since}, nil
+		}, 1, 11},
+		"compacted": {func(n int, since int64) (replica.Changes, error) {
+			time.Sleep(4 * time.Second)
+			return replica.Changes{}, gone
+		}, 3, 4},
+		"away": {func(int, int64) (replica.Changes, error) { return replica.Changes{}, errors.New("refused") }, 1, 60},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &source{watch: c.watch}
+				log := oplog.New(io.Discard)
+				r := replica.New(func(replica.Kind, replica.View) {})
+				ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+				defer stop()
+				_ = r.Follow(ctx, s, replica.Config, log)
+				if s.lists != c.lists || s.n > c.most {
+					t.Errorf("%d lists, %d watches; want %d and at most %d", s.lists, s.n, c.lists, c.most)
+				}
+				log.Close(context.Background())
+			})
+		})
+	}
+}
