A flood at one router costs bounded work and memory

What the accounts got is worked out every 20 ms, the queue is looked at every 3 ms at most, and requests beyond the memory set aside for them are refused at once.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -107,9 +107,10 @@
 	Late      bool          // the objective had passed when this was decided
 
 	book     *book
-	pending  int  // tokens that count as not yet read
-	holding  bool // it waits for the endpoint that holds its prompt
-	hopeless bool // no endpoint could end the answer in time, as last seen
+	pending  int     // tokens that count as not yet read
+	level    float64 // of the account, as last sorted
+	holding  bool    // it waits for the endpoint that holds its prompt
+	hopeless bool    // no endpoint could end the answer in time, as last seen
 }
 
 // Outcome says how a granted request ended.
@@ -280,7 +281,6 @@
 	for _, t := range s.queue {
 		switch {
 		case t.State != Waiting:
-			continue
 		case !now.Before(t.waitUntil()):
 			decided = append(decided, refuse(t, Expired, 0, now))
 		case misses < missesInRow && d.place(now, s, t):
@@ -292,7 +292,9 @@
 				misses++
 			}
 			kept = append(kept, t)
+			continue
 		}
+		s.dequeue(t)
 	}
 	clear(s.queue[len(kept):])
 	s.queue = kept
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -14,6 +15,8 @@
 	// throughputWindow is the time over which a router's own throughput is
 	// measured.
 	throughputWindow = 2 * time.Second
+	// levelsEvery is how often it is worked out what the accounts got.
+	levelsEvery = 20 * time.Millisecond
 	// shareEvery is how often the shares are worked out anew.
 	shareEvery = 100 * time.Millisecond
 
@@ -41,14 +44,18 @@
 	errors     errorRate
 	retries    retryWindow
 
-	share   float64 // cost an account may use in shareWindow; +Inf: no limit
-	sharedA time.Time
+	share    float64 // cost an account may use in shareWindow; +Inf: no limit
+	shareAt  time.Time
+	levelsAt time.Time
 }
 
 // usage is what an account asked for and got, here and at the peers.
 type usage struct {
 	asked, served         decayed
 	peerAsked, peerServed float64 // sums of the peers' reports
+
+	level   float64 // what the account got of late in the whole fleet, as last worked out
+	waiting float64 // cost of its requests that wait here
 }
 
 func newServiceState() *serviceState {
@@ -69,12 +76,20 @@
 }
 
 func (s *serviceState) serve(now time.Time, account string, cost float64) {
-	s.account(account).served.add(now, cost, shareWindow)
+	u := s.account(account)
+	u.served.add(now, cost, shareWindow)
+	u.level += cost
 }
 
-// level is what the account got of late, in the whole fleet.
-func (u *usage) level(now time.Time) float64 {
-	return u.served.value(now, shareWindow) + u.peerServed
+// refreshLevels works out what each account got of late, in the whole fleet.
+func (s *serviceState) refreshLevels(now time.Time) {
+	if now.Sub(s.levelsAt) < levelsEvery {
+		return
+	}
+	s.levelsAt = now
+	for _, u := range s.accounts {
+		u.level = u.served.value(now, shareWindow) + u.peerServed
+	}
 }
 
 // overShare reports whether an account has used up its max-min share of the
@@ -83,19 +98,21 @@
 	if perSecond <= 0 {
 		return false
 	}
-	if now.Sub(s.sharedA) >= shareEvery {
-		s.sharedA = now
-		s.share = s.maxMin(now, max(perSecond*shareWindow.Seconds(), s.servedOfLate(now)))
+	if now.Sub(s.shareAt) >= shareEvery {
+		s.shareAt = now
+		s.refreshLevels(now)
+		s.share = s.maxMin(now, max(perSecond*shareWindow.Seconds(), s.servedOfLate()))
 	}
-	return s.account(account).level(now) > s.share
+	s.refreshLevels(now)
+	return s.account(account).level > s.share
 }
 
 // servedOfLate is what all accounts got in the whole fleet: where that is more
 // than the stated capacity, it is what there is to share.
-func (s *serviceState) servedOfLate(now time.Time) float64 {
+func (s *serviceState) servedOfLate() float64 {
 	total := 0.0
 	for _, u := range s.accounts {
-		total += u.level(now)
+		total += u.level
 	}
 	return total
 }
@@ -119,17 +136,24 @@
 	return math.Inf(1)
 }
 
-func (s *serviceState) enqueue(t *Ticket) { s.queue = append(s.queue, t) }
+func (s *serviceState) enqueue(t *Ticket) {
+	s.queue = append(s.queue, t)
+	s.account(t.Request.Account).waiting += t.Request.cost()
+}
+
+// dequeue notes that a ticket waits no longer.
+func (s *serviceState) dequeue(t *Ticket) {
+	u := s.account(t.Request.Account)
+	u.waiting = max(0, u.waiting-t.Request.cost())
+}
 
 // sortQueue orders the requests that wait: what can still meet its objective
 // before what is late, then the account that got least, then the earliest
 // objective.
 func (d *Dispatcher) sortQueue(now time.Time, s *serviceState) {
-	levels := make(map[string]float64, len(s.accounts))
+	s.refreshLevels(now)
 	for _, t := range s.queue {
-		if _, ok := levels[t.Request.Account]; !ok {
-			levels[t.Request.Account] = s.account(t.Request.Account).level(now)
-		}
+		t.level = s.account(t.Request.Account).level
 		t.Late = t.Request.Objective.Sub(now) < firstStep
 	}
 	slices.SortStableFunc(s.queue, func(a, b *Ticket) int {
@@ -139,12 +163,8 @@
 			}
 			return 1
 		}
-		la, lb := levels[a.Request.Account], levels[b.Request.Account]
-		if la != lb {
-			if la < lb {
-				return -1
-			}
-			return 1
+		if a.level != b.level {
+			return cmp.Compare(a.level, b.level)
 		}
 		return a.Request.Objective.Compare(b.Request.Objective)
 	})
@@ -159,11 +179,12 @@
 // expectedWait is the time until the queue before a new request is worked
 // off at the router's throughput, in cost a second.
 func (s *serviceState) expectedWait(now time.Time, t *Ticket, perSecond float64) time.Duration {
-	level := s.account(t.Request.Account).level(now)
+	s.refreshLevels(now)
+	level := s.account(t.Request.Account).level
 	ahead := 0.0
-	for _, w := range s.queue {
-		if w.State == Waiting && s.account(w.Request.Account).level(now) <= level {
-			ahead += w.Request.cost()
+	for _, u := range s.accounts {
+		if u.level <= level {
+			ahead += u.waiting
 		}
 	}
 	return time.Duration(ahead / perSecond * float64(time.Second))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -96,6 +96,9 @@
 	// clientFiles is the part of the descriptors that clients' connections
 	// may take; beyond it each is closed after its answer.
 	clientFiles = 0.4
+	// requestBytes is the part of the memory limit that is set aside for one
+	// request in progress: buffers of two connections, stacks, body.
+	requestBytes = 150 << 10
 )
 
 // Edge is one router.
@@ -125,7 +128,8 @@
 	e.desk = relay.NewDesk(dispatch.New(dispatch.Options{
 		Self: s.Name, Zone: s.Zone, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 	}))
-	e.relay = relay.New(relay.Options{Protocol: p.Protocol, Desk: e.desk, Pool: e.pool, Log: log, MaxConnections: int64(clientFiles * float64(s.MaxFiles))})
+	e.relay = relay.New(relay.Options{Protocol: p.Protocol, Desk: e.desk, Pool: e.pool, Log: log,
+		MaxConnections: int64(clientFiles * float64(s.MaxFiles)), MaxOpen: s.MemoryBytes / requestBytes})
 	e.replica = replica.New(e.changed)
 	var err error
 	e.mesh, err = mesh.New(mesh.Options{
--- a/internal/relay/desk.go
+++ b/internal/relay/desk.go
@@ -11,7 +11,10 @@
 const (
 	// pollEvery is how often requests that wait are looked at, beside each
 	// time that a request of this router ends.
-	pollEvery = 10 * time.Millisecond
+	pollEvery = 8 * time.Millisecond
+	// pollRest is the least time between two looks, so that a flood of
+	// requests does not spend the router's time on the queue.
+	pollRest = 3 * time.Millisecond
 	// forgetEvery is how often the reports of silent peers are dropped.
 	forgetEvery = 200 * time.Millisecond
 )
@@ -23,6 +26,8 @@
 	core    *dispatch.Dispatcher
 	waiting map[*dispatch.Ticket]chan struct{}
 	waited  bool // requests waited at the last poll
+
+	polledAt time.Time
 }
 
 // NewDesk returns a desk that owns the dispatcher.
@@ -84,9 +89,10 @@
 }
 
 func (d *Desk) poll(now time.Time) {
-	if len(d.waiting) == 0 && !d.waited {
+	if len(d.waiting) == 0 && !d.waited || now.Sub(d.polledAt) < pollRest {
 		return
 	}
+	d.polledAt = now
 	d.waited = len(d.waiting) > 0 // one more poll follows the last that waited
 	for _, t := range d.core.Poll(now) {
 		close(d.waiting[t])
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,6 +52,9 @@
 	// MaxConnections is the number of clients' connections beyond which each
 	// is closed after its answer; 0: no limit.
 	MaxConnections int64
+	// MaxOpen is the number of requests in progress beyond which new ones are
+	// refused: each takes memory; 0: no limit.
+	MaxOpen int64
 }
 
 // Relay serves clients. It is an http.Handler.
@@ -155,6 +158,8 @@
 	switch {
 	case x.table == nil:
 		return notRun(code.NoManifest, notReadyRetry)
+	case x.h.opts.MaxOpen > 0 && x.h.open.Load() > x.h.opts.MaxOpen:
+		return notRun(code.QueueFull, stoppingRetry)
 	case x.h.closing.Load():
 		return notRun(code.Stopping, stoppingRetry)
 	}
