--- /dev/null
+++ b/test/prepared/harness_test.go
@@ -0,0 +1,188 @@
+package prepared_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/cyclamenwinch/cyclamenwinch/standin/prepared"
+)
+
+// hang bounds a wait for a condition; no verdict depends on it but that of a
+// system that never gets there.
+const hang = 60 * time.Second
+
+func TestPrepared(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(hang)
+	SetDefaultEventuallyPollingInterval(20 * time.Millisecond)
+	RunSpecs(t, "Prepared platform")
+}
+
+var daemon string
+
+var _ = BeforeSuite(func() {
+	var err error
+	daemon, err = gexec.Build("github.com/cyclamenwinch/cyclamenwinch/cmd/cyclamenwinchd")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(gexec.CleanupBuildArtifacts)
+})
+
+// freePort returns a port that is free for TCP and UDP at all loopback
+// addresses that the routers use.
+func freePort() int {
+	l, err := net.Listen("tcp", "0.0.0.0:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// router is one router process.
+type router struct {
+	name, ip string
+	settings map[string]any
+	file     string
+	session  *gexec.Session
+}
+
+func (r *router) listen(what string) string {
+	return r.settings["listen"].(map[string]any)[what].(string)
+}
+
+// newRouter writes the settings of a router; seeds are the IPs of others.
+func newRouter(name, ip, zone, store string, peerPort int, seeds ...string) *router {
+	r := &router{name: name, ip: ip, file: filepath.Join(GinkgoT().TempDir(), "boot.json")}
+	address := func() string { return fmt.Sprintf("%s:%d", ip, freePort()) }
+	var seeded []string
+	for _, s := range seeds {
+		seeded = append(seeded, s+":1")
+	}
+	r.settings = map[string]any{
+		"node-name": name, "ip": ip, "zone": zone, "region": "reg",
+		"listen":         map[string]any{"frontend": address(), "ready": address(), "directory": address()},
+		"internal-ports": []int{peerPort, peerPort + 1}, "seeds": seeded,
+		"limits":   map[string]any{"memory-mb": 284, "max-fds": 4100},
+		"bounds":   map[string]any{"grace-s": 8, "retry-budget-ratio": 0.2, "budget-window-s": 10, "budget-slack": 52},
+		"platform": map[string]any{"address": store},
+	}
+	r.write()
+	return r
+}
+
+func (r *router) write() {
+	data, err := json.Marshal(r.settings)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(os.WriteFile(r.file, data, 0o600)).To(Succeed())
+}
+
+func (r *router) start() {
+	command := exec.Command(daemon, "edge")
+	command.Env = append(os.Environ(), "CYCLAMENWINCH_BOOT="+r.file)
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	session, err := gexec.Start(command, gbytes.NewBuffer(), GinkgoWriter)
+	Expect(err).NotTo(HaveOccurred())
+	r.session = session
+}
+
+// status returns the status of a GET; 0: no answer.
+func status(url string) int {
+	resp, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (r *router) ready() int { return status("http://" + r.listen("ready") + "/v1/readyz") }
+
+// addresses returns where the router sends clients.
+func (r *router) addresses() []string {
+	resp, err := http.Get("http://" + r.listen("directory") + "/v1/resolve?name=h.example&region=reg&zone=a")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	if json.NewDecoder(resp.Body).Decode(&answer) != nil {
+		return nil
+	}
+	return answer.Addresses
+}
+
+// runner is one runner with its entry in the store.
+type runner struct {
+	*prepared.Runner
+	store   *prepared.Store
+	address string
+	entry   map[string]any
+}
+
+func newRunner(store *prepared.Store, id, service, zone string) *runner {
+	r := &runner{Runner: &prepared.Runner{ID: id, Events: 6, Gap: 10 * time.Millisecond}, store: store}
+	server := httptest.NewServer(r.Runner)
+	DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
+	r.address = strings.TrimPrefix(server.URL, "http://")
+	r.entry = map[string]any{"service": service, "address": r.address, "zone": zone, "slots": 8, "state": "ready", "cold-remaining-ms": 0, "born": 1}
+	r.publish()
+	return r
+}
+
+func (r *runner) publish() { r.store.Put("servers", r.ID, r.entry) }
+
+// call makes a client's request. The error says that the answer broke off.
+func call(front, method, path, key, attempt, body string, header ...string) (int, string, http.Header, error) {
+	req, err := http.NewRequest(method, "http://"+front+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "h.example"
+	req.Header.Set("X-Attempt-Id", attempt)
+	req.Header.Set("X-Deadline-Ms", "10000")
+	req.Header.Set("Authorization", "Token "+key)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, "", nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), resp.Header, err
+}
+
+// config is the operator's configuration; more adds routes.
+func config(version int, keys []string, more ...map[string]any) map[string]any {
+	route := func(name, prefix, kind, service string, attempts int) map[string]any {
+		return map[string]any{"name": name, "host": "h.example", "path-prefix": prefix, "type": kind, "service": service, "max-attempts": attempts,
+			"timeout-ms": 10000, "target-latency-ms": 600, "resumable": kind == "streaming"}
+	}
+	routes := []any{route("chat", "/chat/", "streaming", "model", 2), route("order", "/order/", "non_idempotent", "orders", 1)}
+	for _, m := range more {
+		routes = append(routes, m)
+	}
+	return map[string]any{
+		"version": version, "routes": routes,
+		"services": []any{
+			map[string]any{"name": "model", "cold-start-s": 3.0, "cold-per-s": 18.0, "engine": map[string]any{"slots": 8, "kv-capacity": 100000, "stride": 7}},
+			map[string]any{"name": "orders"}},
+		"limits":  map[string]any{"max-body-bytes": 100000, "tokens-per-s": 410000},
+		"tenants": []any{map[string]any{"name": "acc", "api-keys": keys}},
+	}
+}
