--- /dev/null
+++ b/internal/mesh/mesh_suite_test.go
@@ -0,0 +1,138 @@
+package mesh_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/mesh"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/replica"
+)
+
+func TestMesh(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "Mesh")
+}
+
+// node is one router's mesh with what it heard.
+type node struct {
+	mesh    *mesh.Mesh
+	replica *replica.Replica
+	stop    func()
+
+	mu      sync.Mutex
+	reports map[string]dispatch.Report
+	routers []string
+}
+
+func (n *node) report(peer string) dispatch.Report {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.reports[peer]
+}
+
+func (n *node) known() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.routers
+}
+
+func (n *node) alive() []string {
+	var out []string
+	for _, r := range n.mesh.Alive() {
+		out = append(out, r.Name)
+	}
+	return out
+}
+
+// newNode runs the mesh of router number i at 127.0.0.i.
+func newNode(i int, port uint16, report dispatch.Report) *node {
+	n := &node{reports: map[string]dispatch.Report{}, replica: replica.New(func(replica.Kind, replica.View) {})}
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i)}), port)
+	var err error
+	n.mesh, err = mesh.New(mesh.Options{
+		Name: fmt.Sprint("r", i), Zone: "z", Incarnation: 1, Front: address.String(), Address: address, Replica: n.replica, Log: oplog.New(io.Discard),
+		State: func() mesh.State { return mesh.State{Ready: true, Report: report} },
+		OnReport: func(peer string, r dispatch.Report) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.reports[peer] = r
+		},
+		OnRouters: func(names []string) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.routers = names
+		},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	l, err := net.Listen("tcp", address.String())
+	Expect(err).NotTo(HaveOccurred())
+	server := mesh.NewServer(n.replica)
+	ctx, cancel := context.WithCancel(context.Background())
+	go server.Serve(l)
+	go n.mesh.Send(ctx)
+	go n.mesh.Receive(ctx)
+	n.stop = sync.OnceFunc(func() { cancel(); server.Stop(); n.mesh.Close() })
+	DeferCleanup(n.stop)
+	return n
+}
+
+func freePort() uint16 {
+	l, err := net.Listen("tcp", "0.0.0.0:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return uint16(l.Addr().(*net.TCPAddr).Port)
+}
+
+var _ = Describe("Mesh", func() {
+	report := dispatch.Report{
+		Endpoints:   []dispatch.EndpointReport{{Endpoint: "e1", Load: dispatch.Load{Active: 2, Pending: 30, Resident: 400}}},
+		Cold:        []dispatch.ColdReport{{Endpoint: "e2", Born: 5, Left: time.Second}},
+		Accounts:    []dispatch.AccountReport{{Service: "s", Account: "a", Asked: 10, Served: 8}},
+		Placements:  []dispatch.Placement{{Number: 1, Endpoint: "e1", Parts: []uint64{7, 8}, Fresh: 100}},
+		Incarnation: 1,
+	}
+
+	It("tells each router of the others, once one of them knows the other", func() {
+		port := freePort()
+		a, b := newNode(1, port, report), newNode(2, port, dispatch.Report{})
+		b.mesh.AddPeer("", netip.MustParseAddr("127.0.0.1"), false)
+		Eventually(a.alive).Should(Equal([]string{"r2"}))
+		Eventually(b.alive).Should(Equal([]string{"r1"}))
+		Eventually(a.known).Should(Equal([]string{"r1", "r2"}))
+		Expect(b.report("r1")).To(Equal(report))
+	})
+
+	It("stops counting a router that has fallen silent, but not for the limits", func() {
+		port := freePort()
+		a, b := newNode(1, port, report), newNode(2, port, report)
+		a.mesh.AddPeer("r2", netip.MustParseAddr("127.0.0.2"), true)
+		Eventually(a.alive).Should(Equal([]string{"r2"}))
+		b.stop()
+		Eventually(a.alive).Should(BeEmpty())
+		Expect(a.known()).To(Equal([]string{"r1", "r2"}))
+	})
+
+	It("fetches records that a peer knows newer", func() {
+		port := freePort()
+		a, b := newNode(1, port, report), newNode(2, port, report)
+		a.replica.Adopt(time.Now(), replica.Config, replica.Snapshot{Revision: 7, Records: []replica.Record{{Name: "main", Revision: 7, Data: []byte("seven")}}}, "store")
+		b.replica.Adopt(time.Now(), replica.Config, replica.Snapshot{Revision: 5, Records: []replica.Record{{Name: "main", Revision: 5, Data: []byte("five")}}}, "store")
+		a.mesh.AddPeer("r2", netip.MustParseAddr("127.0.0.2"), true)
+		Eventually(func() int64 { return b.replica.Revisions()[replica.Config] }).Should(Equal(int64(7)))
+		s, _ := b.replica.Snapshot(replica.Config)
+		Expect(string(s.Records[0].Data)).To(Equal("seven"))
+		Expect(a.replica.Revisions()[replica.Config]).To(Equal(int64(7)))
+	})
+})
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -146,7 +146,7 @@
 // List returns all objects whose key starts with prefix.
 func (c *Client) List(ctx context.Context, prefix string) (List, error) {
 	var list List
-	err := c.getJSON(ctx, c.base+"/v1/objects?prefix="+url.QueryEscape(prefix), &list)
+	err := c.getJSON(ctx, c.base+"/v1/records?prefix="+url.QueryEscape(prefix), &list)
 	return list, err
 }
 
@@ -213,7 +213,7 @@
 }
 
 func (c *Client) objectURL(key string) string {
-	return c.base + "/v1/objects/" + key
+	return c.base + "/v1/records/" + key
 }
 
 func (c *Client) call(ctx context.Context, method, u string, body []byte, header http.Header) (*http.Response, error) {
--- a/standin/objects/server.go
+++ b/standin/objects/server.go
@@ -84,10 +84,10 @@
 // Handler returns the API.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/objects", s.guard(s.list))
-	mux.HandleFunc("GET /v1/objects/{key...}", s.guard(s.get))
-	mux.HandleFunc("PUT /v1/objects/{key...}", s.guard(s.put))
-	mux.HandleFunc("DELETE /v1/objects/{key...}", s.guard(s.delete))
+	mux.HandleFunc("GET /v1/records", s.guard(s.list))
+	mux.HandleFunc("GET /v1/records/{key...}", s.guard(s.get))
+	mux.HandleFunc("PUT /v1/records/{key...}", s.guard(s.put))
+	mux.HandleFunc("DELETE /v1/records/{key...}", s.guard(s.delete))
 	mux.HandleFunc("GET /v1/watch", s.guard(s.watch))
 	mux.HandleFunc("GET /v1/instances", s.guard(s.getInstances))
 	mux.HandleFunc("PUT /instances", s.putInstances)
