--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -105,6 +105,9 @@
 	Again     int           // of these, tokens that other requests share
 	OverShare bool          // the account had used up its share when this was decided
 	Late      bool          // the objective had passed when this was decided
+	Used      float64       // cost that the account got of late in the fleet, when this was decided
+	Share     float64       // cost that it may use in that time; +Inf: no limit
+	Expected  time.Duration // wait in the queue that was expected at the arrival
 
 	book     *book
 	pending  int     // tokens that count as not yet read
@@ -243,15 +246,16 @@
 	if !d.usable(r) {
 		return refuse(t, NoEndpoint, noEndpointRetry, now)
 	}
-	t.OverShare = s.overShare(now, r.Account, d.tokensPerSecond(r.Service))
+	d.compareShare(now, s, t)
 	if len(s.queue) == 0 && d.place(now, s, t) {
 		return t
 	}
 	if t.hopeless {
 		return refuse(t, TooLate, 0, now)
 	}
-	if wait := s.expectedWait(now, t, d.ownThroughput(s, now)); wait > t.patience(now) {
-		return refuse(t, TooLong, wait, now)
+	t.Expected = s.expectedWait(now, t, d.ownThroughput(s, now))
+	if t.Expected > t.patience(now) {
+		return refuse(t, TooLong, t.Expected, now)
 	}
 	s.enqueue(t)
 	return t
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -174,7 +174,7 @@
 	left := t.Request.Objective.Sub(now)
 	t.Late = left < firstStep
 	cached := time.Duration(cachedWait * float64(objective))
-	t.OverShare = s.overShare(now, t.Request.Account, d.tokensPerSecond(t.Request.Service))
+	d.compareShare(now, s, t)
 	if t.Late || t.OverShare {
 		return limits{slots: spareSlots, wait: time.Duration(spareWait * float64(objective)), cached: cached}
 	}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -92,11 +92,12 @@
 	}
 }
 
-// overShare reports whether an account has used up its max-min share of the
-// given capacity, in cost a second.
-func (s *serviceState) overShare(now time.Time, account string, perSecond float64) bool {
+// compareShare notes on a ticket whether its account has used up its max-min
+// share of what the service does. Plain services have no shares.
+func (d *Dispatcher) compareShare(now time.Time, s *serviceState, t *Ticket) {
+	perSecond := d.tokensPerSecond(t.Request.Service)
 	if perSecond <= 0 {
-		return false
+		return
 	}
 	if now.Sub(s.shareAt) >= shareEvery {
 		s.shareAt = now
@@ -104,7 +105,8 @@
 		s.share = s.maxMin(now, max(perSecond*shareWindow.Seconds(), s.servedOfLate()))
 	}
 	s.refreshLevels(now)
-	return s.account(account).level > s.share
+	t.Used, t.Share = s.account(t.Request.Account).level, s.share
+	t.OverShare = t.Used > t.Share
 }
 
 // servedOfLate is what all accounts got in the whole fleet: where that is more
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -119,15 +120,16 @@
 	arrived  time.Time
 	deadline time.Time
 
-	tried     []string // endpoints that must not get it again
-	sends     int      // times that it was passed on
-	dials     int      // endpoints that could not be reached
-	mayHave   bool     // an endpoint may have run it
-	held      *whole   // an endpoint's failure, delivered unless a further attempt does better
-	started   bool     // a part of a stream has been passed on
-	lastEvent string   // newest event of the stream passed on
-	events    int      // of the stream, passed on
-	trail     []string // one entry for each attempt, for the log
+	tried     []string         // endpoints that must not get it again
+	sends     int              // times that it was passed on
+	dials     int              // endpoints that could not be reached
+	mayHave   bool             // an endpoint may have run it
+	held      *whole           // an endpoint's failure, delivered unless a further attempt does better
+	started   bool             // a part of a stream has been passed on
+	lastEvent string           // newest event of the stream passed on
+	events    int              // of the stream, passed on
+	trail     []string         // one entry for each attempt, for the log
+	decided   *dispatch.Ticket // the newest decision
 	first     time.Duration
 }
 
@@ -279,6 +281,7 @@
 		if err != nil {
 			return x.ended(ctx)
 		}
+		x.decided = ticket
 		if ticket.State == dispatch.Refused {
 			return x.refusal(ticket)
 		}
@@ -303,7 +306,7 @@
 	failure := notRun(c, t.RetryAfter)
 	failure.Detail = t.Reason.String()
 	if t.OverShare {
-		failure.Detail += ", the account is over its share"
+		failure.Detail += ", the account has used up its share"
 	}
 	return failure
 }
@@ -446,7 +449,20 @@
 	x.h.opts.Log.Log(oplog.Failure, "request.failed", x.attrs(
 		slog.String("outcome", outcome), slog.Int("code", int(failure.Code)), slog.String("reason", failure.Code.Info().Name),
 		slog.String("detail", failure.Detail), slog.Bool("not_run", failure.NotRun), slog.Duration("retry_after", failure.RetryAfter),
-		slog.Any("attempts", x.trail))...)
+		slog.Any("attempts", x.trail), x.decision())...)
+}
+
+// decision groups the inputs of the newest decision of the dispatcher.
+func (x *exchange) decision() slog.Attr {
+	t := x.decided
+	if t == nil {
+		return slog.Attr{}
+	}
+	attrs := []any{slog.Duration("expected_wait", t.Expected), slog.Bool("over_share", t.OverShare), slog.Bool("late", t.Late), slog.Float64("used", t.Used)}
+	if !math.IsInf(t.Share, 1) {
+		attrs = append(attrs, slog.Float64("share", t.Share))
+	}
+	return slog.Group("decision", attrs...)
 }
 
 // attrs are the fields that every line on a request has.
