--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -19,7 +19,7 @@
 	// its shared parts: if it would have to read so many shared tokens again
 	// elsewhere, for this part of the time to its objective.
 	holdTokens = 400
-	holdShare  = 0.5
+	holdShare  = 0.8
 	// homeBonus makes all routers choose the same endpoint for a prefix that
 	// none holds.
 	homeBonus = 40.0 // ms
