--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -276,7 +276,7 @@
 
 // missesInRow ends one pass over a queue: after so many requests that fit
 // nowhere the endpoints are full, and looking further costs only time.
-const missesInRow = 12
+const missesInRow = 48
 
 func (d *Dispatcher) pollService(now time.Time, s *serviceState, decided []*Ticket) []*Ticket {
 	d.sortQueue(now, s)
