--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
 
 	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
 )
@@ -29,6 +30,9 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return suture.ErrDoNotRestart // the router is stopping
+	}
 	return errors.Wrap(err, "serve "+s.name)
 }
 
@@ -86,8 +90,8 @@
 	// as they are told.
 	addressesForgotten = 3*addressesKept + 300*time.Millisecond
 	// exitReserve is the time before the end of the grace by which the
-	// process exits.
-	exitReserve = 500 * time.Millisecond
+	// process ends what it serves, so that it has exited by then.
+	exitReserve = 700 * time.Millisecond
 	drainPoll   = 20 * time.Millisecond
 )
 
