Beyond its account's share a request waits rather than read much again

Cause: 27 of 32 sampled long prompts that were read again belonged to accounts beyond their share; they took slots and reading time from the others.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -110,7 +110,7 @@
 	if best == nil {
 		again = t.Request.Prompt - unshared
 	}
-	t.holding = again-least >= holdTokens && now.Sub(t.Request.Arrived) < holdFor(t)
+	t.holding = again-least >= holdTokens && (t.OverShare || now.Sub(t.Request.Arrived) < holdFor(t))
 	if t.holding {
 		holder.wanted++
 		return false
@@ -124,6 +124,8 @@
 }
 
 // holdFor is how long a request waits for an endpoint that holds its parts.
+// Beyond its account's share it waits for as long as it may: reading much
+// again takes from those within theirs.
 func holdFor(t *Ticket) time.Duration {
 	return time.Duration(holdShare * float64(t.Request.Objective.Sub(t.Request.Arrived)))
 }
