--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -17,9 +17,9 @@
 	rereadPenalty = 0.25 // ms a token
 	// holdTokens and holdShare let a request wait for an endpoint that holds
 	// its shared parts: if it would have to read so many shared tokens again
-	// elsewhere, for this part of the time to its objective.
+	// elsewhere, for so many times the time to its objective.
 	holdTokens = 400
-	holdShare  = 0.8
+	holdShare  = 1.5
 	// homeBonus makes all routers choose the same endpoint for a prefix that
 	// none holds.
 	homeBonus = 40.0 // ms
