--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -36,9 +36,9 @@
 	// first: what is beyond it, or late already, leaves room for them.
 	fullSlots   = 1.0
 	spareSlots  = 0.65
-	fullWait    = 0.5
-	spareWait   = 0.25
-	cachedWait  = 0.55
+	fullWait    = 0.35
+	spareWait   = 0.2
+	cachedWait  = 0.4
 	cachedSlots = 0.9
 	memoryShare = 0.92
 	// plainQueue is how many requests may wait inside a plain endpoint, as a
