--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -35,11 +35,11 @@
 	// of the time to the objective. Requests within their account's share go
 	// first: what is beyond it, or late already, leaves room for them.
 	fullSlots   = 1.0
-	spareSlots  = 0.65
+	spareSlots  = 0.5
 	fullWait    = 0.35
 	spareWait   = 0.2
 	cachedWait  = 0.4
-	cachedSlots = 0.9
+	cachedSlots = 0.8
 	memoryShare = 0.92
 	// plainQueue is how many requests may wait inside a plain endpoint, as a
 	// part of its slots.
