--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -34,6 +34,7 @@
 	ID        string
 	Account   string // empty: no client account
 	Service   string
+	Priority  int    // 0 is the highest
 	Parts     []Part // empty: not a model request
 	Prompt    int    // tokens in the prompt
 	Output    int    // tokens that the answer will probably have
--- a/core/dispatch/dispatch_suite_test.go
+++ b/core/dispatch/dispatch_suite_test.go
@@ -227,6 +227,17 @@
 		Expect(waiting.State).To(Equal(dispatch.Granted))
 	})
 
+	It("serves what has the higher priority first", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		d.SetPeer(start, "r2", dispatch.Report{Endpoints: []dispatch.EndpointReport{{Endpoint: "e1", Load: dispatch.Load{Active: slots}}}})
+		low, high := chat(start, "x", 50), chat(start, "y", 51)
+		low.Priority, high.Priority = 2, 1
+		first, second := d.Submit(start, low), d.Submit(start, high)
+		d.SetPeer(start, "r2", dispatch.Report{Endpoints: []dispatch.EndpointReport{{Endpoint: "e1", Load: dispatch.Load{Active: slots - 1}}}})
+		Expect(d.Poll(start)).To(ConsistOf(second))
+		Expect(first.State).To(Equal(dispatch.Waiting))
+	})
+
 	It("pauses an endpoint that says it is full and prefers those that do not fail", func() {
 		d := newDispatcher("r1", endpoint("e1", plain, "a"), endpoint("e2", plain, "a"))
 		t := d.Submit(start, order(start))
@@ -242,6 +253,21 @@
 		Expect(d.Submit(at(200), order(at(200))).Endpoint.ID).To(Equal("e2"))
 	})
 
+	It("has no more requests at an endpoint than its part of the connections", func() {
+		c := config()
+		c.Services[1].MaxConnections = 10
+		d := newDispatcher("r1", endpoint("e1", plain, "a"))
+		d.SetTable(topology.NewTable(c))
+		d.SetRouters([]string{"r1", "r2"})
+		granted := 0
+		for range 8 {
+			if d.Submit(start, order(start)).State == dispatch.Granted {
+				granted++
+			}
+		}
+		Expect(granted).To(Equal(4))
+	})
+
 	It("forgets the load of a peer that has fallen silent", func() {
 		d := newDispatcher("r1", endpoint("e1", model, "a"))
 		d.SetPeer(start, "r2", dispatch.Report{Endpoints: []dispatch.EndpointReport{{Endpoint: "e1", Load: dispatch.Load{Active: slots}}}})
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -11,40 +11,52 @@
 )
 
 const (
-	// rereadPenalty is what a millisecond-per-token of reading a shared part
-	// again counts beside the time that it takes: it harms the other requests
-	// of the endpoint and costs capacity.
-	rereadPenalty = 0.25 // ms a token
-	// holdTokens and holdShare let a request wait for an endpoint that holds
-	// its shared parts: if it would have to read so many shared tokens again
-	// elsewhere, for so many times the time to its objective.
+	// rereadPenalty is what reading a shared token again counts beside the
+	// time that it takes, in milliseconds: a long shared part is worth a
+	// second of waiting, since reading it delays everybody at the endpoint.
+	rereadPenalty = 0.25
+	// holdTokens is how many shared tokens a request must save for it to wait
+	// for an endpoint that holds them: reading fewer takes some milliseconds.
 	holdTokens = 400
-	holdShare  = 1.5
-	// homeBonus makes all routers choose the same endpoint for a prefix that
-	// none holds.
-	homeBonus = 40.0 // ms
+	// holdShare is how long it waits, in objectives: an answer that is a
+	// little late still counts, one that reads all again costs others theirs.
+	holdShare = 1.5
+	// homeBonus is the preference for a prefix's home, in milliseconds: more
+	// than two routers' views of the load differ by.
+	homeBonus = 40.0
 	// otherZone is what another availability zone counts: the way there and
 	// back, and the price of bytes between zones.
 	otherZone = 6 * time.Millisecond
 	// plainWork is the usual time of a plain request.
 	plainWork = 20 * time.Millisecond
-	// errorPenalty is what failing every request counts.
+	// errorPenalty is what failing every request counts: about the deadline of
+	// short requests.
 	errorPenalty = 2 * time.Second
 
-	// The bounds up to which endpoints are filled, as parts of their slots or
-	// of the time to the objective. Requests within their account's share go
-	// first: what is beyond it, or late already, leaves room for them.
+	// fullSlots, spareSlots and cachedSlots are the parts of an engine's slots
+	// that requests may fill: those within their account's share all of them;
+	// those beyond it half, so that the others find room at once; and those
+	// whose prompt is cached there more, since they cost less.
 	fullSlots   = 1.0
 	spareSlots  = 0.5
-	fullWait    = 0.35
-	spareWait   = 0.2
-	cachedWait  = 0.4
 	cachedSlots = 0.8
+	// fullWait, spareWait and cachedWait are the parts of the objective after
+	// which an engine must begin to read a prompt, in the same three cases.
+	// Reading and the first steps take up to half of an objective.
+	fullWait   = 0.35
+	spareWait  = 0.2
+	cachedWait = 0.4
+	// memoryShare is the part of an engine's memory that running requests may
+	// fill: estimates of their output are rough, and an engine that runs out
+	// of memory puts a request back.
 	memoryShare = 0.92
 	// plainQueue is how many requests may wait inside a plain endpoint, as a
 	// part of its slots.
 	plainQueue = 1.0
 
+	// connectionShare is the part of an endpoint's connections that requests in
+	// progress may take; idle ones that are kept need the rest.
+	connectionShare = 0.8
 	// defaultSlots stands for an endpoint that states no slots.
 	defaultSlots = 8
 )
@@ -78,13 +90,14 @@
 	engine := d.engine(t.Request.Service)
 	home := d.home(t.Request.Service, sharedPrefix(t.Request.Parts))
 	limits := d.limits(now, s, t)
+	connections := d.connections(t.Request.Service)
 	var best, holder *book // holder: the one that misses least, if it is full
 	var bestScore, bestMissing = math.Inf(1), 0
 	unshared := unsharedTokens(t.Request.Parts, t.Request.Prompt)
 	t.hopeless = t.Request.Output > 0
 	least := math.MaxInt // shared tokens missing at the best of all endpoints, full ones too
 	for _, b := range d.order {
-		if !d.allowed(b, &t.Request) || now.Before(b.pausedUntil) {
+		if !d.allowed(b, &t.Request) || now.Before(b.pausedUntil) || b.own.Active >= connections {
 			continue
 		}
 		missing := b.missing(engine, t.Request.Parts, t.Request.Prompt)
@@ -207,6 +220,17 @@
 	return load.Pending == 0 || b.predict(0) <= wait
 }
 
+// connections is how many requests this router may have in progress at one
+// endpoint: each takes a connection, and endpoints reset those beyond a number
+// for all routers together.
+func (d *Dispatcher) connections(service string) int {
+	s := d.table.Service(service)
+	if s == nil || s.MaxConnections <= 0 {
+		return math.MaxInt
+	}
+	return max(1, int(connectionShare*float64(s.MaxConnections)/float64(len(d.routers))))
+}
+
 func slotsOf(b *book) int {
 	if b.Slots > 0 {
 		return b.Slots
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -149,8 +149,8 @@
 	u.waiting = max(0, u.waiting-t.Request.cost())
 }
 
-// sortQueue orders the requests that wait: what can still meet its objective
-// before what is late, then the account that got least, then the earliest
+// sortQueue orders the requests that wait: by priority, then what can still
+// meet its objective before what is late, then the account that got least, then the earliest
 // objective.
 func (d *Dispatcher) sortQueue(now time.Time, s *serviceState) {
 	s.refreshLevels(now)
@@ -159,6 +159,9 @@
 		t.Late = t.Request.Objective.Sub(now) < firstStep
 	}
 	slices.SortStableFunc(s.queue, func(a, b *Ticket) int {
+		if a.Request.Priority != b.Request.Priority {
+			return cmp.Compare(a.Request.Priority, b.Request.Priority)
+		}
 		if a.Late != b.Late {
 			if b.Late {
 				return -1
--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -88,7 +88,6 @@
 // Service is a group of alike endpoints.
 type Service struct {
 	Name           string
-	HealthPath     string
 	MaxConnections int           // to one endpoint, of all routers together
 	ColdFor        time.Duration // how long an endpoint is cold after its start
 	ColdPerSecond  float64       // requests a second that a cold endpoint bears; 0: never cold
@@ -99,16 +98,14 @@
 type Account struct {
 	Name     string
 	Keys     []string
-	Priority int // 0 is the highest; goes before the route's
+	Priority int  // 0 is the highest
+	Ranked   bool // Priority is stated and goes before the route's
 }
 
 // Limits bound what a client may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-	TokensPerSec  float64 // what all model runners do together; a token read counts once, one generated twice
+	BodyBytes    int64
+	TokensPerSec float64 // what all model runners do together; a token read counts once, one generated twice
 }
 
 // Config is one version of what the operators declare.
