--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -21,7 +21,6 @@
 	version   int64
 	endpoints map[string]topology.Endpoint
 	addresses map[string]bool
-	zonesOut  map[string]bool
 }
 
 // usesAddress reports whether an endpoint that may get requests has the
