--- a/core/dispatch/dispatch_suite_test.go
+++ b/core/dispatch/dispatch_suite_test.go
@@ -171,6 +171,16 @@
 		Expect(t.Again).To(Equal(5000))
 	})
 
+	It("goes elsewhere at the last chance to meet the objective", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"), endpoint("e2", model, "a"))
+		holder := d.Submit(start, draft(start, "x", 77, 100)).Endpoint.ID
+		d.SetPeer(start, "r2", dispatch.Report{Endpoints: []dispatch.EndpointReport{{Endpoint: holder, Load: dispatch.Load{Active: slots}}}})
+		t := d.Submit(start, draft(start, "x", 77, 101))
+		Expect(d.Poll(at(440))).To(BeEmpty())
+		Expect(d.Poll(at(480))).To(ConsistOf(t))
+		Expect(t.Endpoint.ID).NotTo(Equal(holder))
+	})
+
 	It("lets an account beyond its share wait rather than read much again", func() {
 		d := newDispatcher("r1", endpoint("e1", model, "a"), endpoint("e2", model, "a"))
 		holder := d.Submit(start, draft(start, "x", 77, 100)).Endpoint.ID
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -21,6 +21,9 @@
 	// holdShare is how long it waits, in objectives: an answer that is a
 	// little late still counts, one that reads all again costs others theirs.
 	holdShare = 1.5
+	// chanceMargin is how long before the last moment a request goes elsewhere:
+	// some looks at the queue.
+	chanceMargin = 50 * time.Millisecond
 	// homeBonus is the preference for a prefix's home, in milliseconds: more
 	// than two routers' views of the load differ by.
 	homeBonus = 40.0
@@ -123,7 +126,7 @@
 	if best == nil {
 		again = t.Request.Prompt - unshared
 	}
-	t.holding = again-least >= holdTokens && (t.OverShare || now.Sub(t.Request.Arrived) < holdFor(t))
+	t.holding = again-least >= holdTokens && (t.OverShare || now.Sub(t.Request.Arrived) < holdFor(t) && !lastChance(now, t, best, bestMissing))
 	if t.holding {
 		holder.wanted++
 		return false
@@ -136,6 +139,16 @@
 	return true
 }
 
+// lastChance reports whether a request can just still meet its objective at
+// an endpoint.
+func lastChance(now time.Time, t *Ticket, b *book, missing int) bool {
+	if b == nil {
+		return false
+	}
+	spare := t.Request.Objective.Sub(now) - b.predict(missing)
+	return spare >= 0 && spare < chanceMargin
+}
+
 // holdFor is how long a request waits for an endpoint that holds its parts.
 // Beyond its account's share it waits for as long as it may: reading much
 // again takes from those within theirs.
