--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -126,7 +126,7 @@
 	if best == nil {
 		again = t.Request.Prompt - unshared
 	}
-	t.holding = again-least >= holdTokens && (t.OverShare || now.Sub(t.Request.Arrived) < holdFor(t) && !lastChance(now, t, best, bestMissing))
+	t.holding = again-least >= holdTokens && (t.OverShare || now.Sub(t.Request.Arrived) < holdFor(t) && (s.contended || !lastChance(now, t, best, bestMissing)))
 	if t.holding {
 		holder.wanted++
 		return false
@@ -139,7 +139,9 @@
 	return true
 }
 
-// lastChance reports whether a request can just still meet its objective at
+// lastChance matters while the service does all that is asked for: under
+// overload, reading again would only make others late. It reports whether a
+// request can just still meet its objective at
 // an endpoint.
 func lastChance(now time.Time, t *Ticket, b *book, missing int) bool {
 	if b == nil {
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -20,6 +20,10 @@
 	// shareEvery is how often the shares are worked out anew.
 	shareEvery = 100 * time.Millisecond
 
+	// contention is how far what is asked for exceeds what is done before the
+	// service counts as overloaded: what waits for a moment is asked for and
+	// not yet done.
+	contention = 1.15
 	// patienceShare is the part of the time for which its caller waits for a
 	// first event that a request within its account's share may be expected
 	// to wait; beyond it the request is refused at once, while the caller can
@@ -47,6 +51,8 @@
 	share    float64 // cost an account may use in shareWindow; +Inf: no limit
 	shareAt  time.Time
 	levelsAt time.Time
+
+	contended bool // more is asked for than can be done
 }
 
 // usage is what an account asked for and got, here and at the peers.
@@ -102,7 +108,9 @@
 	if now.Sub(s.shareAt) >= shareEvery {
 		s.shareAt = now
 		s.refreshLevels(now)
-		s.share = s.maxMin(now, max(perSecond*shareWindow.Seconds(), s.servedOfLate()))
+		capacity := max(perSecond*shareWindow.Seconds(), s.servedOfLate())
+		s.share = s.maxMin(now, capacity)
+		s.contended = s.askedOfLate(now) > contention*capacity
 	}
 	s.refreshLevels(now)
 	t.Used, t.Share = s.account(t.Request.Account).level, s.share
@@ -119,6 +127,15 @@
 	return total
 }
 
+// askedOfLate is what all accounts asked for in the whole fleet.
+func (s *serviceState) askedOfLate(now time.Time) float64 {
+	total := 0.0
+	for _, u := range s.accounts {
+		total += u.asked.value(now, shareWindow) + u.peerAsked
+	}
+	return total
+}
+
 // maxMin returns the level up to which every account is served when capacity
 // is shared by max-min: accounts that ask for less get what they ask for, the
 // others the same. It is +Inf while the capacity covers all.
--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -85,10 +85,11 @@
 }
 
 const (
-	// addressesForgotten is when clients have stopped using an address that
-	// left the directory's answers: some keep an answer three times as long
-	// as they are told.
-	addressesForgotten = 3*addressesKept + 300*time.Millisecond
+	// servesLeaving is how long a router that is leaving takes new requests:
+	// most clients have a new answer of the directory by then, and what comes
+	// later than three seconds after the signal must end within the grace,
+	// which long streams don't.
+	servesLeaving = 2800 * time.Millisecond
 	// exitReserve is the time before the end of the grace by which the
 	// process ends what it serves, so that it has exited by then.
 	exitReserve = 700 * time.Millisecond
@@ -104,7 +105,7 @@
 	e.relay.Leave()
 	e.mesh.Beat()
 	e.log.Log(oplog.Belief, "router.stopping", slog.Int64("open", e.relay.Open()))
-	time.Sleep(min(addressesForgotten, time.Until(end)))
+	time.Sleep(min(servesLeaving, time.Until(end)))
 	e.relay.Refuse()
 	for e.relay.Open() > 0 && time.Now().Before(end) {
 		time.Sleep(drainPoll)
