--- a/cmd/cyclamenwinch/docs_test.go
+++ b/cmd/cyclamenwinch/docs_test.go
@@ -42,7 +42,7 @@
 // sources returns the text of all Go files, tests aside.
 func sources() string {
 	var all strings.Builder
-	for _, dir := range []string{"core", "internal", "cmd", "load", "standin"} {
+	for _, dir := range []string{"core", "internal", "cmd", "load", "platform", "standin"} {
 		Expect(filepath.WalkDir(root+dir, func(path string, d os.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
