Routers of a large fleet tell each other through rows; four of them read the store for all

Ruled out: longer watches alone, since every change still wakes all of them. Change: core/grid, beats to the row and row sums to other rows; four readers by rendezvous, leaving out those whose reads fail; copies are caught up by what changed; news of the platform goes out at once; the directory draws 64 addresses of a large fleet.

--- a/core/dispatch/cache.go
+++ b/core/dispatch/cache.go
@@ -15,9 +15,9 @@
 	defaultRetained = 200_000
 	// partsKept bounds the parts remembered for an endpoint.
 	partsKept = 8192
-	// placementsFor is how long a placement is told to the other routers:
-	// some beats, since one may be lost.
-	placementsFor = 150 * time.Millisecond
+	// defaultTellFor is how long a placement is told to the other routers
+	// until SetTellFor: some beats of a small fleet, since one may be lost.
+	defaultTellFor = 150 * time.Millisecond
 )
 
 // cache is what the routers know of an endpoint's cached prompt parts. Its
@@ -70,8 +70,12 @@
 	Parts    []uint64 // shared with other requests, and the request's own
 	Fresh    int      // tokens that it puts into the memory
 	at       time.Time
+	heard    bool // from another router of this router's row
 }
 
+// SetTellFor sets how long a placement is told to the other routers.
+func (d *Dispatcher) SetTellFor(t time.Duration) { d.tellFor = t }
+
 // placed notes a placement of this router.
 func (d *Dispatcher) placed(now time.Time, t *Ticket) {
 	if t.Request.Prompt == 0 {
@@ -82,24 +86,36 @@
 		p.Parts = append(p.Parts, part.ID)
 	}
 	t.book.cache.touch(p.Parts, p.Fresh)
+	d.tell(p)
+}
+
+// tell keeps a placement for the next reports.
+func (d *Dispatcher) tell(p Placement) {
 	d.numbered++
 	p.Number = d.numbered
 	d.placements = append(d.placements, p)
 }
 
-// newPlacements returns the placements that the other routers may not know.
-func (d *Dispatcher) newPlacements(now time.Time) []Placement {
+// newPlacements returns the placements that the other routers may not know:
+// this router's, or those of its whole row.
+func (d *Dispatcher) newPlacements(now time.Time, row bool) []Placement {
 	old := 0
-	for old < len(d.placements) && now.Sub(d.placements[old].at) > placementsFor {
+	for old < len(d.placements) && now.Sub(d.placements[old].at) > d.tellFor {
 		old++
 	}
 	d.placements = slices.Delete(d.placements, 0, old)
-	return slices.Clone(d.placements)
+	out := make([]Placement, 0, len(d.placements))
+	for _, p := range d.placements {
+		if row || !p.heard {
+			out = append(out, p)
+		}
+	}
+	return out
 }
 
 // peerPlacements takes over the placements of a peer that are new; last is
 // the number of the newest one known. It returns the newest number.
-func (d *Dispatcher) peerPlacements(list []Placement, last uint64) uint64 {
+func (d *Dispatcher) peerPlacements(now time.Time, list []Placement, last uint64, tell bool) uint64 {
 	for _, p := range list {
 		if p.Number <= last {
 			continue
@@ -108,6 +124,10 @@
 		if b, ok := d.books[p.Endpoint]; ok {
 			b.cache.touch(p.Parts, p.Fresh)
 		}
+		if tell {
+			p.at, p.heard = now, true
+			d.tell(p)
+		}
 	}
 	return last
 }
--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/grid"
 )
 
 // coldRouters is how many routers may use one cold endpoint. Each of them may
@@ -51,10 +53,10 @@
 // coldRank returns this router's place among all routers for an endpoint.
 func (d *Dispatcher) coldRank(id string) int {
 	key := xxhash.Sum64String(id)
-	own := rendezvous(key, d.opts.Self)
+	own := grid.Weight(key, d.opts.Self)
 	rank := 0
 	for _, name := range d.routers {
-		if name != d.opts.Self && rendezvous(key, name) > own {
+		if name != d.opts.Self && grid.Weight(key, name) > own {
 			rank++
 		}
 	}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -152,8 +152,9 @@
 	peers    map[string]*peerReport
 	routers  []string // all known routers, sorted; itself among them
 
-	placements []Placement // of this router, newest last
+	placements []Placement // of this router and its row, newest last
 	numbered   uint64
+	tellFor    time.Duration // how long a placement is told
 }
 
 // New returns a dispatcher that knows no endpoint.
@@ -166,6 +167,7 @@
 		zonesOut: map[string]bool{},
 		peers:    map[string]*peerReport{},
 		routers:  []string{opts.Self},
+		tellFor:  defaultTellFor,
 	}
 }
 
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -1,12 +1,10 @@
 package dispatch
 
 import (
-	"encoding/binary"
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/cyclamenwinch/cyclamenwinch/core/grid"
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
 )
 
@@ -298,18 +296,9 @@
 		if b.Service != service || b.Draining || b.misdirected || d.zonesOut[b.Zone] || b.failures > 0 {
 			continue
 		}
-		if w := rendezvous(prefix, b.ID); best == nil || w > bestWeight {
+		if w := grid.Weight(prefix, b.ID); best == nil || w > bestWeight {
 			best, bestWeight = b, w
 		}
 	}
 	return best
 }
-
-func rendezvous(key uint64, name string) uint64 {
-	var buf [8]byte
-	binary.LittleEndian.PutUint64(buf[:], key)
-	h := xxhash.New()
-	h.Write(buf[:])
-	h.WriteString(name)
-	return h.Sum64()
-}
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -48,7 +48,7 @@
 
 // Report returns what the other routers need to know.
 func (d *Dispatcher) Report(now time.Time) Report {
-	r := Report{Cold: d.coldEndpoints(now), Placements: d.newPlacements(now)}
+	r := Report{Cold: d.coldEndpoints(now), Placements: d.newPlacements(now, false)}
 	for id, b := range d.books {
 		if b.own.Active > 0 {
 			r.Endpoints = append(r.Endpoints, EndpointReport{Endpoint: id, Load: b.own})
@@ -73,13 +73,59 @@
 	return out
 }
 
-// SetPeer takes over the newest report of another router.
-func (d *Dispatcher) SetPeer(now time.Time, peer string, r Report) {
+// RowReport returns the sum of this router's report and of those of other
+// routers of its row, for the routers of other rows. All routers of a row know
+// of the same cold endpoints, so these are not summed up.
+func (d *Dispatcher) RowReport(now time.Time, row []string) Report {
+	sum := d.Report(now)
+	sum.Placements = d.newPlacements(now, true)
+	endpoints, accounts := map[string]int{}, map[[2]string]int{}
+	for i, e := range sum.Endpoints {
+		endpoints[e.Endpoint] = i
+	}
+	for i, a := range sum.Accounts {
+		accounts[[2]string{a.Service, a.Account}] = i
+	}
+	for _, peer := range row {
+		p, ok := d.peers[peer]
+		if !ok {
+			continue
+		}
+		for _, e := range p.report.Endpoints {
+			if i, ok := endpoints[e.Endpoint]; ok {
+				sum.Endpoints[i].Load.add(e.Load)
+				continue
+			}
+			endpoints[e.Endpoint] = len(sum.Endpoints)
+			sum.Endpoints = append(sum.Endpoints, e)
+		}
+		for _, a := range p.report.Accounts {
+			key := [2]string{a.Service, a.Account}
+			if i, ok := accounts[key]; ok {
+				sum.Accounts[i].Asked += a.Asked
+				sum.Accounts[i].Served += a.Served
+				continue
+			}
+			accounts[key] = len(sum.Accounts)
+			sum.Accounts = append(sum.Accounts, a)
+		}
+	}
+	return sum
+}
+
+// SetPeer takes over the newest report of another router of this router's
+// row, whose placements are told to other rows too.
+func (d *Dispatcher) SetPeer(now time.Time, peer string, r Report) { d.setReport(now, peer, r, true) }
+
+// SetRow takes over the newest report of another row, under a name of its own.
+func (d *Dispatcher) SetRow(now time.Time, row string, r Report) { d.setReport(now, row, r, false) }
+
+func (d *Dispatcher) setReport(now time.Time, peer string, r Report, tell bool) {
 	next := &peerReport{at: now, report: r}
 	if old, ok := d.peers[peer]; ok && old.report.Incarnation == r.Incarnation {
 		next.placed = old.placed
 	}
-	next.placed = d.peerPlacements(r.Placements, next.placed)
+	next.placed = d.peerPlacements(now, r.Placements, next.placed, tell)
 	d.replacePeer(peer, next)
 	for _, c := range r.Cold {
 		if b, ok := d.books[c.Endpoint]; ok && b.Born == c.Born {
--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -33,6 +33,7 @@
 
 // changed takes over a collection that has changed.
 func (e *Edge) changed(kind replica.Kind, v replica.View) {
+	defer e.mesh.News()
 	switch kind {
 	case replica.Config:
 		e.configChanged(v)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -135,7 +136,7 @@
 	e.mesh, err = mesh.New(mesh.Options{
 		Name: s.Name, Zone: s.Zone, Incarnation: time.Now().UnixNano(), Front: s.Front,
 		Address: netip.AddrPortFrom(s.Address, s.PeerPort), Replica: e.replica, Log: log,
-		State: e.state, OnReport: e.report, OnRouters: e.routers,
+		State: e.state, RowReport: e.rowReport, OnReport: e.report, OnRow: e.row, OnSpacing: e.spacing, OnRouters: e.routers,
 	})
 	if err != nil {
 		return nil, err
@@ -149,7 +150,7 @@
 
 // state is what the router tells the others in each beat.
 func (e *Edge) state() mesh.State {
-	s := mesh.State{Ready: e.ready(), Leaving: e.leaving.Load()}
+	s := mesh.State{Ready: e.ready(), Leaving: e.leaving.Load(), Reading: e.replica.Reading()}
 	e.desk.Update(func(now time.Time, core *dispatch.Dispatcher) { s.Report = core.Report(now) })
 	return s
 }
@@ -158,6 +159,20 @@
 	e.desk.Update(func(now time.Time, core *dispatch.Dispatcher) { core.SetPeer(now, peer, r) })
 }
 
+// rowReport is what the router tells other rows of its own.
+func (e *Edge) rowReport(peers []string) (r dispatch.Report) {
+	e.desk.Update(func(now time.Time, core *dispatch.Dispatcher) { r = core.RowReport(now, peers) })
+	return r
+}
+
+func (e *Edge) row(name string, r dispatch.Report) {
+	e.desk.Update(func(now time.Time, core *dispatch.Dispatcher) { core.SetRow(now, name, r) })
+}
+
+func (e *Edge) spacing(tell time.Duration) {
+	e.desk.Update(func(_ time.Time, core *dispatch.Dispatcher) { core.SetTellFor(tell) })
+}
+
 func (e *Edge) routers(names []string) {
 	e.log.Log(oplog.Belief, "routers.known", slog.Any("routers", names))
 	e.desk.Update(func(_ time.Time, core *dispatch.Dispatcher) { core.SetRouters(names) })
@@ -171,8 +186,11 @@
 // long.
 const addressesKept = time.Second
 
+// mostAddresses is how many addresses clients take from one answer.
+const mostAddresses = 64
+
 // directory returns where clients should connect: at all routers that are
-// ready.
+// ready or, of a large fleet, at some of them, drawn anew for each answer.
 func (e *Edge) directory(string) ([]string, time.Duration) {
 	var out []string
 	if e.ready() {
@@ -183,6 +201,10 @@
 			out = append(out, r.Front)
 		}
 	}
+	if len(out) > mostAddresses {
+		rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+		out = out[:mostAddresses]
+	}
 	return out, addressesKept
 }
 
@@ -236,7 +258,7 @@
 	}
 	for _, kind := range replica.Kinds {
 		parts = append(parts, part{"follow " + string(kind), func(ctx context.Context) error {
-			return e.replica.Follow(ctx, e.platform.Source, kind, e.log)
+			return e.replica.Follow(ctx, e.platform.Source, kind, e.mesh.Reads, e.log)
 		}})
 	}
 	for _, s := range servers {
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -93,8 +94,13 @@
 	}
 }
 
-// fetchDelay lets the store's own watch bring a change first; most do.
-const fetchDelay = 60 * time.Millisecond
+const (
+	// fetchDelay lets a reader's own watch bring a change first.
+	fetchDelay = 60 * time.Millisecond
+	// fetchSpread spreads the fetches of a change over the routers that know
+	// it by then: one router can't serve a large fleet at once.
+	fetchSpread = 3 * time.Millisecond // for each known router
+)
 
 func (m *Mesh) fetch(ctx context.Context, p *Router, kind replica.Kind, revision int64) {
 	defer func() {
@@ -104,46 +110,61 @@
 	}()
 	ours, known := m.opts.Replica.Revisions()[kind]
 	if known {
+		m.mu.Lock()
+		spread := float64(len(m.routers)) * float64(fetchSpread)
+		m.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(fetchDelay):
+		case <-time.After(fetchDelay + time.Duration(rand.Float64()*spread)):
 		}
 		if ours = m.opts.Replica.Revisions()[kind]; ours >= revision {
 			return
 		}
 	}
-	s, err := m.call(ctx, p.Address, kind)
+	changed, err := m.mergeFrom(ctx, p, kind, ours)
+	if errors.Is(err, replica.ErrIncomplete) {
+		changed, err = m.mergeFrom(ctx, p, kind, 0)
+	}
 	if err != nil {
 		m.calls.drop(p.Address)
 		m.opts.Log.Log(oplog.Belief, "peer.fetch_failed", slog.String("peer", p.Name), slog.String("collection", string(kind)), slog.String("error", err.Error()))
 		return
 	}
-	if m.opts.Replica.Adopt(time.Now(), kind, s, p.Name) {
+	if changed {
 		m.opts.Log.Log(oplog.Belief, "peer.records_adopted", slog.String("peer", p.Name), slog.String("collection", string(kind)),
-			slog.Int64("from_revision", ours), slog.Int64("revision", s.Revision))
+			slog.Int64("from_revision", ours), slog.Int64("revision", m.opts.Replica.Revisions()[kind]))
+	}
+}
+
+// mergeFrom takes over what changed in a peer's copy after a revision.
+func (m *Mesh) mergeFrom(ctx context.Context, p *Router, kind replica.Kind, since int64) (bool, error) {
+	d, err := m.call(ctx, p.Address, kind, since)
+	if err != nil {
+		return false, err
 	}
+	return m.opts.Replica.Merge(time.Now(), kind, d, p.Name)
 }
 
-func (m *Mesh) call(ctx context.Context, to netip.Addr, kind replica.Kind) (replica.Snapshot, error) {
+func (m *Mesh) call(ctx context.Context, to netip.Addr, kind replica.Kind, since int64) (replica.Delta, error) {
 	conn, err := m.calls.conn(netip.AddrPortFrom(to, m.opts.Address.Port()))
 	if err != nil {
-		return replica.Snapshot{}, err
+		return replica.Delta{}, err
 	}
 	limit, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	set, err := peerpb.NewRecordsClient(conn).Fetch(limit, &peerpb.FetchRequest{Kind: string(kind)})
+	set, err := peerpb.NewRecordsClient(conn).Fetch(limit, &peerpb.FetchRequest{Kind: string(kind), Since: since})
 	if err != nil {
-		return replica.Snapshot{}, errors.Wrap(err, "fetch records")
+		return replica.Delta{}, errors.Wrap(err, "fetch records")
 	}
 	if !set.Known {
-		return replica.Snapshot{}, errors.New("the peer has no copy")
+		return replica.Delta{}, errors.New("the peer has no copy")
 	}
-	s := replica.Snapshot{Revision: set.Revision}
+	d := replica.Delta{Since: since, Revision: set.Revision, Names: set.Names, Trouble: time.Duration(set.StoreFailedMs) * time.Millisecond}
 	for _, r := range set.Records {
-		s.Records = append(s.Records, replica.Record{Name: r.Name, Revision: r.Revision, Data: r.Data})
+		d.Records = append(d.Records, replica.Record{Name: r.Name, Revision: r.Revision, Data: r.Data})
 	}
-	return s, nil
+	return d, nil
 }
 
 // records serves the calls of peers.
@@ -152,11 +173,11 @@
 	replica *replica.Replica
 }
 
-// Fetch returns this router's copy of a collection.
+// Fetch returns what is newer in this router's copy of a collection.
 func (r records) Fetch(_ context.Context, req *peerpb.FetchRequest) (*peerpb.RecordSet, error) {
-	s, known := r.replica.Snapshot(replica.Kind(req.Kind))
-	set := &peerpb.RecordSet{Known: known, Revision: s.Revision}
-	for _, rec := range s.Records {
+	d, known := r.replica.Since(time.Now(), replica.Kind(req.Kind), req.Since)
+	set := &peerpb.RecordSet{Known: known, Revision: d.Revision, Names: d.Names, StoreFailedMs: unsigned(int(d.Trouble / time.Millisecond))}
+	for _, rec := range d.Records {
 		set.Records = append(set.Records, &peerpb.PlatformRecord{Name: rec.Name, Revision: rec.Revision, Data: rec.Data})
 	}
 	return set, nil
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -29,9 +29,11 @@
 	// beatEvery is the shortest time between two beats: what peers know of a
 	// router's load is about that old.
 	beatEvery = 40 * time.Millisecond
-	// beatPerPeer spaces beats further apart in a large fleet, so that a
+	// beatPerPeer spaces beats further apart in a larger fleet, so that a
 	// router sends and receives about 200 a second.
 	beatPerPeer = 5 * time.Millisecond
+	// tellBeats is how many beats hold a placement, since some get lost.
+	tellBeats = 4
 	// silentEvery is the time between two beats to a peer that is not heard.
 	silentEvery = 500 * time.Millisecond
 	// aliveFor is how long a router counts as running after its last beat.
@@ -53,6 +55,7 @@
 type State struct {
 	Ready   bool
 	Leaving bool
+	Reading bool // reads of the platform's store succeed
 	Report  dispatch.Report
 }
 
@@ -66,8 +69,13 @@
 	Replica     *replica.Replica
 	Log         *oplog.Logger
 	State       func() State
-	OnReport    func(peer string, r dispatch.Report)
-	OnRouters   func(names []string) // all routers that may be running, sorted
+	// RowReport is the sum of this router's report and those of other routers.
+	RowReport func(peers []string) dispatch.Report
+	OnReport  func(peer string, r dispatch.Report) // of a router of the same row
+	OnRow     func(row string, r dispatch.Report)  // sum over another row
+	// OnSpacing is told for how long news must be part of the beats.
+	OnSpacing func(tell time.Duration)
+	OnRouters func(names []string) // all routers that may be running, sorted
 }
 
 // Router is another router as this one knows it.
@@ -79,13 +87,16 @@
 	Incarnation int64
 	Ready       bool
 	Leaving     bool
+	Reading     bool // its reads of the platform's store succeed
 	Registered  bool // has an entry in the platform's store
 	Heard       time.Time
 
-	number   uint64
-	sentAt   time.Time
-	alive    bool // as last logged
-	fetching map[replica.Kind]bool
+	number uint64
+	sentAt time.Time
+
+	introducedAt time.Time // when it was told of all routers
+	alive        bool      // as last logged
+	fetching     map[replica.Kind]bool
 }
 
 // Mesh is this router's part. It is safe for concurrent use.
@@ -96,8 +107,12 @@
 	mu      sync.Mutex
 	peers   map[netip.Addr]*Router
 	number  uint64
-	routers []string // as last told to OnRouters
+	routers []string      // as last told to OnRouters
+	spacing time.Duration // between beats
 	calls   calls
+	news    chan struct{}
+
+	heardRows map[int]row
 }
 
 // New returns a mesh without peers; its socket is open.
@@ -106,7 +121,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for beats")
 	}
-	return &Mesh{opts: opts, conn: conn, peers: map[netip.Addr]*Router{}, calls: newCalls()}, nil
+	return &Mesh{opts: opts, conn: conn, peers: map[netip.Addr]*Router{}, heardRows: map[int]row{}, spacing: beatEvery, news: make(chan struct{}, 1), calls: newCalls()}, nil
 }
 
 // Close closes the socket and the connections to peers.
@@ -169,55 +184,86 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-m.news:
 		case <-time.After(m.interval()):
 		}
 	}
 }
 
+// News makes the next beat go out at once: the router knows something new of
+// the platform.
+func (m *Mesh) News() {
+	select {
+	case m.news <- struct{}{}:
+	default: // one beat tells all that is new
+	}
+}
+
+// interval is the time to the next beat, by the number of peers that got the
+// last one.
 func (m *Mesh) interval() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return max(beatEvery, time.Duration(len(m.peers))*beatPerPeer)
+	return m.spacing
 }
 
-// Beat sends one beat to the peers that are heard, and now and then to those
-// that are not.
+// Beat sends this router's state to its row and the row's state to routers of
+// other rows.
 func (m *Mesh) Beat() {
-	datagram, err := proto.Marshal(m.beat())
-	if err != nil || len(datagram) > maxDatagram {
-		m.opts.Log.Log(oplog.Belief, "mesh.beat_not_sent", slog.Int("bytes", len(datagram)), slog.Any("error", err))
+	to, members := m.due(time.Now())
+	m.space(len(to.own) + len(to.row))
+	own := m.beat()
+	m.send(own, to.own)
+	if len(to.row) == 0 {
 		return
 	}
-	for _, to := range m.due(time.Now()) {
-		// A beat that can't be sent is as good as lost; silence is logged.
-		if _, err := m.conn.WriteToUDPAddrPort(datagram, netip.AddrPortFrom(to, m.opts.Address.Port())); err == nil {
-			beatsSent.Inc()
-		}
+	var names []string
+	for _, member := range members {
+		names = append(names, member.Name)
 	}
+	m.send(m.rowBeat(own, members, m.opts.RowReport(names)), to.row)
 }
 
-func (m *Mesh) due(now time.Time) []netip.Addr {
+// space sets the time to the next beat.
+func (m *Mesh) space(peers int) {
+	spacing := max(beatEvery, time.Duration(peers)*beatPerPeer)
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []netip.Addr
-	for address, p := range m.peers {
-		if now.Sub(p.Heard) < aliveFor || now.Sub(p.sentAt) >= silentEvery {
-			p.sentAt = now
-			out = append(out, address)
+	changed := spacing != m.spacing
+	m.spacing = spacing
+	m.mu.Unlock()
+	if changed {
+		m.opts.OnSpacing(tellBeats * spacing)
+	}
+}
+
+func (m *Mesh) send(b *peerpb.Beat, to []netip.Addr) {
+	if len(to) == 0 {
+		return
+	}
+	datagram, err := proto.Marshal(b)
+	if err != nil || len(datagram) > maxDatagram {
+		m.opts.Log.Log(oplog.Belief, "mesh.beat_not_sent", slog.Int("bytes", len(datagram)), slog.Any("error", err))
+		return
+	}
+	for _, address := range to {
+		// A beat that can't be sent is as good as lost; silence is logged.
+		if _, err := m.conn.WriteToUDPAddrPort(datagram, netip.AddrPortFrom(address, m.opts.Address.Port())); err == nil {
+			beatsSent.Inc()
 		}
 	}
-	return out
 }
 
+// beat is this router's own state.
 func (m *Mesh) beat() *peerpb.Beat {
 	state := m.opts.State()
 	m.mu.Lock()
 	m.number++
-	number := m.number
+	number, rows := m.number, m.rows()
 	m.mu.Unlock()
 	b := &peerpb.Beat{
 		Name: m.opts.Name, Incarnation: m.opts.Incarnation, Number: number, Front: m.opts.Front, Zone: m.opts.Zone,
-		Ready: state.Ready, Leaving: state.Leaving, Revisions: map[string]int64{},
+		Ready: state.Ready, Leaving: state.Leaving, Reading: state.Reading, Revisions: map[string]int64{},
+		Rows: unsigned(rows),
 	}
 	for kind, revision := range m.opts.Replica.Revisions() {
 		b.Revisions[string(kind)] = revision
@@ -226,6 +272,17 @@
 	return b
 }
 
+// rowBeat is the state of this router's row, with its own.
+func (m *Mesh) rowBeat(own *peerpb.Beat, members []*peerpb.Other, sum dispatch.Report) *peerpb.Beat {
+	b := &peerpb.Beat{
+		Name: own.Name, Incarnation: own.Incarnation, Number: own.Number, Front: own.Front, Zone: own.Zone,
+		Ready: own.Ready, Leaving: own.Leaving, Reading: own.Reading, Revisions: own.Revisions,
+		Rows: own.Rows, WholeRow: true, Members: members,
+	}
+	encodeReport(b, sum)
+	return b
+}
+
 // Receive takes beats until the context ends.
 func (m *Mesh) Receive(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { m.conn.SetReadDeadline(time.Unix(1, 0)) })
@@ -257,16 +314,21 @@
 		m.mu.Unlock()
 		return // overtaken on its way
 	}
-	changed := !p.alive || p.Ready != b.Ready || p.Leaving != b.Leaving || p.Incarnation != b.Incarnation
-	p.Name, p.Front, p.Zone, p.Incarnation, p.number = b.Name, b.Front, b.Zone, b.Incarnation, b.Number
-	p.Ready, p.Leaving, p.Heard, p.alive = b.Ready, b.Leaving, now, true
+	p.number = b.Number
+	changed := m.update(p, now, state{b.Name, b.Front, b.Zone, b.Incarnation, b.Ready, b.Leaving, b.Reading})
+	changed = m.othersTold(now, b.Members) || changed
+	own := m.inRow(p, m.rows())
 	m.mu.Unlock()
 	if changed {
-		m.opts.Log.Log(oplog.Belief, "peer.state", slog.String("peer", b.Name), slog.Int64("incarnation", b.Incarnation),
-			slog.Bool("ready", b.Ready), slog.Bool("leaving", b.Leaving))
 		m.tellRouters(now)
 	}
-	m.opts.OnReport(b.Name, decodeReport(b))
+	switch {
+	case b.WholeRow:
+		m.rowTold(now, b)
+	case own:
+		m.opts.OnReport(b.Name, decodeReport(b))
+	}
+	m.introduce(now, p, b)
 	m.catchUp(ctx, p, b.Revisions)
 }
 
--- a/internal/mesh/mesh_suite_test.go
+++ b/internal/mesh/mesh_suite_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/core/grid"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/mesh"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/replica"
@@ -30,6 +33,7 @@
 	mesh    *mesh.Mesh
 	replica *replica.Replica
 	stop    func()
+	reading atomic.Bool
 
 	mu      sync.Mutex
 	reports map[string]dispatch.Report
@@ -63,12 +67,19 @@
 	var err error
 	n.mesh, err = mesh.New(mesh.Options{
 		Name: fmt.Sprint("r", i), Zone: "z", Incarnation: 1, Front: address.String(), Address: address, Replica: n.replica, Log: oplog.New(io.Discard),
-		State: func() mesh.State { return mesh.State{Ready: true, Report: report} },
+		State: func() mesh.State { return mesh.State{Ready: true, Reading: n.reading.Load(), Report: report} },
 		OnReport: func(peer string, r dispatch.Report) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.reports[peer] = r
 		},
+		RowReport: func([]string) dispatch.Report { return report },
+		OnRow: func(row string, r dispatch.Report) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.reports[row] = r
+		},
+		OnSpacing: func(time.Duration) {},
 		OnRouters: func(names []string) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -124,6 +135,47 @@
 		Expect(a.known()).To(Equal([]string{"r1", "r2"}))
 	})
 
+	It("tells a large fleet everything through rows", func() {
+		const fleet = 24
+		port := freePort()
+		var nodes []*node
+		for i := 1; i <= fleet; i++ {
+			n := newNode(i, port, report)
+			if i > 1 {
+				n.mesh.AddPeer("", netip.MustParseAddr("127.0.0.1"), false)
+			}
+			nodes = append(nodes, n)
+		}
+		for _, n := range nodes {
+			Eventually(n.alive).Should(HaveLen(fleet - 1))
+			Eventually(n.known).Should(HaveLen(fleet))
+			Eventually(func() int {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				rows := 0
+				for name := range n.reports {
+					if strings.HasPrefix(name, "row ") {
+						rows++
+					}
+				}
+				return rows
+			}).Should(Equal(grid.Rows(fleet) - 1))
+		}
+		By("choosing few readers of the store")
+		readers := func() int {
+			count := 0
+			for _, n := range nodes {
+				reads := n.mesh.Reads()
+				n.reading.Store(reads)
+				if reads {
+					count++
+				}
+			}
+			return count
+		}
+		Eventually(readers).Should(Equal(4))
+	})
+
 	It("fetches records that a peer knows newer", func() {
 		port := freePort()
 		a, b := newNode(1, port, report), newNode(2, port, report)
@@ -131,8 +183,8 @@
 		b.replica.Adopt(time.Now(), replica.Config, replica.Snapshot{Revision: 5, Records: []replica.Record{{Name: "main", Revision: 5, Data: []byte("five")}}}, "store")
 		a.mesh.AddPeer("r2", netip.MustParseAddr("127.0.0.2"), true)
 		Eventually(func() int64 { return b.replica.Revisions()[replica.Config] }).Should(Equal(int64(7)))
-		s, _ := b.replica.Snapshot(replica.Config)
-		Expect(string(s.Records[0].Data)).To(Equal("seven"))
+		d, _ := b.replica.Since(time.Now(), replica.Config, 0)
+		Expect(string(d.Records[0].Data)).To(Equal("seven"))
 		Expect(a.replica.Revisions()[replica.Config]).To(Equal(int64(7)))
 	})
 })
--- /dev/null
+++ b/internal/mesh/reader.go
@@ -0,0 +1,58 @@
+package mesh
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/grid"
+)
+
+const (
+	// readersWanted is how many routers read the platform's store for all: a
+	// read that has gone silent, a router that stands still and one that the
+	// store turns away must not keep a change from the others.
+	readersWanted = 4
+	// readersMost bounds how many try while the store turns routers away, so
+	// that its return meets few calls.
+	readersMost = 12
+)
+
+// readersKey orders the routers for reading the store.
+var readersKey = xxhash.Sum64String("readers")
+
+// Reads reports whether this router reads the store: it is among the first of
+// the routers that it hears, leaving out those whose reads fail.
+func (m *Mesh) Reads() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own := grid.Weight(readersKey, m.opts.Name)
+	now := time.Now()
+	before, good := 0, 0
+	for _, p := range m.peers {
+		if p.Name == "" || p.Leaving || now.Sub(p.Heard) >= aliveFor || grid.Weight(readersKey, p.Name) < own {
+			continue
+		}
+		before++
+		if p.Reading {
+			good++
+		}
+	}
+	return before < readersMost && good < readersWanted
+}
+
+// Readers returns the names of the routers whose reads of the store succeed,
+// as last heard, for the log.
+func (m *Mesh) Readers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for _, p := range m.peers {
+		if p.Reading && time.Since(p.Heard) < aliveFor {
+			out = append(out, p.Name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/mesh/row.go
@@ -0,0 +1,196 @@
+package mesh
+
+import (
+	"encoding/binary"
+	"log/slog"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/grid"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
+)
+
+// row is another row of the fleet as last heard.
+type row struct {
+	teller  string // who told it
+	members int    // alive, as the teller saw it
+	at      time.Time
+}
+
+// rowName names a row among the reports of routers.
+func rowName(number int) string { return "row " + strconv.Itoa(number) }
+
+// rows returns the number of rows of the known fleet; the lock is held.
+func (m *Mesh) rows() int { return grid.Rows(len(m.routers)) }
+
+// inRow reports whether a peer's own beats come to this router. A peer without
+// a name is one that a seed names; the lock is held.
+func (m *Mesh) inRow(p *Router, rows int) bool {
+	return rows == 1 || p.Name == "" || grid.Row(p.Name, rows) == grid.Row(m.opts.Name, rows)
+}
+
+// targets are the peers that get a beat now.
+type targets struct {
+	own []netip.Addr // this router's state
+	row []netip.Addr // that of its row
+}
+
+// due returns the peers that get a beat: of this router's state, all of its
+// row; of its row's state, those for which it is the teller. Peers that are
+// not heard get one now and then.
+func (m *Mesh) due(now time.Time) (targets, []*peerpb.Other) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out targets
+	rows := m.rows()
+	members, names := m.members(now, rows)
+	for address, p := range m.peers {
+		own := m.inRow(p, rows)
+		if !own && grid.Teller(p.Name, names) != m.opts.Name {
+			continue
+		}
+		if now.Sub(p.Heard) >= aliveFor && now.Sub(p.sentAt) < silentEvery {
+			continue
+		}
+		p.sentAt = now
+		if own {
+			out.own = append(out.own, address)
+		} else {
+			out.row = append(out.row, address)
+		}
+	}
+	return out, members
+}
+
+// members returns the routers of this router's row that are alive, without
+// itself for the beat and with itself by name; the lock is held.
+func (m *Mesh) members(now time.Time, rows int) ([]*peerpb.Other, []string) {
+	if rows == 1 {
+		return nil, nil
+	}
+	var members []*peerpb.Other
+	names := []string{m.opts.Name}
+	for _, p := range m.peers {
+		if p.Name == "" || !m.inRow(p, rows) || now.Sub(p.Heard) >= aliveFor {
+			continue
+		}
+		names = append(names, p.Name)
+		members = append(members, p.other(now))
+	}
+	return members, names
+}
+
+// other describes a peer to other routers.
+func (p *Router) other(now time.Time) *peerpb.Other {
+	return &peerpb.Other{
+		Name: p.Name, Address: packed(p.Address), Front: p.Front, Zone: p.Zone, Incarnation: p.Incarnation,
+		Ready: p.Ready, Leaving: p.Leaving, Reading: p.Reading, AgeMs: unsigned(int(now.Sub(p.Heard) / time.Millisecond)),
+	}
+}
+
+// packed returns an IPv4 address as a number.
+func packed(a netip.Addr) uint32 {
+	b := a.As4()
+	return binary.BigEndian.Uint32(b[:])
+}
+
+func unpacked(number uint32) netip.Addr {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], number)
+	return netip.AddrFrom4(b)
+}
+
+// othersTold takes over what a peer says of other routers. It reports whether
+// that changed what is believed; the lock is held.
+func (m *Mesh) othersTold(now time.Time, others []*peerpb.Other) bool {
+	changed := false
+	for _, o := range others {
+		changed = m.otherTold(now, o) || changed
+	}
+	return changed
+}
+
+// rowTold takes over the load of another row if this router sees the same
+// rows as the teller.
+func (m *Mesh) rowTold(now time.Time, b *peerpb.Beat) {
+	m.mu.Lock()
+	rows := m.rows()
+	number := grid.Row(b.Name, rows)
+	fits := int(b.Rows) == rows && number != grid.Row(m.opts.Name, rows) && m.takesRow(now, number, b)
+	m.mu.Unlock()
+	if fits {
+		m.opts.OnRow(rowName(number), decodeReport(b))
+	}
+}
+
+// introduce tells a peer that sees another number of rows of all routers: it
+// may know too few to hear of the others.
+func (m *Mesh) introduce(now time.Time, p *Router, b *peerpb.Beat) {
+	m.mu.Lock()
+	rows := m.rows()
+	if int(b.Rows) >= rows || now.Sub(p.introducedAt) < silentEvery {
+		m.mu.Unlock()
+		return
+	}
+	p.introducedAt = now
+	var others []*peerpb.Other
+	for _, o := range m.peers {
+		if o != p && o.Name != "" && now.Sub(o.Heard) < aliveFor {
+			others = append(others, o.other(now))
+		}
+	}
+	m.mu.Unlock()
+	hello := m.beat()
+	hello.Members = others
+	m.send(hello, []netip.Addr{p.Address})
+}
+
+// takesRow reports whether a row's state goes by this teller: while several
+// tell it, by the one that hears most of the row; the lock is held.
+func (m *Mesh) takesRow(now time.Time, number int, b *peerpb.Beat) bool {
+	old, known := m.heardRows[number]
+	if known && old.teller != b.Name && old.members > len(b.Members) && now.Sub(old.at) < 3*m.spacing {
+		return false
+	}
+	m.heardRows[number] = row{teller: b.Name, members: len(b.Members), at: now}
+	return true
+}
+
+// otherTold takes over what a peer says of another router; the lock is held.
+func (m *Mesh) otherTold(now time.Time, member *peerpb.Other) bool {
+	address := unpacked(member.Address)
+	heard := now.Add(-time.Duration(member.AgeMs) * time.Millisecond)
+	if address == m.opts.Address.Addr() || member.Name == "" {
+		return false
+	}
+	p := m.peer(address)
+	if member.Incarnation < p.Incarnation || member.Incarnation == p.Incarnation && heard.Before(p.Heard) {
+		return false
+	}
+	if member.Incarnation > p.Incarnation {
+		p.number = 0
+	}
+	return m.update(p, heard, state{member.Name, member.Front, member.Zone, member.Incarnation, member.Ready, member.Leaving, member.Reading})
+}
+
+// state is what a router says of itself.
+type state struct {
+	name, front, zone       string
+	incarnation             int64
+	ready, leaving, reading bool
+}
+
+// update takes over a peer's state and reports whether it changed what is
+// believed of the peer; the lock is held.
+func (m *Mesh) update(p *Router, heard time.Time, s state) bool {
+	changed := !p.alive || p.Ready != s.ready || p.Leaving != s.leaving || p.Incarnation != s.incarnation
+	p.Name, p.Front, p.Zone, p.Incarnation = s.name, s.front, s.zone, s.incarnation
+	p.Ready, p.Leaving, p.Reading, p.Heard, p.alive = s.ready, s.leaving, s.reading, heard, true
+	if changed {
+		m.opts.Log.Log(oplog.Belief, "peer.state", slog.String("peer", s.name), slog.Int64("incarnation", s.incarnation),
+			slog.Bool("ready", s.ready), slog.Bool("leaving", s.leaving))
+	}
+	return changed
+}
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -20,31 +20,51 @@
 	// storeTimeout bounds a call beside its wait: a slow store takes some
 	// hundred milliseconds.
 	storeTimeout = 700 * time.Millisecond
+	// startSpread spreads the first reads of routers that start together: the
+	// first to read tells the others.
+	startSpread = 400 * time.Millisecond
+	// standByEvery is how often a router that leaves reading to others looks
+	// whether they still do.
+	standByEvery = 100 * time.Millisecond
 	// expireEvery is how often lapsed records are looked at.
 	expireEvery = 100 * time.Millisecond
 )
 
-// storeBackoff keeps the fleet's calls few while the store is away: six
-// routers with three collections each make under forty calls a second at its
+// storeBackoff keeps the fleet's calls few while the store is away: twelve
+// routers with three collections each make under eighty calls a second at its
 // longest.
 var storeBackoff = retry.Backoff{First: 100 * time.Millisecond, Longest: 600 * time.Millisecond}
 
-// Follow keeps one collection up to date until the context ends.
-func (r *Replica) Follow(ctx context.Context, source Source, kind Kind, log *oplog.Logger) error {
+// Follow keeps one collection up to date from the store until the context
+// ends, while reads says that this router is to read it.
+func (r *Replica) Follow(ctx context.Context, source Source, kind Kind, reads func() bool, log *oplog.Logger) error {
 	f := follower{replica: r, source: source, kind: kind, log: log}
+	f.pause(ctx, time.Duration(rand.Float64()*float64(startSpread)))
 	for ctx.Err() == nil {
-		f.step(ctx)
+		if reads() {
+			f.step(ctx)
+		} else {
+			f.standBy(ctx)
+		}
 	}
 	return ctx.Err()
 }
 
+// standBy leaves reading to other routers for a moment.
+func (f *follower) standBy(ctx context.Context) {
+	f.since, f.failures = 0, 0
+	f.replica.setReading(f.kind, false)
+	f.pause(ctx, standByEvery)
+}
+
 // follower is the state of following one collection.
 type follower struct {
 	replica  *Replica
 	source   Source
 	kind     Kind
 	log      *oplog.Logger
-	since    int64 // 0: a list is needed
+	since    int64 // 0: not read yet
+	dropped  bool  // the store has no history from what is known on: a list is needed
 	failures int
 }
 
@@ -56,7 +76,7 @@
 	case ctx.Err() != nil:
 	case errors.Is(err, ErrCompacted):
 		f.log.Log(oplog.Belief, "store.history_dropped", slog.String("collection", string(f.kind)), slog.Int64("revision", f.since))
-		f.since = 0
+		f.since, f.dropped = 0, true
 	case errors.Is(err, ErrCut):
 		f.log.Log(oplog.Belief, "store.watch_cut", slog.String("collection", string(f.kind)), slog.Int64("revision", f.since))
 		f.pause(ctx, storeBackoff.Delay(1, rand.Float64()))
@@ -68,6 +88,9 @@
 // read makes one call: a list if the collection has to be read anew, a watch
 // otherwise.
 func (f *follower) read(ctx context.Context) error {
+	if f.since == 0 && !f.dropped {
+		f.since = f.replica.Revisions()[f.kind] // what other routers told
+	}
 	if f.since == 0 {
 		return f.list(ctx)
 	}
@@ -89,13 +112,14 @@
 	if err != nil {
 		return err
 	}
-	f.since = s.Revision
+	f.since, f.dropped = s.Revision, false
 	f.replica.Adopt(time.Now(), f.kind, s, "store")
 	return nil
 }
 
 func (f *follower) lost(ctx context.Context, err error) {
 	f.replica.Failed(time.Now())
+	f.replica.setReading(f.kind, false)
 	f.failures++
 	metrics.GetOrCreateCounter(`cyclamenwinch_store_failures_total{collection="` + string(f.kind) + `"}`).Inc()
 	if f.failures == 1 {
@@ -105,6 +129,7 @@
 }
 
 func (f *follower) regained() {
+	f.replica.setReading(f.kind, true)
 	if f.failures > 0 {
 		f.log.Log(oplog.Belief, "store.regained", slog.String("collection", string(f.kind)), slog.Int("failures", f.failures))
 		f.failures = 0
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -42,6 +42,18 @@
 	Records  []Record
 }
 
+// Delta is what changed in a router's copy of a collection after a revision.
+type Delta struct {
+	Since    int64 // 0: everything
+	Revision int64
+	Records  []Record      // that changed since
+	Names    []string      // of all records there are
+	Trouble  time.Duration // since the store last failed a call of that router; 0: it has not
+}
+
+// ErrIncomplete says that a delta does not follow this router's copy.
+var ErrIncomplete = errors.New("the delta leaves records out that are not known here")
+
 // Change is one change of a collection.
 type Change struct {
 	Record
@@ -80,6 +92,7 @@
 	lapsed  map[string]lapse
 	changed int64 // revision of the newest change that is known
 	known   bool  // there was a list
+	reading bool  // this router's reads of the store succeed
 	from    string
 	at      time.Time
 }
@@ -129,16 +142,26 @@
 	return out
 }
 
-// Snapshot returns the copy of a collection for another router; false if it
-// was never read.
-func (r *Replica) Snapshot(kind Kind) (Snapshot, bool) {
+// Since returns what another router needs that knows a collection up to a
+// revision; false if the collection was never read here.
+func (r *Replica) Since(now time.Time, kind Kind, since int64) (Delta, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c, ok := r.collections[kind]
 	if !ok || !c.known {
-		return Snapshot{}, false
+		return Delta{}, false
+	}
+	d := Delta{Since: since, Revision: c.changed}
+	if !r.trouble.IsZero() {
+		d.Trouble = max(now.Sub(r.trouble), time.Millisecond)
 	}
-	return Snapshot{Revision: c.changed, Records: c.list()}, true
+	for name, rec := range c.records {
+		d.Names = append(d.Names, name)
+		if rec.Revision > since {
+			d.Records = append(d.Records, rec)
+		}
+	}
+	return d, true
 }
 
 func (c *collection) list() []Record {
@@ -149,6 +172,24 @@
 	return out
 }
 
+// Reading reports whether this router reads all collections from the store.
+func (r *Replica) Reading() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.collections {
+		if !c.reading {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Replica) setReading(kind Kind, reading bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.collections[kind].reading = reading
+}
+
 // Failed notes that the store failed a call.
 func (r *Replica) Failed(now time.Time) {
 	r.mu.Lock()
@@ -159,16 +200,50 @@
 // Adopt takes a whole collection over if it is newer than the copy. It
 // reports whether anything changed.
 func (r *Replica) Adopt(now time.Time, kind Kind, s Snapshot, from string) bool {
+	next := make(map[string]Record, len(s.Records))
+	for _, rec := range s.Records {
+		next[rec.Name] = rec
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.adopt(now, kind, s.Revision, next, from)
+}
+
+// Merge takes over what changed in another router's copy, if that is newer. It
+// reports whether anything changed.
+func (r *Replica) Merge(now time.Time, kind Kind, d Delta, from string) (bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if failed := now.Add(-d.Trouble); d.Trouble > 0 && failed.After(r.trouble) {
+		r.trouble = failed
+	}
 	c, ok := r.collections[kind]
-	if !ok || c.known && s.Revision < c.changed {
-		return false
+	if !ok || c.known && d.Revision < c.changed {
+		return false, nil
 	}
-	next := make(map[string]Record, len(s.Records))
-	for _, rec := range s.Records {
+	next := make(map[string]Record, len(d.Names))
+	for _, rec := range d.Records {
 		next[rec.Name] = rec
 	}
+	for _, name := range d.Names {
+		if _, changed := next[name]; changed {
+			continue
+		}
+		own, known := c.records[name]
+		if !known {
+			return false, ErrIncomplete
+		}
+		next[name] = own
+	}
+	return r.adopt(now, kind, d.Revision, next, from), nil
+}
+
+// adopt replaces a collection; the lock is held.
+func (r *Replica) adopt(now time.Time, kind Kind, revision int64, next map[string]Record, from string) bool {
+	c, ok := r.collections[kind]
+	if !ok || c.known && revision < c.changed {
+		return false
+	}
 	differs := !c.known
 	for name, old := range c.records {
 		if _, ok := next[name]; !ok {
@@ -185,7 +260,7 @@
 	if !differs {
 		return false
 	}
-	c.records, c.changed, c.known = next, max(c.changed, s.Revision), true
+	c.records, c.changed, c.known = next, max(c.changed, revision), true
 	r.publish(now, kind, c, from)
 	return true
 }
--- a/internal/replica/replica_suite_test.go
+++ b/internal/replica/replica_suite_test.go
@@ -102,11 +102,12 @@
 	})
 
 	It("shares copies only of what it has read", func() {
-		_, known := r.Snapshot(replica.Config)
+		_, known := r.Since(start, replica.Config, 0)
 		Expect(known).To(BeFalse())
-		s, known := r.Snapshot(replica.Endpoints)
+		d, known := r.Since(start, replica.Endpoints, 0)
 		Expect(known).To(BeTrue())
-		Expect(s.Revision).To(Equal(int64(10)))
+		Expect(d.Revision).To(Equal(int64(10)))
+		Expect(d.Records).To(HaveLen(2))
 		Expect(r.Revisions()).To(Equal(map[replica.Kind]int64{replica.Endpoints: 10}))
 	})
 })
@@ -160,8 +161,14 @@
 				since[i] = rapid.Int64Range(since[i], newest).Draw(t, "to")
 				copies[i].Adopt(start, replica.Config, at(since[i]), "store")
 			case 2:
-				if s, ok := copies[rapid.IntRange(0, 2).Draw(t, "peer")].Snapshot(replica.Config); ok {
-					copies[i].Adopt(start, replica.Config, s, "peer")
+				known := before
+				if rapid.Bool().Draw(t, "whole") {
+					known = 0
+				}
+				if d, ok := copies[rapid.IntRange(0, 2).Draw(t, "peer")].Since(start, replica.Config, known); ok {
+					if _, err := copies[i].Merge(start, replica.Config, d, "peer"); err != nil {
+						t.Fatal(err)
+					}
 				}
 			}
 			if after := copies[i].Revisions()[replica.Config]; after < before {
@@ -170,9 +177,9 @@
 		}
 		for i, r := range copies {
 			r.Apply(start, replica.Config, replica.Changes{Changes: events[since[i]:], Revision: newest}, "store")
-			s, _ := r.Snapshot(replica.Config)
+			d, _ := r.Since(start, replica.Config, 0)
 			got := map[string]int64{}
-			for _, rec := range s.Records {
+			for _, rec := range d.Records {
 				got[rec.Name] = rec.Revision
 			}
 			if fmt.Sprint(got) != fmt.Sprint(history[newest]) {
@@ -231,7 +238,7 @@
 				r := replica.New(func(replica.Kind, replica.View) {})
 				ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
 				defer stop()
-				_ = r.Follow(ctx, s, replica.Config, log)
+				_ = r.Follow(ctx, s, replica.Config, func() bool { return true }, log)
 				if s.lists != c.lists || s.n > c.most {
 					t.Errorf("%d lists, %d watches; want %d and at most %d", s.lists, s.n, c.lists, c.most)
 				}
