A flooded router protects itself; requests that crash endpoints are quarantined

Ruled out: steering clients by the directory (trial with two addresses in each answer: the account stayed at its router).

--- /dev/null
+++ b/core/dispatch/bench_test.go
@@ -0,0 +1,31 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+)
+
+// BenchmarkPollFull measures a look at a long queue in front of endpoints that
+// are full, as on a router that one account floods.
+func BenchmarkPollFull(b *testing.B) {
+	var endpoints []topology.Endpoint
+	var full []dispatch.EndpointReport
+	for i := range 60 {
+		id := fmt.Sprint("e", i)
+		endpoints = append(endpoints, endpoint(id, model, "a"))
+		full = append(full, dispatch.EndpointReport{Endpoint: id, Load: dispatch.Load{Active: slots}})
+	}
+	d := newDispatcher("r0", endpoints...)
+	d.SetPeer(start, "r1", dispatch.Report{Endpoints: full})
+	for i := range 500 {
+		d.Submit(start, chat(start, fmt.Sprint("a", i%30), uint64(1000+i)))
+	}
+	b.ReportMetric(float64(d.Waiting()), "waiting")
+	for b.Loop() {
+		d.Poll(start.Add(10 * time.Millisecond))
+	}
+}
--- a/core/dispatch/book.go
+++ b/core/dispatch/book.go
@@ -158,6 +158,9 @@
 // unreachable pauses an endpoint to which no connection could be made. Once
 // it is reached again it has probably restarted, so it counts as cold.
 func (d *Dispatcher) unreachable(now time.Time, b *book) {
+	if b.failures == 0 {
+		clear(d.homes)
+	}
 	b.failures++
 	pause := min(pauseFirst<<min(b.failures-1, 8), pauseLongest)
 	b.pausedUntil = later(b.pausedUntil, now.Add(pause))
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"strings"
 	"time"
 
+	"github.com/cyclamenwinch/cyclamenwinch/core/route"
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
 )
 
@@ -150,11 +151,14 @@
 	services map[string]*serviceState
 	zonesOut map[string]bool
 	peers    map[string]*peerReport
-	routers  []string // all known routers, sorted; itself among them
+	routers  []string          // all known routers, sorted; itself among them
+	homes    map[homeKey]*book // as last worked out
 
 	placements []Placement // of this router and its row, newest last
 	numbered   uint64
-	tellFor    time.Duration // how long a placement is told
+	quarantine *route.Quarantine
+	crashes    []crashNews
+	tellFor    time.Duration // how long placements and crashes are told
 }
 
 // New returns a dispatcher that knows no endpoint.
@@ -167,7 +171,10 @@
 		zonesOut: map[string]bool{},
 		peers:    map[string]*peerReport{},
 		routers:  []string{opts.Self},
+		homes:    map[homeKey]*book{},
 		tellFor:  defaultTellFor,
+
+		quarantine: route.NewQuarantine(),
 	}
 }
 
@@ -197,6 +204,7 @@
 		}
 	}
 	d.zonesOut = zones
+	clear(d.homes)
 }
 
 // SetEndpoints sets the endpoints that exist. What is booked of requests in
@@ -212,6 +220,7 @@
 			delete(d.books, id)
 		}
 	}
+	clear(d.homes)
 	d.order = slices.SortedFunc(maps.Values(d.books), func(a, b *book) int { return strings.Compare(a.ID, b.ID) })
 }
 
@@ -364,6 +373,9 @@
 	s := d.service(t.Request.Service)
 	switch how {
 	case Served:
+		if b.failures > 0 {
+			clear(d.homes)
+		}
 		b.succeeded(now)
 		s.errors.note(now, false)
 	case Failed, Broken:
@@ -375,6 +387,7 @@
 		b.rejected(now)
 	case Misdirected:
 		b.misdirected = true
+		clear(d.homes)
 	case Abandoned:
 	}
 }
--- a/core/dispatch/dispatch_suite_test.go
+++ b/core/dispatch/dispatch_suite_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/core/route"
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
 )
 
@@ -291,3 +292,85 @@
 		Expect(t.State).To(Equal(dispatch.Refused), "its caller has left by then")
 	})
 })
+
+var _ = Describe("A large fleet", func() {
+	// fleet returns a dispatcher that knows 90 other routers.
+	fleet := func(endpoints ...topology.Endpoint) *dispatch.Dispatcher {
+		d := newDispatcher("r0", endpoints...)
+		names := []string{"r0"}
+		for i := 1; i < 91; i++ {
+			names = append(names, fmt.Sprint("r", i))
+		}
+		d.SetRouters(names)
+		return d
+	}
+
+	It("leaves a router that one account floods half of an endpoint's slots", func() {
+		// Seen on nileperch-router-grown quiet-1: an even part of the connections
+		// is less than one request, and one account sends all to one router.
+		c := config()
+		c.Services[0].MaxConnections = 30
+		d := fleet(endpoint("e1", model, "a"))
+		d.SetTable(topology.NewTable(c))
+		granted := 0
+		for i := range 2 * slots {
+			if t := d.Submit(start, chat(start, "flood", uint64(100+i))); t.State == dispatch.Granted {
+				granted++
+			}
+			d.SetPeer(start, "r1", dispatch.Report{})
+		}
+		Expect(granted).To(BeNumerically(">", 1))
+		Expect(granted).To(BeNumerically("<=", slots/2))
+	})
+
+	It("does not refuse for a long queue what the rest of the fleet leaves idle", func() {
+		// Seen on nileperch-router-grown quiet-1: the flooded router counted on its
+		// even part alone and refused while all endpoints were idle.
+		d := fleet(endpoint("e1", model, "a"))
+		for i := range 40 {
+			t := d.Submit(start, chat(start, "flood", uint64(100+i)))
+			Expect(t.State).NotTo(Equal(dispatch.Refused), "request %d: expected wait %v", i, t.Expected)
+		}
+	})
+
+	It("sums up the reports of a row, and tells placements and crashes of all its routers", func() {
+		d := fleet(endpoint("e1", model, "a"), endpoint("e2", model, "a"))
+		d.Submit(start, chat(start, "a", 100))
+		own := d.Report(start).Endpoints[0]
+		d.SetPeer(start, "r1", dispatch.Report{
+			Incarnation: 1,
+			Endpoints:   []dispatch.EndpointReport{{Endpoint: own.Endpoint, Load: dispatch.Load{Active: 2, Pending: 3, Resident: 4}}},
+			Accounts:    []dispatch.AccountReport{{Service: model, Account: "a", Asked: 5, Served: 6}, {Service: model, Account: "b", Asked: 7, Served: 8}},
+			Placements:  []dispatch.Placement{{Number: 9, Endpoint: "e2", Parts: []uint64{7}, Fresh: 10}},
+			Crashes:     []route.Crash{{Fingerprint: 11, Endpoint: "e1"}},
+		})
+		row := d.RowReport(start, []string{"r1", "silent"})
+		Expect(row.Endpoints).To(ConsistOf(dispatch.EndpointReport{Endpoint: own.Endpoint,
+			Load: dispatch.Load{Active: own.Active + 2, Pending: own.Pending + 3, Resident: own.Resident + 4}}))
+		Expect(row.Accounts).To(ConsistOf(
+			dispatch.AccountReport{Service: model, Account: "a", Asked: 1105, Served: 1106},
+			dispatch.AccountReport{Service: model, Account: "b", Asked: 7, Served: 8}))
+		Expect(row.Placements).To(HaveLen(2))
+		Expect(row.Crashes).To(HaveLen(1))
+		Expect(d.Report(start).Placements).To(HaveLen(1))
+		Expect(d.Report(start).Crashes).To(BeEmpty())
+
+		By("not telling another row's news again")
+		d.SetRow(start, "row", dispatch.Report{Incarnation: 1, Placements: []dispatch.Placement{{Number: 1, Endpoint: "e1", Parts: []uint64{8}}}, Crashes: []route.Crash{{Fingerprint: 12, Endpoint: "e1"}}})
+		Expect(d.RowReport(start, nil).Placements).To(HaveLen(2))
+		Expect(d.RowReport(start, nil).Crashes).To(HaveLen(1))
+	})
+
+	It("refuses a request that crashed endpoints of several routers", func() {
+		d := fleet(endpoint("e1", model, "a"))
+		d.Crashed(start, 5, "e1")
+		Expect(d.Quarantined(start, 5)).To(BeFalse())
+		for range 3 { // a beat holds it several times
+			d.SetRow(start, "row", dispatch.Report{Crashes: []route.Crash{{Fingerprint: 5, Endpoint: "e1"}}})
+		}
+		Expect(d.Quarantined(start, 5)).To(BeFalse(), "the same crash")
+		d.SetRow(start, "row", dispatch.Report{Crashes: []route.Crash{{Fingerprint: 5, Endpoint: "e2"}}})
+		Expect(d.Quarantined(start, 5)).To(BeTrue())
+		Expect(d.Quarantined(start, 6)).To(BeFalse())
+	})
+})
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -58,6 +58,12 @@
 	// connectionShare is the part of an endpoint's connections that requests in
 	// progress may take; idle ones that are kept need the rest.
 	connectionShare = 0.8
+	// burstSlots is the part of an endpoint's slots that one router may always
+	// use: in a large fleet an even part of the connections is few, and the
+	// requests of one account may all come to one router.
+	burstSlots = 0.5
+	// homesKept bounds the prefixes whose home is remembered.
+	homesKept = 8192
 	// defaultSlots stands for an endpoint that states no slots.
 	defaultSlots = 8
 )
@@ -91,14 +97,13 @@
 	engine := d.engine(t.Request.Service)
 	home := d.home(t.Request.Service, sharedPrefix(t.Request.Parts))
 	limits := d.limits(now, s, t)
-	connections := d.connections(t.Request.Service)
 	var best, holder *book // holder: the one that misses least, if it is full
 	var bestScore, bestMissing = math.Inf(1), 0
 	unshared := unsharedTokens(t.Request.Parts, t.Request.Prompt)
 	t.hopeless = t.Request.Output > 0
 	least := math.MaxInt // shared tokens missing at the best of all endpoints, full ones too
 	for _, b := range d.order {
-		if !d.allowed(b, &t.Request) || now.Before(b.pausedUntil) || b.own.Active >= connections {
+		if !d.allowed(b, &t.Request) || now.Before(b.pausedUntil) || b.own.Active >= d.connections(t.Request.Service, b) {
 			continue
 		}
 		missing := b.missing(engine, t.Request.Parts, t.Request.Prompt)
@@ -236,12 +241,25 @@
 // connections is how many requests this router may have in progress at one
 // endpoint: each takes a connection, and endpoints reset those beyond a number
 // for all routers together.
-func (d *Dispatcher) connections(service string) int {
+func (d *Dispatcher) connections(service string, b *book) int {
 	s := d.table.Service(service)
 	if s == nil || s.MaxConnections <= 0 {
 		return math.MaxInt
 	}
-	return max(1, int(connectionShare*float64(s.MaxConnections)/float64(len(d.routers))))
+	even := connectionShare * float64(s.MaxConnections) / float64(len(d.routers))
+	return max(1, int(even), int(burstSlots*float64(slotsOf(b))))
+}
+
+// IdleConnections returns how many idle connections this router may keep to
+// one endpoint: its part of those that requests in progress leave.
+func (d *Dispatcher) IdleConnections() int {
+	least := math.MaxInt
+	for _, s := range d.table.Config.Services {
+		if s.MaxConnections > 0 {
+			least = min(least, int((1-connectionShare)*float64(s.MaxConnections)/float64(len(d.routers))))
+		}
+	}
+	return max(1, least)
 }
 
 func slotsOf(b *book) int {
@@ -284,12 +302,22 @@
 	return parts[len(parts)-1].Tokens
 }
 
+// homeKey names a shared prefix of a service's requests.
+type homeKey struct {
+	service string
+	prefix  uint64
+}
+
 // home returns the endpoint that all routers prefer for a shared prefix, by
 // rendezvous over the endpoints that can be used; nil: none.
 func (d *Dispatcher) home(service string, prefix uint64) *book {
 	if prefix == 0 {
 		return nil
 	}
+	key := homeKey{service, prefix}
+	if best, ok := d.homes[key]; ok {
+		return best
+	}
 	var best *book
 	var bestWeight uint64
 	for _, b := range d.order {
@@ -300,5 +328,9 @@
 			best, bestWeight = b, w
 		}
 	}
+	if len(d.homes) >= homesKept {
+		clear(d.homes)
+	}
+	d.homes[key] = best
 	return best
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -222,12 +222,18 @@
 	return left
 }
 
-// ownThroughput is the cost a second that this router gets through, at least
-// its even part of what the service does.
+// ownThroughput is the cost a second that this router gets through: what it
+// did of late, or what the others leave of all that the service does.
 func (d *Dispatcher) ownThroughput(s *serviceState, now time.Time) float64 {
 	const least = 100 // cost a second; a plain service's requests cost one
-	even := d.table.Config.Limits.TokensPerSec / float64(len(d.routers))
-	return max(s.throughput.value(now, throughputWindow)/throughputWindow.Seconds(), even/2, least)
+	all := d.table.Config.Limits.TokensPerSec
+	elsewhere := 0.0
+	for _, u := range s.accounts {
+		elsewhere += u.peerServed
+	}
+	left := all - elsewhere/shareWindow.Seconds()
+	even := all / float64(len(d.routers))
+	return max(s.throughput.value(now, throughputWindow)/throughputWindow.Seconds(), left, even/2, least)
 }
 
 func fade(dt, tau time.Duration) float64 { return math.Exp(-float64(dt) / float64(tau)) }
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/route"
 )
 
 // reportAge is how long a peer's report counts: the requests of a router
@@ -37,6 +39,7 @@
 
 	Incarnation int64 // of the router; placements are numbered within it
 	Placements  []Placement
+	Crashes     []route.Crash // of the last moments
 }
 
 // peerReport is the newest report of another router.
@@ -48,7 +51,7 @@
 
 // Report returns what the other routers need to know.
 func (d *Dispatcher) Report(now time.Time) Report {
-	r := Report{Cold: d.coldEndpoints(now), Placements: d.newPlacements(now, false)}
+	r := Report{Cold: d.coldEndpoints(now), Placements: d.newPlacements(now, false), Crashes: d.newCrashes(now, false)}
 	for id, b := range d.books {
 		if b.own.Active > 0 {
 			r.Endpoints = append(r.Endpoints, EndpointReport{Endpoint: id, Load: b.own})
@@ -78,7 +81,7 @@
 // of the same cold endpoints, so these are not summed up.
 func (d *Dispatcher) RowReport(now time.Time, row []string) Report {
 	sum := d.Report(now)
-	sum.Placements = d.newPlacements(now, true)
+	sum.Placements, sum.Crashes = d.newPlacements(now, true), d.newCrashes(now, true)
 	endpoints, accounts := map[string]int{}, map[[2]string]int{}
 	for i, e := range sum.Endpoints {
 		endpoints[e.Endpoint] = i
@@ -126,6 +129,7 @@
 		next.placed = old.placed
 	}
 	next.placed = d.peerPlacements(now, r.Placements, next.placed, tell)
+	d.hearCrashes(now, r.Crashes, tell)
 	d.replacePeer(peer, next)
 	for _, c := range r.Cold {
 		if b, ok := d.books[c.Endpoint]; ok && b.Born == c.Born {
--- a/core/grid/grid.go
+++ b/core/grid/grid.go
@@ -10,6 +10,7 @@
 
 import (
 	"encoding/binary"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -18,21 +19,32 @@
 // less than the second hop delays.
 const oneRow = 16
 
-// Rows returns the number of rows of a fleet of n routers: a power of two near
-// the square root of n, so that it seldom changes as routers come and go.
-func Rows(n int) int {
+// Grid is the arrangement of a fleet. A row lies within one availability
+// zone, since bytes between zones are dear.
+type Grid struct {
+	PerZone int // rows of each zone; 0: the whole fleet is one row
+}
+
+// Of returns the grid of a fleet of n routers in some zones. The number of
+// rows is near the square root of n, and seldom changes as routers come and go.
+func Of(n, zones int) Grid {
 	if n <= oneRow {
-		return 1
+		return Grid{}
 	}
 	rows := 4
 	for 2*rows*rows < n {
 		rows *= 2
 	}
-	return rows
+	return Grid{PerZone: max(1, (rows+zones/2)/max(zones, 1))}
 }
 
 // Row returns the row of a router.
-func Row(name string, rows int) int { return int(xxhash.Sum64String(name) % uint64(rows)) }
+func (g Grid) Row(zone, name string) string {
+	if g.PerZone == 0 {
+		return "all"
+	}
+	return zone + "/" + strconv.FormatUint(xxhash.Sum64String(name)%uint64(g.PerZone), 10)
+}
 
 // Weight is the rendezvous weight of a name for a key: of several names, the
 // one with the largest weight is chosen.
--- a/core/route/quarantine.go
+++ b/core/route/quarantine.go
@@ -60,6 +60,12 @@
 	return s.add(c.Endpoint, at)
 }
 
+// Knows reports whether a crash of the request at the endpoint is remembered.
+func (q *Quarantine) Knows(c Crash) bool {
+	s, ok := q.suspects[c.Fingerprint]
+	return ok && (s.first == c.Endpoint || s.second == c.Endpoint)
+}
+
 func (s *suspect) add(endpoint string, at time.Time) bool {
 	switch {
 	case endpoint == s.first:
--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -61,7 +61,10 @@
 		return
 	}
 	table := topology.NewTable(c)
-	e.desk.Update(func(_ time.Time, core *dispatch.Dispatcher) { core.SetTable(table) })
+	e.desk.Update(func(_ time.Time, core *dispatch.Dispatcher) {
+		core.SetTable(table)
+		e.pool.SetIdle(core.IdleConnections())
+	})
 	e.relay.SetTable(table)
 	metrics.GetOrCreateGauge("cyclamenwinch_config_version", nil).Set(float64(c.Version))
 	e.log.Log(oplog.Belief, "config.in_force", slog.Int64("version", c.Version), slog.Int64("old_version", old), slog.Int64("revision", v.Revision),
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -97,6 +97,9 @@
 	// clientFiles is the part of the descriptors that clients' connections
 	// may take; beyond it each is closed after its answer.
 	clientFiles = 0.4
+	// mostLag is by how much the process may be behind before it refuses new
+	// requests at once: half of usual objectives is lost by then.
+	mostLag = 150 * time.Millisecond
 	// requestBytes is the part of the memory limit that is set aside for one
 	// request in progress: buffers of two connections, stacks, body.
 	requestBytes = 150 << 10
@@ -130,7 +133,7 @@
 		Self: s.Name, Zone: s.Zone, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 	}))
 	e.relay = relay.New(relay.Options{Protocol: p.Protocol, Desk: e.desk, Pool: e.pool, Log: log,
-		MaxConnections: int64(clientFiles * float64(s.MaxFiles)), MaxOpen: s.MemoryBytes / requestBytes})
+		MaxConnections: int64(clientFiles * float64(s.MaxFiles)), MaxOpen: s.MemoryBytes / requestBytes, Lag: e.desk.Lag, MaxLag: mostLag})
 	e.replica = replica.New(e.changed)
 	var err error
 	e.mesh, err = mesh.New(mesh.Options{
@@ -142,7 +145,7 @@
 		return nil, err
 	}
 	for _, seed := range s.Seeds {
-		e.mesh.AddPeer("", seed, false)
+		e.mesh.AddPeer("", "", seed, false)
 	}
 	e.calls = mesh.NewServer(e.replica)
 	return e, nil
@@ -174,8 +177,11 @@
 }
 
 func (e *Edge) routers(names []string) {
-	e.log.Log(oplog.Belief, "routers.known", slog.Any("routers", names))
-	e.desk.Update(func(_ time.Time, core *dispatch.Dispatcher) { core.SetRouters(names) })
+	e.log.Log(oplog.Belief, "routers.known", slog.Int("routers", len(names)))
+	e.desk.Update(func(_ time.Time, core *dispatch.Dispatcher) {
+		core.SetRouters(names)
+		e.pool.SetIdle(core.IdleConnections())
+	})
 }
 
 // ready reports whether clients may be sent here.
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		e.entries[entry.Name] = entry
-		e.mesh.AddPeer(entry.Name, address, true)
+		e.mesh.AddPeer(entry.Name, entry.Zone, address, true)
 	}
 }
 
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -57,7 +57,7 @@
 		return
 	}
 	for _, seed := range s.Seeds {
-		e.mesh.AddPeer("", seed, false)
+		e.mesh.AddPeer("", "", seed, false)
 	}
 	e.desk.Update(func(_ time.Time, core *dispatch.Dispatcher) {
 		core.SetRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow)
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/core/route"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
 )
 
@@ -18,6 +19,9 @@
 	for _, p := range r.Placements {
 		b.Placements = append(b.Placements, &peerpb.Placement{Number: p.Number, Id: p.Endpoint, Parts: p.Parts, Fresh: unsigned(p.Fresh)})
 	}
+	for _, c := range r.Crashes {
+		b.Crashes = append(b.Crashes, &peerpb.EndpointCrash{Fingerprint: c.Fingerprint, Id: c.Endpoint, AgeMs: unsigned(int(c.Age / time.Millisecond))})
+	}
 	for _, a := range r.Accounts {
 		b.Accounts = append(b.Accounts, &peerpb.AccountUse{Service: a.Service, Account: a.Account, Asked: float32(a.Asked), Served: float32(a.Served)})
 	}
@@ -37,6 +41,9 @@
 	for _, c := range b.Cold {
 		r.Cold = append(r.Cold, dispatch.ColdReport{Endpoint: c.Id, Born: c.Born, Left: time.Duration(c.LeftMs) * time.Millisecond})
 	}
+	for _, c := range b.Crashes {
+		r.Crashes = append(r.Crashes, route.Crash{Fingerprint: c.Fingerprint, Endpoint: c.Id, Age: time.Duration(c.AgeMs) * time.Millisecond})
+	}
 	for _, a := range b.Accounts {
 		r.Accounts = append(r.Accounts, dispatch.AccountReport{Service: a.Service, Account: a.Account, Asked: float64(a.Asked), Served: float64(a.Served)})
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/core/grid"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/replica"
@@ -30,8 +31,8 @@
 	// router's load is about that old.
 	beatEvery = 40 * time.Millisecond
 	// beatPerPeer spaces beats further apart in a larger fleet, so that a
-	// router sends and receives about 200 a second.
-	beatPerPeer = 5 * time.Millisecond
+	// router sends about 160 a second.
+	beatPerPeer = 6 * time.Millisecond
 	// tellBeats is how many beats hold a placement, since some get lost.
 	tellBeats = 4
 	// silentEvery is the time between two beats to a peer that is not heard.
@@ -108,11 +109,12 @@
 	peers   map[netip.Addr]*Router
 	number  uint64
 	routers []string      // as last told to OnRouters
+	grid    grid.Grid     // of the known routers
 	spacing time.Duration // between beats
 	calls   calls
 	news    chan struct{}
 
-	heardRows map[int]row
+	heardRows map[string]row
 }
 
 // New returns a mesh without peers; its socket is open.
@@ -121,7 +123,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for beats")
 	}
-	return &Mesh{opts: opts, conn: conn, peers: map[netip.Addr]*Router{}, heardRows: map[int]row{}, spacing: beatEvery, news: make(chan struct{}, 1), calls: newCalls()}, nil
+	return &Mesh{opts: opts, conn: conn, peers: map[netip.Addr]*Router{}, heardRows: map[string]row{}, spacing: beatEvery, news: make(chan struct{}, 1), calls: newCalls()}, nil
 }
 
 // Close closes the socket and the connections to peers.
@@ -130,16 +132,16 @@
 	m.calls.close()
 }
 
-// AddPeer makes the router known at an address. The name may be empty until
-// a beat comes; registered says that the platform's store names it.
-func (m *Mesh) AddPeer(name string, address netip.Addr, registered bool) {
+// AddPeer makes the router known at an address. Name and zone may be empty
+// until a beat comes; registered says that the platform's store names it.
+func (m *Mesh) AddPeer(name, zone string, address netip.Addr, registered bool) {
 	if address == m.opts.Address.Addr() {
 		return
 	}
 	m.mu.Lock()
 	p := m.peer(address)
 	if p.Name == "" {
-		p.Name = name
+		p.Name, p.Zone = name, zone
 	}
 	p.Registered = p.Registered || registered
 	m.mu.Unlock()
@@ -258,7 +260,7 @@
 	state := m.opts.State()
 	m.mu.Lock()
 	m.number++
-	number, rows := m.number, m.rows()
+	number, rows := m.number, m.grid.PerZone
 	m.mu.Unlock()
 	b := &peerpb.Beat{
 		Name: m.opts.Name, Incarnation: m.opts.Incarnation, Number: number, Front: m.opts.Front, Zone: m.opts.Zone,
@@ -317,7 +319,7 @@
 	p.number = b.Number
 	changed := m.update(p, now, state{b.Name, b.Front, b.Zone, b.Incarnation, b.Ready, b.Leaving, b.Reading})
 	changed = m.othersTold(now, b.Members) || changed
-	own := m.inRow(p, m.rows())
+	own := m.inRow(p)
 	m.mu.Unlock()
 	if changed {
 		m.tellRouters(now)
@@ -358,12 +360,14 @@
 // tellRouters passes on which routers may be running, if that has changed.
 func (m *Mesh) tellRouters(now time.Time) {
 	m.mu.Lock()
-	names := map[string]bool{m.opts.Name: true}
+	names, zones := map[string]bool{m.opts.Name: true}, map[string]bool{m.opts.Zone: true}
 	for _, p := range m.peers {
 		if p.Name != "" && (p.Registered || now.Sub(p.Heard) < knownFor) {
 			names[p.Name] = true
+			zones[p.Zone] = true
 		}
 	}
+	m.grid = grid.Of(len(names), len(zones))
 	sorted := slices.Sorted(maps.Keys(names))
 	same := slices.Equal(sorted, m.routers)
 	m.routers = sorted
--- a/internal/mesh/row.go
+++ b/internal/mesh/row.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"log/slog"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/grid"
@@ -20,15 +19,12 @@
 }
 
 // rowName names a row among the reports of routers.
-func rowName(number int) string { return "row " + strconv.Itoa(number) }
-
-// rows returns the number of rows of the known fleet; the lock is held.
-func (m *Mesh) rows() int { return grid.Rows(len(m.routers)) }
+func rowName(row string) string { return "row " + row }
 
 // inRow reports whether a peer's own beats come to this router. A peer without
 // a name is one that a seed names; the lock is held.
-func (m *Mesh) inRow(p *Router, rows int) bool {
-	return rows == 1 || p.Name == "" || grid.Row(p.Name, rows) == grid.Row(m.opts.Name, rows)
+func (m *Mesh) inRow(p *Router) bool {
+	return p.Name == "" || m.grid.Row(p.Zone, p.Name) == m.grid.Row(m.opts.Zone, m.opts.Name)
 }
 
 // targets are the peers that get a beat now.
@@ -44,10 +40,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out targets
-	rows := m.rows()
-	members, names := m.members(now, rows)
+	members, names := m.members(now)
 	for address, p := range m.peers {
-		own := m.inRow(p, rows)
+		own := m.inRow(p)
 		if !own && grid.Teller(p.Name, names) != m.opts.Name {
 			continue
 		}
@@ -66,14 +61,14 @@
 
 // members returns the routers of this router's row that are alive, without
 // itself for the beat and with itself by name; the lock is held.
-func (m *Mesh) members(now time.Time, rows int) ([]*peerpb.Other, []string) {
-	if rows == 1 {
+func (m *Mesh) members(now time.Time) ([]*peerpb.Other, []string) {
+	if m.grid.PerZone == 0 {
 		return nil, nil
 	}
 	var members []*peerpb.Other
 	names := []string{m.opts.Name}
 	for _, p := range m.peers {
-		if p.Name == "" || !m.inRow(p, rows) || now.Sub(p.Heard) >= aliveFor {
+		if p.Name == "" || !m.inRow(p) || now.Sub(p.Heard) >= aliveFor {
 			continue
 		}
 		names = append(names, p.Name)
@@ -116,12 +111,11 @@
 // rows as the teller.
 func (m *Mesh) rowTold(now time.Time, b *peerpb.Beat) {
 	m.mu.Lock()
-	rows := m.rows()
-	number := grid.Row(b.Name, rows)
-	fits := int(b.Rows) == rows && number != grid.Row(m.opts.Name, rows) && m.takesRow(now, number, b)
+	told := m.grid.Row(b.Zone, b.Name)
+	fits := int(b.Rows) == m.grid.PerZone && told != m.grid.Row(m.opts.Zone, m.opts.Name) && m.takesRow(now, told, b)
 	m.mu.Unlock()
 	if fits {
-		m.opts.OnRow(rowName(number), decodeReport(b))
+		m.opts.OnRow(rowName(told), decodeReport(b))
 	}
 }
 
@@ -129,8 +123,7 @@
 // may know too few to hear of the others.
 func (m *Mesh) introduce(now time.Time, p *Router, b *peerpb.Beat) {
 	m.mu.Lock()
-	rows := m.rows()
-	if int(b.Rows) >= rows || now.Sub(p.introducedAt) < silentEvery {
+	if int(b.Rows) >= m.grid.PerZone || now.Sub(p.introducedAt) < silentEvery {
 		m.mu.Unlock()
 		return
 	}
@@ -149,12 +142,12 @@
 
 // takesRow reports whether a row's state goes by this teller: while several
 // tell it, by the one that hears most of the row; the lock is held.
-func (m *Mesh) takesRow(now time.Time, number int, b *peerpb.Beat) bool {
-	old, known := m.heardRows[number]
+func (m *Mesh) takesRow(now time.Time, told string, b *peerpb.Beat) bool {
+	old, known := m.heardRows[told]
 	if known && old.teller != b.Name && old.members > len(b.Members) && now.Sub(old.at) < 3*m.spacing {
 		return false
 	}
-	m.heardRows[number] = row{teller: b.Name, members: len(b.Members), at: now}
+	m.heardRows[told] = row{teller: b.Name, members: len(b.Members), at: now}
 	return true
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -38,6 +38,7 @@
 	outcome    dispatch.Outcome
 	done       bool        // the client has its answer
 	mayHaveRun bool        // the endpoint may have run the request
+	broke      bool        // the endpoint broke off, as one does that crashes
 	failure    *code.Error // nil: served
 }
 
@@ -157,7 +158,9 @@
 	if ctx.Err() != nil {
 		return x.interrupted(ctx, true)
 	}
-	return failed(dispatch.Broken, true, c, detail)
+	r := failed(dispatch.Broken, true, c, detail)
+	r.broke = c == code.EndpointError || c == code.Truncated
+	return r
 }
 
 // interrupted is the result of an attempt that the client or the deadline
--- a/internal/relay/desk.go
+++ b/internal/relay/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
@@ -15,6 +16,12 @@
 	// pollRest is the least time between two looks, so that a flood of
 	// requests does not spend the router's time on the queue.
 	pollRest = 3 * time.Millisecond
+	// pollShare bounds the part of the time that goes to looking at the queue,
+	// however long it is.
+	pollShare = 0.1
+	// lagGain is the weight of one new measurement of the lag: a single pause
+	// of some hundred milliseconds is no overload.
+	lagGain = 0.25
 	// forgetEvery is how often the reports of silent peers are dropped.
 	forgetEvery = 200 * time.Millisecond
 )
@@ -28,6 +35,9 @@
 	waited  bool // requests waited at the last poll
 
 	polledAt time.Time
+	pollCost time.Duration // of the last look
+
+	lag atomic.Int64 // ns, see Lag
 }
 
 // NewDesk returns a desk that owns the dispatcher.
@@ -89,10 +99,11 @@
 }
 
 func (d *Desk) poll(now time.Time) {
-	if len(d.waiting) == 0 && !d.waited || now.Sub(d.polledAt) < pollRest {
+	if len(d.waiting) == 0 && !d.waited || now.Sub(d.polledAt) < max(pollRest, time.Duration(float64(d.pollCost)/pollShare)) {
 		return
 	}
 	d.polledAt = now
+	defer func() { d.pollCost = time.Since(now) }()
 	d.waited = len(d.waiting) > 0 // one more poll follows the last that waited
 	for _, t := range d.core.Poll(now) {
 		close(d.waiting[t])
@@ -100,23 +111,37 @@
 	}
 }
 
+// Lag is by how much this process is behind: the time for which something
+// that is to be done has to wait for the processor, smoothed.
+func (d *Desk) Lag() time.Duration { return time.Duration(d.lag.Load()) }
+
+// noteLag takes in by how much a timer was late.
+func (d *Desk) noteLag(late time.Duration) {
+	lag := d.lag.Load()
+	d.lag.Store(lag + int64(lagGain*float64(int64(late)-lag)))
+}
+
 // Serve polls until the context ends.
 func (d *Desk) Serve(ctx context.Context) error {
-	ticks := time.NewTicker(pollEvery)
-	defer ticks.Stop()
-	forgot := time.Now()
+	timer := time.NewTimer(pollEvery)
+	defer timer.Stop()
+	forgot, due := time.Now(), time.Now().Add(pollEvery)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case now := <-ticks.C:
-			d.mu.Lock()
-			if now.Sub(forgot) >= forgetEvery {
-				d.core.ForgetPeers(now)
-				forgot = now
-			}
-			d.poll(now)
-			d.mu.Unlock()
+		case <-timer.C:
 		}
+		d.mu.Lock()
+		now := time.Now()
+		d.noteLag(now.Sub(due))
+		if now.Sub(forgot) >= forgetEvery {
+			d.core.ForgetPeers(now)
+			forgot = now
+		}
+		d.poll(now)
+		d.mu.Unlock()
+		due = time.Now().Add(pollEvery)
+		timer.Reset(pollEvery)
 	}
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
@@ -42,6 +44,22 @@
 	first     time.Duration
 }
 
+// fingerprint is the same for a request that its client sends again: that has
+// another id, and the same path, account and body. It is 0 without a body,
+// since then requests that have nothing to do with each other look alike.
+func (x *exchange) fingerprint() uint64 {
+	if len(x.body) == 0 {
+		return 0
+	}
+	h := xxhash.New()
+	for _, part := range []string{x.r.Method, x.r.Host, x.r.RequestURI, x.account} {
+		h.WriteString(part)
+		h.WriteString("\n")
+	}
+	h.Write(x.body)
+	return h.Sum64()
+}
+
 // request is what the dispatcher is told of the exchange.
 func (x *exchange) request() dispatch.Request {
 	objective := x.route.Objective
@@ -84,6 +102,9 @@
 	desk := x.h.opts.Desk
 	desk.Update(func(now time.Time, core *dispatch.Dispatcher) { core.Requested(now, x.service) })
 	for {
+		if x.quarantined() {
+			return notRun(code.Quarantined, 0)
+		}
 		ticket, err := desk.Acquire(ctx, x.request())
 		if err != nil {
 			return x.ended(ctx)
@@ -95,12 +116,38 @@
 		result := x.attempt(ctx, ticket)
 		desk.Finish(ticket, result.outcome)
 		x.note(ticket, result)
+		if result.broke && x.crashed(ticket) {
+			return result.failure
+		}
 		if result.done || !x.again(ctx, ticket, result) {
 			return result.failure
 		}
 	}
 }
 
+// quarantined reports whether the request is known to crash endpoints. One
+// that may have run here was looked at after that attempt.
+func (x *exchange) quarantined() (held bool) {
+	if x.mayHave {
+		return false
+	}
+	x.h.opts.Desk.Update(func(now time.Time, core *dispatch.Dispatcher) { held = core.Quarantined(now, x.fingerprint()) })
+	return held
+}
+
+// crashed notes that the endpoint broke off. It reports whether the request is
+// quarantined for it.
+func (x *exchange) crashed(t *dispatch.Ticket) bool {
+	held := false
+	fingerprint := x.fingerprint()
+	x.h.opts.Desk.Update(func(now time.Time, core *dispatch.Dispatcher) {
+		core.Crashed(now, fingerprint, t.Endpoint.ID)
+		held = core.Quarantined(now, fingerprint)
+	})
+	x.h.opts.Log.Log(oplog.Failure, "request.broke_endpoint", x.attrs(slog.String("endpoint", t.Endpoint.ID), slog.Bool("quarantined", held))...)
+	return held
+}
+
 const (
 	// mostDials bounds the endpoints that one request finds unreachable.
 	mostDials = 6
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -105,7 +105,7 @@
 	problem.Status = statusOf(failure)
 	header := x.w.Header()
 	header.Set("Content-Type", code.ProblemType)
-	if problem.Status == http.StatusServiceUnavailable {
+	if problem.Status == http.StatusServiceUnavailable || problem.Status == http.StatusTooManyRequests {
 		header.Set("Connection", "close") // clients come back on a new connection
 	}
 	if failure.RetryAfter > 0 {
@@ -121,6 +121,9 @@
 // status that promises so, whatever caused it.
 func statusOf(failure *code.Error) int {
 	status := failure.Code.Info().Status
+	if failure.Code == code.Quarantined {
+		return http.StatusServiceUnavailable
+	}
 	if failure.NotRun && status >= 500 {
 		return http.StatusServiceUnavailable
 	}
--- a/internal/relay/prepare.go
+++ b/internal/relay/prepare.go
@@ -23,6 +23,11 @@
 	case x.h.closing.Load():
 		return notRun(code.Stopping, stoppingRetry)
 	}
+	if lag := x.h.lag(); lag > x.h.opts.MaxLag {
+		failure := notRun(code.QueueFull, shedRetry)
+		failure.Detail = "this router is behind by " + lag.Round(time.Millisecond).String()
+		return failure
+	}
 	route, ok := x.table.Match(x.r.Host, x.r.URL.Path)
 	if !ok {
 		return code.Refuse(code.UnknownPath, "no route matches host and path")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,6 +26,9 @@
 	// configuration yet, or that is about to exit.
 	notReadyRetry = 300 * time.Millisecond
 	stoppingRetry = 50 * time.Millisecond
+	// shedRetry advises clients that were refused because this process is
+	// behind.
+	shedRetry = 300 * time.Millisecond
 	// writeGrace is how long after the deadline the end of an answer may be
 	// written.
 	writeGrace = 500 * time.Millisecond
@@ -45,6 +48,10 @@
 	// MaxOpen is the number of requests in progress beyond which new ones are
 	// refused: each takes memory; 0: no limit.
 	MaxOpen int64
+	// Lag tells by how much this process is behind; nil: it never is. Beyond
+	// MaxLag new requests are refused at once.
+	Lag    func() time.Duration
+	MaxLag time.Duration
 }
 
 // Relay serves clients. It is an http.Handler.
@@ -83,6 +90,13 @@
 // Open returns the number of requests in progress.
 func (h *Relay) Open() int64 { return h.open.Load() }
 
+func (h *Relay) lag() time.Duration {
+	if h.opts.Lag == nil {
+		return 0
+	}
+	return h.opts.Lag()
+}
+
 // ConnState counts clients' connections; it is the hook of an http.Server.
 func (h *Relay) ConnState(_ net.Conn, state http.ConnState) {
 	switch state {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -52,6 +52,9 @@
 		case err == nil:
 		case err == io.EOF && len(s.rest) == 0:
 			return x.streamEnded(conn, answer)
+		case isTimeout(err):
+			conn.Close()
+			return x.broken(ctx, code.Silent, "the stream went silent")
 		default:
 			conn.Close()
 			return x.broken(ctx, code.Truncated, "the stream broke off")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -33,9 +33,9 @@
 	idleFor = 4 * time.Second
 	// idleMargin is the part of an endpoint's stated idle time that is used.
 	idleMargin = 0.6
-	// idlePerEndpoint bounds the connections kept to one endpoint: endpoints
-	// reset connections beyond a number for all routers together.
-	idlePerEndpoint = 8
+	// idleMost bounds the connections kept to one endpoint, whatever it bears:
+	// more are seldom used again before they are closed.
+	idleMost = 8
 	// largeBody is the size from which a body is sent beside reading the
 	// answer: an endpoint may answer before it has read it all.
 	largeBody = 64 << 10
@@ -55,12 +55,13 @@
 type Pool struct {
 	mu     sync.Mutex
 	idle   map[string][]*Conn
+	most   int // idle connections to one endpoint
 	dialer net.Dialer
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	p := &Pool{idle: map[string][]*Conn{}}
+	p := &Pool{idle: map[string][]*Conn{}, most: idleMost}
 	p.dialer = net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2},
@@ -159,7 +160,7 @@
 	c.freeAt = time.Now()
 	p.mu.Lock()
 	kept := p.idle[c.address]
-	full := len(kept) >= idlePerEndpoint
+	full := len(kept) >= p.most
 	if !full {
 		p.idle[c.address] = append(kept, c)
 	}
@@ -184,6 +185,14 @@
 	return c.idleFor > 0
 }
 
+// SetIdle bounds the connections kept to one endpoint: endpoints reset those
+// beyond a number for all routers together.
+func (p *Pool) SetIdle(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = min(most, idleMost)
+}
+
 // Drop closes the idle connections to addresses that keep does not name, and
 // those that are too old.
 func (p *Pool) Drop(keep func(address string) bool) {
