--- a/cmd/cyclamenwinchd/edge.go
+++ b/cmd/cyclamenwinchd/edge.go
@@ -26,6 +26,13 @@
 const logFlush = 200 * time.Millisecond
 
 func runEdge(opts edgeCommand, out, errs io.Writer) int {
+	// Before anything else: a signal that comes while the router starts must
+	// not end it.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		fmt.Fprintf(errs, "The environment variable %s must name the settings file.\n", platform.SettingsVariable)
@@ -47,15 +54,15 @@
 		defer cancel()
 		log.Close(limit)
 	}()
-	if err := serveEdge(s, store, path, log); err != nil {
+	if err := serveEdge(ctx, s, store, path, reload, log); err != nil {
 		log.Log(oplog.Belief, "router.failed", slog.String("error", err.Error()))
 		return exitFailed
 	}
 	return exitDone
 }
 
-// serveEdge runs the router until a signal stops it.
-func serveEdge(s edge.Settings, store, path string, log *oplog.Logger) error {
+// serveEdge runs the router until the context ends.
+func serveEdge(ctx context.Context, s edge.Settings, store, path string, reload <-chan os.Signal, log *oplog.Logger) error {
 	client := platform.NewStore(store)
 	e, err := edge.New(s, edge.Platform{
 		Source: client, Registry: client, Decoder: platform.Records{}, Protocol: platform.Headers{},
@@ -64,9 +71,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	go e.KeepSettings(ctx, path, func(path string) (edge.Settings, error) {
+	go e.KeepSettings(ctx, path, reload, func(path string) (edge.Settings, error) {
 		s, _, err := platform.LoadSettings(path)
 		return s, err
 	})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,6 +24,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/mesh"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/overload"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/relay"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/replica"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/upstream"
@@ -97,9 +98,10 @@
 	// clientFiles is the part of the descriptors that clients' connections
 	// may take; beyond it each is closed after its answer.
 	clientFiles = 0.4
-	// mostLag is by how much the process may be behind before it refuses new
-	// requests at once: half of usual objectives is lost by then.
-	mostLag = 150 * time.Millisecond
+	// mostLag is how long work may wait for the processor, on average, before
+	// the router refuses new requests at once. A request waits several times
+	// on its way: five of these are most of a usual objective.
+	mostLag = 40 * time.Millisecond
 	// requestBytes is the part of the memory limit that is set aside for one
 	// request in progress: buffers of two connections, stacks, body.
 	requestBytes = 150 << 10
@@ -113,6 +115,7 @@
 	desk     *relay.Desk
 	relay    *relay.Relay
 	pool     *upstream.Pool
+	meter    *overload.Meter
 	replica  *replica.Replica
 	mesh     *mesh.Mesh
 	calls    *grpc.Server
@@ -128,12 +131,12 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
-	e := &Edge{settings: s, platform: p, log: log, pool: upstream.NewPool(), entries: map[string]Entry{}}
+	e := &Edge{settings: s, platform: p, log: log, pool: upstream.NewPool(), meter: overload.New(), entries: map[string]Entry{}}
 	e.desk = relay.NewDesk(dispatch.New(dispatch.Options{
 		Self: s.Name, Zone: s.Zone, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 	}))
 	e.relay = relay.New(relay.Options{Protocol: p.Protocol, Desk: e.desk, Pool: e.pool, Log: log,
-		MaxConnections: int64(clientFiles * float64(s.MaxFiles)), MaxOpen: s.MemoryBytes / requestBytes, Lag: e.desk.Lag, MaxLag: mostLag})
+		MaxConnections: int64(clientFiles * float64(s.MaxFiles)), MaxOpen: s.MemoryBytes / requestBytes, Lag: e.meter.Lag, MaxLag: mostLag})
 	e.replica = replica.New(e.changed)
 	var err error
 	e.mesh, err = mesh.New(mesh.Options{
@@ -255,6 +258,7 @@
 func (e *Edge) parts(servers []webServer) []part {
 	parts := []part{
 		{"desk", e.desk.Serve},
+		{"overload", e.meter.Serve},
 		{"beats out", e.mesh.Send},
 		{"beats in", e.mesh.Receive},
 		{"expiry", e.replica.KeepExpiring},
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -5,8 +5,6 @@
 	"context"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
@@ -17,13 +15,10 @@
 // without a signal.
 const settingsEvery = 2 * time.Second
 
-// KeepSettings reads the settings again on SIGHUP and when the file has
+// KeepSettings reads the settings again on a signal and when the file has
 // changed, until the context ends. Settings that can't be read are logged and
 // those in use stay.
-func (e *Edge) KeepSettings(ctx context.Context, path string, load func(path string) (Settings, error)) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func (e *Edge) KeepSettings(ctx context.Context, path string, signals <-chan os.Signal, load func(path string) (Settings, error)) {
 	ticks := time.NewTicker(settingsEvery)
 	defer ticks.Stop()
 	last, err := os.ReadFile(path)
--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -62,7 +62,7 @@
 			ErrorLog: log.New(serverErrors{e.log, l.name}, "", 0),
 		}})
 	}
-	out[0].server.ConnState = e.relay.ConnState
+	out[0].server.ConnState, out[0].server.ConnContext = e.relay.ConnState, e.relay.ConnContext
 	return out, nil
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -52,6 +52,9 @@
 // on.
 func (x *exchange) attempt(ctx context.Context, t *dispatch.Ticket) result {
 	fresh := x.route.Kind == topology.AtMostOnce || x.sends > 0
+	if x.clientLeft() {
+		return failed(dispatch.Abandoned, false, code.CallerLeft, "the client closed its connection")
+	}
 	conn, err := x.h.opts.Pool.Get(ctx, t.Endpoint.Address, fresh)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -59,6 +62,10 @@
 		}
 		return failed(dispatch.Unreachable, false, code.Unreachable, "no connection to the endpoint")
 	}
+	if ctx.Err() != nil {
+		conn.Close()
+		return x.interrupted(ctx, false)
+	}
 	req := x.outgoing(t)
 	x.sends++
 	cut := context.AfterFunc(ctx, func() { x.cut(conn) })
--- a/internal/relay/desk.go
+++ b/internal/relay/desk.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
@@ -19,9 +18,6 @@
 	// pollShare bounds the part of the time that goes to looking at the queue,
 	// however long it is.
 	pollShare = 0.1
-	// lagGain is the weight of one new measurement of the lag: a single pause
-	// of some hundred milliseconds is no overload.
-	lagGain = 0.25
 	// forgetEvery is how often the reports of silent peers are dropped.
 	forgetEvery = 200 * time.Millisecond
 )
@@ -36,8 +32,6 @@
 
 	polledAt time.Time
 	pollCost time.Duration // of the last look
-
-	lag atomic.Int64 // ns, see Lag
 }
 
 // NewDesk returns a desk that owns the dispatcher.
@@ -111,37 +105,23 @@
 	}
 }
 
-// Lag is by how much this process is behind: the time for which something
-// that is to be done has to wait for the processor, smoothed.
-func (d *Desk) Lag() time.Duration { return time.Duration(d.lag.Load()) }
-
-// noteLag takes in by how much a timer was late.
-func (d *Desk) noteLag(late time.Duration) {
-	lag := d.lag.Load()
-	d.lag.Store(lag + int64(lagGain*float64(int64(late)-lag)))
-}
-
 // Serve polls until the context ends.
 func (d *Desk) Serve(ctx context.Context) error {
-	timer := time.NewTimer(pollEvery)
-	defer timer.Stop()
-	forgot, due := time.Now(), time.Now().Add(pollEvery)
+	ticks := time.NewTicker(pollEvery)
+	defer ticks.Stop()
+	forgot := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-timer.C:
+		case now := <-ticks.C:
+			d.mu.Lock()
+			if now.Sub(forgot) >= forgetEvery {
+				d.core.ForgetPeers(now)
+				forgot = now
+			}
+			d.poll(now)
+			d.mu.Unlock()
 		}
-		d.mu.Lock()
-		now := time.Now()
-		d.noteLag(now.Sub(due))
-		if now.Sub(forgot) >= forgetEvery {
-			d.core.ForgetPeers(now)
-			forgot = now
-		}
-		d.poll(now)
-		d.mu.Unlock()
-		due = time.Now().Add(pollEvery)
-		timer.Reset(pollEvery)
 	}
 }
--- a/internal/relay/relay_suite_test.go
+++ b/internal/relay/relay_suite_test.go
@@ -170,7 +170,9 @@
 	h.SetTable(table)
 	ctx, stop := context.WithCancel(context.Background())
 	go desk.Serve(ctx)
-	server := httptest.NewServer(h)
+	server := httptest.NewUnstartedServer(h)
+	server.Config.ConnContext = h.ConnContext
+	server.Start()
 	DeferCleanup(func() { server.CloseClientConnections(); server.Close(); stop() })
 	return server, h
 }
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -106,7 +106,7 @@
 		c.fullView()
 		seen := c.watchGenerations()
 		highest := c.race(operators, changesOfEach)
-		c.proxies[c.Routers[0].Name].cut()
+		c.proxies[c.Routers[0].Name].Cut()
 		highest = max(highest, c.race(operators, changesOfEach))
 		c.routers[1].kill()
 		c.platformFault(objects.Faults{LoseAnswer: lossyPart})
@@ -118,9 +118,9 @@
 		c.routers[2].restart()
 		c.platformFault(objects.Faults{})
 		for _, p := range c.proxies {
-			p.silence()
+			p.Silence()
 		}
-		c.proxies[c.Routers[0].Name].heal()
+		c.proxies[c.Routers[0].Name].Heal()
 		highest = max(highest, c.race(operators, changesOfEach))
 		c.inForce(highest)
 		Expect(seen.stop()).To(BeEmpty())
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/settings"
 	"github.com/cyclamenwinch/cyclamenwinch/load"
+	"github.com/cyclamenwinch/cyclamenwinch/standin/netproxy"
 )
 
 const (
@@ -128,7 +129,7 @@
 	manifest *manifest.Manifest
 	platform *process
 	models   []*process
-	proxies  map[string]*proxy // by router, if its peers reach it through one
+	proxies  map[string]*netproxy.Proxy // by router, if its peers reach it through one
 	orders   []*process
 	routers  []*process
 }
@@ -155,7 +156,7 @@
 // in force.
 func startCluster(s size) *cluster {
 	GinkgoHelper()
-	c := &cluster{dir: GinkgoT().TempDir(), proxies: map[string]*proxy{}}
+	c := &cluster{dir: GinkgoT().TempDir(), proxies: map[string]*netproxy.Proxy{}}
 	layout := load.Layout{
 		Example: filepath.Join("..", "examples", s.example),
 		Routers: s.routers, Models: s.models, Orders: s.orders, Accounts: s.accounts,
@@ -193,7 +194,7 @@
 	x.StopSeconds = 60
 	if s.cuttable {
 		c.proxies[x.Name] = newProxy(x.PeerListen)
-		x.PeerAdvertise = c.proxies[x.Name].address()
+		x.PeerAdvertise = c.proxies[x.Name].Address()
 	}
 }
 
--- a/test/together_test.go
+++ b/test/together_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cyclamenwinch/cyclamenwinch/load"
+	"github.com/cyclamenwinch/cyclamenwinch/standin/netproxy"
 	"github.com/cyclamenwinch/cyclamenwinch/standin/runner"
 )
 
@@ -50,20 +51,20 @@
 // netMischief cuts routers off from their peers and silences connections.
 func (c *cluster) netMischief() []mischief {
 	var mu sync.Mutex
-	pick := func(rng *rand.Rand) *proxy { return c.proxies[c.Routers[rng.IntN(len(c.Routers))].Name] }
+	pick := func(rng *rand.Rand) *netproxy.Proxy { return c.proxies[c.Routers[rng.IntN(len(c.Routers))].Name] }
 	return []mischief{
 		{"router cut off from its peers", func(rng *rand.Rand) {
 			mu.Lock()
 			defer mu.Unlock()
 			p := pick(rng)
-			p.cut()
+			p.Cut()
 			time.Sleep(freezeTime)
-			p.heal()
+			p.Heal()
 		}},
 		{"connections to a router go silent", func(rng *rand.Rand) {
 			mu.Lock()
 			defer mu.Unlock()
-			pick(rng).silence()
+			pick(rng).Silence()
 		}},
 	}
 }
