Beats hold what changed of late in the platform's records

Ruled out: the readers, since all other routers kept the bound. Change: changes up to 8 KB a collection are part of the next four beats and follow the receiver's copy; at most three peers are asked for a collection at once.

--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -22,7 +22,10 @@
 const (
 	// fetchTimeout bounds a call to a peer; one that fails is made again with
 	// the next beat, on a new connection.
-	fetchTimeout = 500 * time.Millisecond
+	fetchTimeout = 800 * time.Millisecond
+	// mostFetches is how many peers are asked for a collection at once: one may
+	// have gone silent.
+	mostFetches = 3
 	// fetchBytes bounds a collection: an object of the store has 1 MB at most.
 	fetchBytes = 16 << 20
 )
@@ -85,8 +88,11 @@
 			continue
 		}
 		m.mu.Lock()
-		busy := p.fetching[kind]
-		p.fetching[kind] = true
+		busy := p.fetching[kind] || m.fetches[kind] >= mostFetches
+		if !busy {
+			p.fetching[kind] = true
+			m.fetches[kind]++
+		}
 		m.mu.Unlock()
 		if !busy {
 			go m.fetch(ctx, p, kind, revision)
@@ -106,6 +112,7 @@
 	defer func() {
 		m.mu.Lock()
 		delete(p.fetching, kind)
+		m.fetches[kind]--
 		m.mu.Unlock()
 	}()
 	ours, known := m.opts.Replica.Revisions()[kind]
@@ -160,11 +167,8 @@
 	if !set.Known {
 		return replica.Delta{}, errors.New("the peer has no copy")
 	}
-	d := replica.Delta{Since: since, Revision: set.Revision, Names: set.Names, Trouble: time.Duration(set.StoreFailedMs) * time.Millisecond}
-	for _, r := range set.Records {
-		d.Records = append(d.Records, replica.Record{Name: r.Name, Revision: r.Revision, Data: r.Data})
-	}
-	return d, nil
+	return replica.Delta{Since: since, Revision: set.Revision, Names: set.Names, Records: decodeRecords(set.Records),
+		Trouble: time.Duration(set.StoreFailedMs) * time.Millisecond}, nil
 }
 
 // records serves the calls of peers.
@@ -176,11 +180,8 @@
 // Fetch returns what is newer in this router's copy of a collection.
 func (r records) Fetch(_ context.Context, req *peerpb.FetchRequest) (*peerpb.RecordSet, error) {
 	d, known := r.replica.Since(time.Now(), replica.Kind(req.Kind), req.Since)
-	set := &peerpb.RecordSet{Known: known, Revision: d.Revision, Names: d.Names, StoreFailedMs: unsigned(int(d.Trouble / time.Millisecond))}
-	for _, rec := range d.Records {
-		set.Records = append(set.Records, &peerpb.PlatformRecord{Name: rec.Name, Revision: rec.Revision, Data: rec.Data})
-	}
-	return set, nil
+	return &peerpb.RecordSet{Known: known, Revision: d.Revision, Names: d.Names, Records: encodeRecords(d.Records),
+		StoreFailedMs: unsigned(int(d.Trouble / time.Millisecond))}, nil
 }
 
 // NewServer returns the gRPC server of the mesh's calls.
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -6,6 +6,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
 	"github.com/cyclamenwinch/cyclamenwinch/core/route"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/replica"
 )
 
 func encodeReport(b *peerpb.Beat, r dispatch.Report) {
@@ -49,3 +50,40 @@
 	}
 	return r
 }
+
+// newsBytes bounds the records of one collection in a beat; larger changes are
+// fetched.
+const newsBytes = 8 << 10
+
+// encodeNews adds what changed in the copies within the given time.
+func encodeNews(b *peerpb.Beat, r *replica.Replica, now time.Time, within time.Duration) {
+	for _, kind := range replica.Kinds {
+		n, ok := r.News(now, kind, within, newsBytes)
+		if !ok {
+			continue
+		}
+		b.News = append(b.News, &peerpb.RecordNews{
+			Kind: string(kind), Since: n.Since, Revision: n.Revision, Records: encodeRecords(n.Records), Removed: n.Removed,
+			StoreFailedMs: unsigned(int(n.Trouble / time.Millisecond)),
+		})
+	}
+}
+
+func decodeNews(n *peerpb.RecordNews) replica.News {
+	return replica.News{Since: n.Since, Revision: n.Revision, Records: decodeRecords(n.Records), Removed: n.Removed,
+		Trouble: time.Duration(n.StoreFailedMs) * time.Millisecond}
+}
+
+func encodeRecords(records []replica.Record) (out []*peerpb.PlatformRecord) {
+	for _, r := range records {
+		out = append(out, &peerpb.PlatformRecord{Name: r.Name, Revision: r.Revision, Data: r.Data})
+	}
+	return out
+}
+
+func decodeRecords(records []*peerpb.PlatformRecord) (out []replica.Record) {
+	for _, r := range records {
+		out = append(out, replica.Record{Name: r.Name, Revision: r.Revision, Data: r.Data})
+	}
+	return out
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -112,6 +112,7 @@
 	grid    grid.Grid     // of the known routers
 	spacing time.Duration // between beats
 	calls   calls
+	fetches map[replica.Kind]int // calls in progress
 	news    chan struct{}
 
 	heardRows map[string]row
@@ -123,7 +124,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for beats")
 	}
-	return &Mesh{opts: opts, conn: conn, peers: map[netip.Addr]*Router{}, heardRows: map[string]row{}, spacing: beatEvery, news: make(chan struct{}, 1), calls: newCalls()}, nil
+	return &Mesh{opts: opts, conn: conn, peers: map[netip.Addr]*Router{}, heardRows: map[string]row{}, spacing: beatEvery, news: make(chan struct{}, 1), calls: newCalls(), fetches: map[replica.Kind]int{}}, nil
 }
 
 // Close closes the socket and the connections to peers.
@@ -260,7 +261,7 @@
 	state := m.opts.State()
 	m.mu.Lock()
 	m.number++
-	number, rows := m.number, m.grid.PerZone
+	number, rows, spacing := m.number, m.grid.PerZone, m.spacing
 	m.mu.Unlock()
 	b := &peerpb.Beat{
 		Name: m.opts.Name, Incarnation: m.opts.Incarnation, Number: number, Front: m.opts.Front, Zone: m.opts.Zone,
@@ -271,6 +272,7 @@
 		b.Revisions[string(kind)] = revision
 	}
 	encodeReport(b, state.Report)
+	encodeNews(b, m.opts.Replica, time.Now(), tellBeats*spacing)
 	return b
 }
 
@@ -279,7 +281,7 @@
 	b := &peerpb.Beat{
 		Name: own.Name, Incarnation: own.Incarnation, Number: own.Number, Front: own.Front, Zone: own.Zone,
 		Ready: own.Ready, Leaving: own.Leaving, Reading: own.Reading, Revisions: own.Revisions,
-		Rows: own.Rows, WholeRow: true, Members: members,
+		Rows: own.Rows, WholeRow: true, Members: members, News: own.News,
 	}
 	encodeReport(b, sum)
 	return b
@@ -331,6 +333,12 @@
 		m.opts.OnReport(b.Name, decodeReport(b))
 	}
 	m.introduce(now, p, b)
+	for _, n := range b.News {
+		kind := replica.Kind(n.Kind)
+		if m.opts.Replica.Hear(now, kind, decodeNews(n), b.Name) {
+			m.opts.Log.Log(oplog.Belief, "peer.records_heard", slog.String("peer", b.Name), slog.String("collection", n.Kind), slog.Int64("revision", n.Revision))
+		}
+	}
 	m.catchUp(ctx, p, b.Revisions)
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -90,9 +90,10 @@
 type collection struct {
 	records map[string]Record
 	lapsed  map[string]lapse
-	changed int64 // revision of the newest change that is known
-	known   bool  // there was a list
-	reading bool  // this router's reads of the store succeed
+	changed int64  // revision of the newest change that is known
+	known   bool   // there was a list
+	reading bool   // this router's reads of the store succeed
+	turns   []turn // of the last moments
 	from    string
 	at      time.Time
 }
@@ -151,10 +152,7 @@
 	if !ok || !c.known {
 		return Delta{}, false
 	}
-	d := Delta{Since: since, Revision: c.changed}
-	if !r.trouble.IsZero() {
-		d.Trouble = max(now.Sub(r.trouble), time.Millisecond)
-	}
+	d := Delta{Since: since, Revision: c.changed, Trouble: r.troubleAge(now)}
 	for name, rec := range c.records {
 		d.Names = append(d.Names, name)
 		if rec.Revision > since {
@@ -214,9 +212,7 @@
 func (r *Replica) Merge(now time.Time, kind Kind, d Delta, from string) (bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if failed := now.Add(-d.Trouble); d.Trouble > 0 && failed.After(r.trouble) {
-		r.trouble = failed
-	}
+	r.noteTrouble(now, d.Trouble)
 	c, ok := r.collections[kind]
 	if !ok || c.known && d.Revision < c.changed {
 		return false, nil
@@ -244,22 +240,23 @@
 	if !ok || c.known && revision < c.changed {
 		return false
 	}
-	differs := !c.known
+	var differing []string
 	for name, old := range c.records {
 		if _, ok := next[name]; !ok {
-			differs = true
+			differing = append(differing, name)
 			r.remove(now, kind, c, old)
 		}
 	}
 	for name, rec := range next {
 		if c.records[name].Revision != rec.Revision {
-			differs = true
+			differing = append(differing, name)
 		}
 		delete(c.lapsed, name)
 	}
-	if !differs {
+	if len(differing) == 0 && c.known {
 		return false
 	}
+	c.remember(now, c.changed, differing)
 	c.records, c.changed, c.known = next, max(c.changed, revision), true
 	r.publish(now, kind, c, from)
 	return true
@@ -279,17 +276,22 @@
 func (r *Replica) Apply(now time.Time, kind Kind, changes Changes, from string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := r.collections[kind]
-	newest := c.changed
-	differs := false
+	r.takeOver(now, kind, r.collections[kind], changes, from)
+}
+
+// takeOver applies changes to a collection; the lock is held.
+func (r *Replica) takeOver(now time.Time, kind Kind, c *collection, changes Changes, from string) {
+	before, newest := c.changed, c.changed
+	var differing []string
 	for _, ch := range changes.Changes {
 		if revision := r.apply(now, kind, c, ch, changes.Revision); revision > 0 {
 			newest = max(newest, revision)
-			differs = true
+			differing = append(differing, ch.Name)
 		}
 	}
 	c.changed = newest
-	if differs {
+	if len(differing) > 0 {
+		c.remember(now, before, differing)
 		r.publish(now, kind, c, from)
 	}
 }
--- a/internal/replica/replica_suite_test.go
+++ b/internal/replica/replica_suite_test.go
@@ -101,6 +101,28 @@
 		Expect(names(last)).To(Equal([]string{"a@3", "b@21"}))
 	})
 
+	It("passes on what changed of late, and takes over what follows its copy", func() {
+		other := replica.New(func(replica.Kind, replica.View) {})
+		other.Adopt(start, replica.Endpoints, snapshot(10, record("a", 3), record("b", 5)), "store")
+		_, ok := r.News(start.Add(3*time.Second), replica.Endpoints, time.Second, 1000)
+		Expect(ok).To(BeFalse(), "nothing new")
+		r.Failed(start.Add(3 * time.Second))
+		r.Apply(start.Add(4*time.Second), replica.Endpoints, replica.Changes{Revision: 14, Changes: []replica.Change{{Record: record("c", 12)}, {Record: record("b", 5), Deleted: true}}}, "store")
+		n, ok := r.News(start.Add(4*time.Second), replica.Endpoints, time.Second, 1000)
+		Expect(ok).To(BeTrue())
+		Expect(n.Since).To(Equal(int64(10)))
+		Expect(n.Revision).To(Equal(int64(14)))
+		Expect(n.Removed).To(Equal([]string{"b"}))
+		Expect(other.Hear(start.Add(4*time.Second), replica.Endpoints, n, "peer")).To(BeTrue())
+		Expect(other.Hear(start.Add(4*time.Second), replica.Endpoints, n, "peer")).To(BeFalse(), "known")
+		Expect(other.Revisions()[replica.Endpoints]).To(Equal(int64(14)))
+		behind := replica.New(func(replica.Kind, replica.View) {})
+		behind.Adopt(start, replica.Endpoints, snapshot(8, record("a", 3)), "store")
+		Expect(behind.Hear(start, replica.Endpoints, n, "peer")).To(BeFalse(), "it does not follow")
+		_, ok = r.News(start.Add(4*time.Second), replica.Endpoints, time.Second, 1)
+		Expect(ok).To(BeFalse(), "too large for a beat")
+	})
+
 	It("shares copies only of what it has read", func() {
 		_, known := r.Since(start, replica.Config, 0)
 		Expect(known).To(BeFalse())
@@ -161,6 +183,12 @@
 				since[i] = rapid.Int64Range(since[i], newest).Draw(t, "to")
 				copies[i].Adopt(start, replica.Config, at(since[i]), "store")
 			case 2:
+				if rapid.Bool().Draw(t, "news") {
+					if n, ok := copies[rapid.IntRange(0, 2).Draw(t, "peer")].News(start, replica.Config, time.Hour, 1<<20); ok {
+						copies[i].Hear(start, replica.Config, n, "peer")
+					}
+					break
+				}
 				known := before
 				if rapid.Bool().Draw(t, "whole") {
 					known = 0
