--- a/core/dispatch/cache.go
+++ b/core/dispatch/cache.go
@@ -106,9 +106,13 @@
 	d.placements = slices.Delete(d.placements, 0, old)
 	out := make([]Placement, 0, len(d.placements))
 	for _, p := range d.placements {
-		if row || !p.heard {
-			out = append(out, p)
+		if p.heard && !row {
+			continue
+		}
+		if row && len(p.Parts) > 1 {
+			p.Parts = p.Parts[:len(p.Parts)-1] // a prompt's own part seldom comes to another row
 		}
+		out = append(out, p)
 	}
 	return out
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -208,6 +208,10 @@
 	t.Late = left < firstStep
 	cached := time.Duration(cachedWait * float64(objective))
 	d.compareShare(now, s, t)
+	if t.OverShare && s.contended {
+		part := t.Share / t.Used // the further beyond, the less it finds room
+		return limits{slots: spareSlots * part, wait: time.Duration(spareWait * part * float64(objective)), cached: time.Duration(part * float64(cached))}
+	}
 	if t.Late || t.OverShare {
 		return limits{slots: spareSlots, wait: time.Duration(spareWait * float64(objective)), cached: cached}
 	}
--- a/internal/edge/beliefs.go
+++ b/internal/edge/beliefs.go
@@ -33,7 +33,9 @@
 
 // changed takes over a collection that has changed.
 func (e *Edge) changed(kind replica.Kind, v replica.View) {
-	defer e.mesh.News()
+	if v.From == replica.FromStore {
+		e.mesh.News() // what other routers told, they also tell the rest
+	}
 	switch kind {
 	case replica.Config:
 		e.configChanged(v)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -33,8 +33,12 @@
 	// beatPerPeer spaces beats further apart in a larger fleet, so that a
 	// router sends about 160 a second.
 	beatPerPeer = 6 * time.Millisecond
-	// tellBeats is how many beats hold a placement, since some get lost.
-	tellBeats = 4
+	// newsBeats is how many beats hold a change of the platform's records, since
+	// some get lost; what is missed costs a call.
+	newsBeats = 4
+	// tellBeats is how many hold a placement, in a large fleet: one that is
+	// missed costs little, and they are most of the bytes between zones.
+	tellBeats = 2
 	// silentEvery is the time between two beats to a peer that is not heard.
 	silentEvery = 500 * time.Millisecond
 	// aliveFor is how long a router counts as running after its last beat.
@@ -272,7 +276,7 @@
 		b.Revisions[string(kind)] = revision
 	}
 	encodeReport(b, state.Report)
-	encodeNews(b, m.opts.Replica, time.Now(), tellBeats*spacing)
+	encodeNews(b, m.opts.Replica, time.Now(), newsBeats*spacing)
 	return b
 }
 
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -101,7 +101,7 @@
 		return err
 	}
 	f.since = changes.Revision
-	f.replica.Apply(time.Now(), f.kind, changes, "store")
+	f.replica.Apply(time.Now(), f.kind, changes, FromStore)
 	return nil
 }
 
@@ -113,7 +113,7 @@
 		return err
 	}
 	f.since, f.dropped = s.Revision, false
-	f.replica.Adopt(time.Now(), f.kind, s, "store")
+	f.replica.Adopt(time.Now(), f.kind, s, FromStore)
 	return nil
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -104,11 +104,14 @@
 	until  time.Time
 }
 
+// FromStore is the origin of changes that this router read from the store.
+const FromStore = "store"
+
 // View is a collection as it is to be used.
 type View struct {
 	Records  []Record
 	Revision int64
-	From     string // where the newest change came from: "store" or a router
+	From     string // where the newest change came from: FromStore or the name of a router
 }
 
 // Replica holds the copies. It is safe for concurrent use.
