--- a/core/admission/admission_suite_test.go
+++ b/core/admission/admission_suite_test.go
@@ -163,6 +163,15 @@
 		Expect(b.Endpoints()[0].Busy).To(BeZero())
 	})
 
+	It("doubts the warmth of an idle endpoint well before it could have started again", func() {
+		// Seen with all failures together, seed 21: the news that an endpoint was
+		// in use came late, and it had started again when its warmth lapsed.
+		const start, late = 2 * time.Second, 500 * time.Millisecond
+		b.Sync(b.now, admission.Report{Router: "a", Warmth: []admission.Warmth{{Endpoint: "e", Proved: 4, Age: time.Second}}})
+		limit(start - late - time.Second)
+		Expect(b.Endpoints()[0].Proved).To(BeZero())
+	})
+
 	It("doubts the warmth of an endpoint that only the lost member uses", func() {
 		b.Sync(b.now, admission.Report{Router: "a", Warmth: []admission.Warmth{{Endpoint: "e", Proved: 4, Age: time.Second}}})
 		Expect(limit(0)).To(Equal(2))
--- a/internal/mesh/reader.go
+++ b/internal/mesh/reader.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,18 +40,3 @@
 	}
 	return before < readersMost && good < readersWanted
 }
-
-// Readers returns the names of the routers whose reads of the store succeed,
-// as last heard, for the log.
-func (m *Mesh) Readers() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []string
-	for _, p := range m.peers {
-		if p.Reading && time.Since(p.Heard) < aliveFor {
-			out = append(out, p.Name)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -41,7 +41,7 @@
 	f := follower{replica: r, source: source, kind: kind, log: log}
 	f.pause(ctx, time.Duration(rand.Float64()*float64(startSpread)))
 	for ctx.Err() == nil {
-		if reads() {
+		if f.turn(reads()) {
 			f.step(ctx)
 		} else {
 			f.standBy(ctx)
@@ -50,6 +50,16 @@
 	return ctx.Err()
 }
 
+// turn notes whether this router is to read, and returns it.
+func (f *follower) turn(reads bool) bool {
+	if reads != f.reads {
+		f.reads = reads
+		f.log.Log(oplog.Belief, "store.reader", slog.String("collection", string(f.kind)), slog.Bool("reads", reads),
+			slog.Int64("revision", f.replica.Revisions()[f.kind]))
+	}
+	return reads
+}
+
 // standBy leaves reading to other routers for a moment.
 func (f *follower) standBy(ctx context.Context) {
 	f.since, f.failures = 0, 0
@@ -66,6 +76,7 @@
 	since    int64 // 0: not read yet
 	dropped  bool  // the store has no history from what is known on: a list is needed
 	failures int
+	reads    bool // this router reads, as last logged
 }
 
 func (f *follower) step(ctx context.Context) {
