Exchanges that are given up reset their connection

A request was sent to an endpoint behind a cut, given up after half a second and served elsewhere; when the cut healed three seconds after the endpoint had said that it leaves, the kernel delivered the old bytes. Ruled out: old beliefs, since nothing was sent then. Change: closing a connection with an open exchange resets it.

Also: an account within its share may queue for what its share is a second, not only for what its router did of late.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -265,7 +266,11 @@
 	if t.hopeless {
 		return refuse(t, TooLate, 0, now)
 	}
-	t.Expected = s.expectedWait(now, t, d.ownThroughput(s, now))
+	perSecond := d.ownThroughput(s, now)
+	if !t.OverShare && !math.IsInf(t.Share, 1) {
+		perSecond = max(perSecond, t.Share/shareWindow.Seconds()) // what it is to get
+	}
+	t.Expected = s.expectedWait(now, t, perSecond)
 	if t.Expected > t.patience(now) {
 		return refuse(t, TooLong, t.Expected, now)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -88,6 +89,7 @@
 	address string
 	reader  *bufio.Reader
 	idleFor time.Duration
+	open    atomic.Bool // a request was sent whose answer has not come whole
 	freeAt  time.Time
 	sending chan error // result of a body that is sent beside reading; nil: none
 }
@@ -152,6 +154,7 @@
 
 // Put keeps a connection whose answer has been read to its end.
 func (p *Pool) Put(c *Conn, answer *http.Response) {
+	c.open.Store(false)
 	if answer.Close || c.sending != nil || c.reader.Buffered() > 0 || !c.reusable(answer) {
 		c.Close()
 		return
@@ -170,6 +173,17 @@
 	}
 }
 
+// Close closes the connection. If an exchange is open it is reset: what the
+// kernel still holds of the request must not reach the endpoint later, when it
+// was sent elsewhere or refused meanwhile.
+func (c *Conn) Close() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.open.Load() {
+		// If that fails, the connection is gone already.
+		_ = tcp.SetLinger(0)
+	}
+	return c.Conn.Close()
+}
+
 // reusable notes the idle time that the endpoint states and reports whether
 // it is worth keeping the connection.
 func (c *Conn) reusable(answer *http.Response) bool {
@@ -221,6 +235,7 @@
 
 // Send writes the request. Its body is body; req.Body is not used.
 func (c *Conn) Send(req *http.Request, body []byte) error {
+	c.open.Store(true)
 	req.ContentLength = int64(len(body))
 	req.Body = http.NoBody
 	if len(body) > 0 {
--- a/internal/upstream/upstream_suite_test.go
+++ b/internal/upstream/upstream_suite_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -76,6 +77,34 @@
 		return c.Reused
 	}
 
+	It("resets a connection that is given up before its answer came", func() {
+		// Seen on nileperch-router, own day reuse: a request that was sent elsewhere
+		// after half a second reached its first endpoint when a cut healed.
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		ended := make(chan error, 1)
+		go func() {
+			c, err := l.Accept()
+			if err == nil {
+				r := bufio.NewReader(c)
+				if _, err = http.ReadRequest(r); err == nil {
+					_, err = r.ReadByte()
+				}
+			}
+			ended <- err
+		}()
+		c, err := pool.Get(context.Background(), l.Addr().String(), false)
+		Expect(err).NotTo(HaveOccurred())
+		req, err := http.NewRequest("POST", "http://x/", nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Send(req, nil)).To(Succeed())
+		Expect(c.Close()).To(Succeed())
+		var seen error
+		Eventually(ended).WithTimeout(time.Minute).Should(Receive(&seen))
+		Expect(errors.Is(seen, syscall.ECONNRESET)).To(BeTrue(), "%v", seen)
+	})
+
 	It("keeps a connection whose answer came whole", func() {
 		address := listenAndAnswer(ok, func(net.Conn) {})
 		exchange(address, nil)
