--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -66,22 +66,18 @@
 	if objective <= 0 {
 		objective = defaultObjective
 	}
+	output := x.meta.Hint
+	if output <= 0 && x.meta.Prompt > 0 {
+		output = min(x.meta.MaxOutput, defaultOutput)
+	}
 	return dispatch.Request{
 		ID: x.meta.ID, Account: x.account, Service: x.service, Priority: x.priority,
-		Parts: x.meta.Parts, Prompt: x.meta.Prompt, Output: x.output(),
+		Parts: x.meta.Parts, Prompt: x.meta.Prompt, Output: output,
 		Arrived: x.arrived, Objective: x.arrived.Add(objective), FirstBy: x.firstBy(objective), Deadline: x.deadline,
 		Tried: x.tried, Repeat: x.sends > 0,
 	}
 }
 
-// output is how many tokens the answer will probably have.
-func (x *exchange) output() int {
-	if x.meta.Hint <= 0 && x.meta.Prompt > 0 {
-		return min(x.meta.MaxOutput, defaultOutput)
-	}
-	return x.meta.Hint
-}
-
 // Clients abandon a stream without an event after the longest of these.
 const (
 	abandonLeast      = 2 * time.Second
--- a/internal/relay/prepare.go
+++ b/internal/relay/prepare.go
@@ -23,6 +23,11 @@
 	case x.h.closing.Load():
 		return notRun(code.Stopping, stoppingRetry)
 	}
+	if lag := x.h.lag(); lag > x.h.opts.MaxLag {
+		failure := notRun(code.QueueFull, shedRetry)
+		failure.Detail = "this router is behind by " + lag.Round(time.Millisecond).String()
+		return failure
+	}
 	route, ok := x.table.Match(x.r.Host, x.r.URL.Path)
 	if !ok {
 		return code.Refuse(code.UnknownPath, "no route matches host and path")
@@ -31,14 +36,11 @@
 	if failure := x.authenticate(); failure != nil {
 		return failure
 	}
-	x.service = route.Pick(xxhash.Sum64String(x.meta.ID))
-	if failure := x.shed(); failure != nil {
-		return failure
-	}
 	if failure := x.readBody(); failure != nil {
 		return failure
 	}
 	x.header = endToEnd(x.r.Header)
+	x.service = route.Pick(xxhash.Sum64String(x.meta.ID))
 	x.deadline = x.arrived.Add(x.patience())
 	return nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,7 +62,6 @@
 	leaving atomic.Bool
 	closing atomic.Bool
 	open    atomic.Int64
-	usual   usual
 }
 
 // Table is the configuration in force and when it came into force here.
