A router is ready once it knows endpoints and zones too

Running it anew showed a fault of the product: a router said that it was ready when it knew the configuration only, and refused with no_endpoint until its copy of the endpoints came, since each collection's first read had a delay of its own. Ready now means that all collections are known, and the delay is one. Test: is complete once every collection is known.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -187,8 +187,11 @@
 	})
 }
 
-// ready reports whether clients may be sent here.
-func (e *Edge) ready() bool { return e.relay.Ready() && !e.leaving.Load() }
+// ready reports whether clients may be sent here: without endpoints, or without
+// the zones that are out, requests could not be served or would go wrong.
+func (e *Edge) ready() bool {
+	return e.relay.Ready() && e.replica.Complete() && !e.leaving.Load()
+}
 
 // addressesKept is how long clients keep an answer of the directory: short,
 // so that they soon leave a router that has gone. Some keep it three times as
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -39,7 +39,7 @@
 // ends, while reads says that this router is to read it.
 func (r *Replica) Follow(ctx context.Context, source Source, kind Kind, reads func() bool, log *oplog.Logger) error {
 	f := follower{replica: r, source: source, kind: kind, log: log}
-	f.pause(ctx, time.Duration(rand.Float64()*float64(startSpread)))
+	f.pause(ctx, r.startDelay)
 	for ctx.Err() == nil {
 		if f.turn(reads()) {
 			f.step(ctx)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -118,14 +119,15 @@
 type Replica struct {
 	mu          sync.Mutex
 	collections map[Kind]*collection
-	trouble     time.Time // last time the store failed a call
+	trouble     time.Time     // last time the store failed a call
+	startDelay  time.Duration // before the first read of the store
 	onChange    func(Kind, View)
 }
 
 // New returns a replica without records. onChange is called after each
 // change, one call at a time.
 func New(onChange func(Kind, View)) *Replica {
-	r := &Replica{collections: map[Kind]*collection{}, onChange: onChange}
+	r := &Replica{collections: map[Kind]*collection{}, onChange: onChange, startDelay: time.Duration(rand.Float64() * float64(startSpread))}
 	for _, k := range Kinds {
 		r.collections[k] = &collection{records: map[string]Record{}, lapsed: map[string]lapse{}}
 	}
@@ -173,6 +175,9 @@
 	return out
 }
 
+// Complete reports whether every collection is known.
+func (r *Replica) Complete() bool { return len(r.Revisions()) == len(Kinds) }
+
 // Reading reports whether this router reads all collections from the store.
 func (r *Replica) Reading() bool {
 	r.mu.Lock()
--- a/internal/replica/replica_suite_test.go
+++ b/internal/replica/replica_suite_test.go
@@ -123,6 +123,16 @@
 		Expect(ok).To(BeFalse(), "too large for a beat")
 	})
 
+	It("is complete once every collection is known", func() {
+		// Seen in the golden session: a router said that it was ready and knew no
+		// endpoint yet.
+		Expect(r.Complete()).To(BeFalse())
+		r.Adopt(start, replica.Config, snapshot(11, record("main", 11)), "store")
+		Expect(r.Complete()).To(BeFalse())
+		r.Adopt(start, replica.ZonesOut, snapshot(11), "store")
+		Expect(r.Complete()).To(BeTrue())
+	})
+
 	It("shares copies only of what it has read", func() {
 		_, known := r.Since(start, replica.Config, 0)
 		Expect(known).To(BeFalse())
--- a/test/prepared/prepared_test.go
+++ b/test/prepared/prepared_test.go
@@ -82,9 +82,13 @@
 				fmt.Fprintln(&transcript, "broken off")
 			}
 		}
+		send := func(what, body, method, path, key string, header ...string) {
+			code, answer, h, err := call(r1.listen("frontend"), method, path, key, strings.ReplaceAll(what, " ", "-"), body, header...)
+			record(what, code, answer, h, err)
+		}
+		// Each request has a body of its own, as clients' requests do.
 		do := func(what, method, path, key string, header ...string) {
-			code, body, h, err := call(r1.listen("frontend"), method, path, key, strings.ReplaceAll(what, " ", "-"), "the body", header...)
-			record(what, code, body, h, err)
+			send(what, "body of "+what, method, path, key, header...)
 		}
 		do("an order", "POST", "/order/new?x=1", "key-1")
 		do("a stream", "POST", "/chat/a", "key-1", chatHeaders...)
@@ -93,12 +97,13 @@
 		m1.CutNext(4)
 		m2.CutNext(4)
 		do("a stream that breaks off twice", "POST", "/chat/a", "key-1", chatHeaders...)
+		send("the same sent again", "body of a stream that breaks off twice", "POST", "/chat/a", "key-1", chatHeaders...)
 		m1.CutNext(4)
 		do("a stream that is resumed or whole", "POST", "/chat/a", "key-1", chatHeaders...)
 		m1.CutNext(0)
 		m2.CutNext(0)
 		goldie.New(GinkgoTB()).Assert(GinkgoTB(), "session", []byte(transcript.String()))
-		Expect(orders.Runs()).To(ConsistOf(prepared.Run{Attempt: "an-order", Tenant: "acc", Method: "POST", URI: "/order/new?x=1", Body: "the body"}))
+		Expect(orders.Runs()).To(ConsistOf(prepared.Run{Attempt: "an-order", Tenant: "acc", Method: "POST", URI: "/order/new?x=1", Body: "body of an order"}))
 	})
 
 	It("send nothing to a runner that drains, nor to a zone that is out", func() {
