--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -107,6 +107,9 @@
 	// router refuses new requests at once. A request waits several times while it
 	// is handled; five such waits use up most of a typical latency objective.
 	maxCPULag = 40 * time.Millisecond
+	// bodyMemoryFraction is the fraction of the memory limit that responses may
+	// hold beyond what memoryPerRequest includes.
+	bodyMemoryFraction = 0.1
 	// memoryPerRequest is the memory budget of one request in progress, in bytes:
 	// buffers of two connections, stacks and body.
 	memoryPerRequest = 150 << 10
@@ -142,7 +145,8 @@
 		Self: s.Name, Zone: s.Zone, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 	}))
 	e.relay = relay.New(relay.Options{Protocol: p.Protocol, Dispatcher: e.dispatcher, Pool: e.pool, Log: log,
-		MaxConnections: int64(clientFileFraction * float64(s.MaxFiles)), MaxOpen: s.MemoryBytes / memoryPerRequest, Lag: e.lagMeter.Lag, MaxLag: maxCPULag})
+		MaxConnections: int64(clientFileFraction * float64(s.MaxFiles)), MaxOpen: s.MemoryBytes / memoryPerRequest,
+		MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), Lag: e.lagMeter.Lag, MaxLag: maxCPULag})
 	e.replica = replica.New(e.handleChange)
 	var err error
 	e.mesh, err = mesh.New(mesh.Options{
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/upstream"
 )
 
@@ -33,6 +34,9 @@
 	// maxStaleResponses is how many responses to earlier requests a connection
 	// may deliver before it is closed.
 	maxStaleResponses = 3
+	// maxStaleBytes limits the body of such a response. Beyond it a new
+	// connection is cheaper than reading on.
+	maxStaleBytes = 256 << 10
 )
 
 // attemptResult describes how an attempt ended.
@@ -122,9 +126,13 @@
 		if meta := x.h.opts.Protocol.ReadResponse(resp.StatusCode, resp.Header); x.meta.ID == "" || meta.ID == x.meta.ID {
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBytes+1))
+		if err != nil {
 			return nil, x.noResponse(ctx, err)
 		}
+		if n > maxStaleBytes {
+			break
+		}
 	}
 	r := x.interrupted(ctx, code.CrossedAnswer, "the connection delivers responses to other requests")
 	return nil, &r
@@ -133,6 +141,10 @@
 // noResponse returns the result of an attempt whose response head could not be
 // read.
 func (x *exchange) noResponse(ctx context.Context, err error) *attemptResult {
+	if errors.Is(err, limitio.ErrTooLarge) {
+		r := x.oversized(ctx, err.Error())
+		return &r
+	}
 	c, detail := code.EndpointError, "the connection failed before the response"
 	if isTimeout(err) {
 		c, detail = code.Silent, "the endpoint did not respond in time"
@@ -175,6 +187,14 @@
 	return r
 }
 
+// oversized returns the result of an attempt whose response exceeds a limit. Unlike
+// a lost connection, it is no sign of a crash.
+func (x *exchange) oversized(ctx context.Context, detail string) attemptResult {
+	r := x.interrupted(ctx, code.EndpointError, detail)
+	r.suspectedCrash = false
+	return r
+}
+
 // canceled returns the result of an attempt that ended because the client
 // disconnected or the deadline passed.
 func (x *exchange) canceled(ctx context.Context, sent bool) attemptResult {
@@ -191,13 +211,16 @@
 		return x.stream(ctx, conn, resp, t)
 	}
 	conn.SetReadDeadline(x.deadline.Add(deadlineGrace))
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err != nil || len(body) > maxBufferedBytes {
+	body, err := readBody(resp.Body, x.reserve())
+	if err != nil {
 		conn.Close()
 		if meta.NotRun {
 			return failedAttempt(dispatch.Rejected, false, code.Unreachable, "the endpoint rejected the request without running it")
 		}
-		return x.interrupted(ctx, code.Truncated, "the response is truncated or too large")
+		if errors.Is(err, limitio.ErrTooLarge) {
+			return x.oversized(ctx, err.Error())
+		}
+		return x.interrupted(ctx, code.Truncated, "the response is truncated")
 	}
 	x.recordFirstEvent(t)
 	x.h.opts.Pool.Put(conn, resp)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -42,6 +42,20 @@
 	attempts        []string          // one entry per attempt, for the log
 	lastTicket      *dispatch.Ticket  // of the latest decision
 	firstEventAfter time.Duration     // from arrival to the start of the response
+	memory          []*reservation    // of the responses of all attempts
+}
+
+// reserve returns a reservation for the response of one attempt.
+func (x *exchange) reserve() *reservation {
+	r := &reservation{budget: &x.h.bodyBudget}
+	x.memory = append(x.memory, r)
+	return r
+}
+
+func (x *exchange) releaseMemory() {
+	for _, r := range x.memory {
+		r.release()
+	}
 }
 
 // fingerprint identifies a request that its client sends again: the request ID
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,6 +51,9 @@
 	// MaxOpen is the number of requests in progress above which new ones are
 	// refused, since each takes memory; 0: no limit.
 	MaxOpen int64
+	// MaxBodyBytes is the memory for large responses of all requests together,
+	// in bytes; 0: no limit. A response that finds none is treated as failed.
+	MaxBodyBytes int64
 	// Lag returns how long work of this process waits for the CPU; nil: no lag
 	// is assumed. Above MaxLag, new requests are refused at once.
 	Lag    func() time.Duration
@@ -65,6 +68,7 @@
 	noKeepAlives atomic.Bool
 	rejecting    atomic.Bool
 	openRequests atomic.Int64
+	bodyBudget   byteBudget
 }
 
 // Table is the active configuration.
@@ -75,7 +79,9 @@
 
 // New returns a relay without a configuration. It refuses every request until
 // SetTable is called.
-func New(opts Options) *Relay { return &Relay{opts: opts} }
+func New(opts Options) *Relay {
+	return &Relay{opts: opts, bodyBudget: byteBudget{limit: opts.MaxBodyBytes}}
+}
 
 // SetTable applies a configuration.
 func (h *Relay) SetTable(t *topology.Table) { h.table.Store(&Table{Table: t, AppliedAt: time.Now()}) }
@@ -119,6 +125,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), meta: h.opts.Protocol.ReadRequest(r.Header)}
+	defer x.releaseMemory()
 	if failure := x.prepare(); failure != nil {
 		x.writeFailure(failure)
 		return
--- a/internal/relay/relay_suite_test.go
+++ b/internal/relay/relay_suite_test.go
@@ -69,10 +69,13 @@
 }
 
 // reply is what a fakeEndpoint writes. close ends the connection afterwards; hang
-// keeps it open, without writing more, until the router closes it.
+// keeps it open, without writing more, until the router closes it. repeat is
+// written again and again, each time after pause, until the router closes it.
 type reply struct {
 	raw         string
 	close, hang bool
+	repeat      string
+	pause       time.Duration
 }
 
 func newFakeEndpoint(script func(n int, s receivedRequest) reply) *fakeEndpoint {
@@ -108,6 +111,13 @@
 		f.mu.Unlock()
 		rep := script(n, s)
 		io.WriteString(c, rep.raw)
+		for rep.repeat != "" {
+			if _, err := io.WriteString(c, rep.repeat); err != nil {
+				f.disconnected <- req.Header.Get("Test-Id")
+				return
+			}
+			time.Sleep(rep.pause)
+		}
 		if rep.hang {
 			io.Copy(io.Discard, r)
 			f.disconnected <- req.Header.Get("Test-Id")
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -17,32 +17,42 @@
 // are a few hundred bytes long.
 const streamBufferSize = 4 << 10
 
-// maxEventBytes limits an incomplete event that is held in memory.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits an incomplete event that is held in memory.
+	maxEventBytes = 1 << 20
+	// maxStreamBytes limits one response that is a stream, including events that
+	// are not forwarded. A thousand events of the usual size have under 1 MB.
+	maxStreamBytes = 64 << 20
+)
 
 // stream forwards the events of a response as they arrive. Only complete events
 // are forwarded, so that the stream can be resumed after any of them.
 func (x *exchange) stream(ctx context.Context, conn *upstream.Conn, resp *http.Response, t *dispatch.Ticket) attemptResult {
 	s := eventSplitter{resumeAfter: x.lastEventID}
+	memory := x.reserve()
 	buf := make([]byte, streamBufferSize)
-	first := true
+	received := 0
+	progress := time.Now() // head or newest complete event
 	rate := tokenRateMeter{eventTokens: x.eventTokens()}
 	for {
-		conn.SetReadDeadline(x.nextReadDeadline(t, first))
+		conn.SetReadDeadline(x.nextReadDeadline(t, s.hasEvent, progress))
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			if first {
-				first = false
+			if received == 0 {
 				x.recordFirstEvent(t)
 			}
+			received += n
 			complete, ok := s.add(buf[:n])
-			if !ok {
+			if !ok || received > maxStreamBytes || !memory.resize(s.memory()) {
 				conn.Close()
-				return x.interrupted(ctx, code.Truncated, "the stream has an event that exceeds the size limit")
+				return x.oversized(ctx, "an event or the stream exceeds its size limit or the memory for responses")
 			}
-			if len(complete) > 0 && !x.forwardEvents(resp, complete, s.lastID) {
-				conn.Close()
-				return failedAttempt(dispatch.Canceled, true, code.CallerLeft, "the client closed its connection")
+			if len(complete) > 0 {
+				if !x.forwardEvents(resp, complete, s.lastID) {
+					conn.Close()
+					return failedAttempt(dispatch.Canceled, true, code.CallerLeft, "the client closed its connection")
+				}
+				progress = time.Now()
 			}
 			if tokens, took := rate.observe(x.eventCount, time.Now()); tokens > 0 {
 				x.h.opts.Dispatcher.RecordTokens(t, tokens, took)
@@ -100,19 +110,20 @@
 	return true
 }
 
-// nextReadDeadline returns the time until which to wait for the next bytes of a
-// stream. It is earlier than the request's deadline if another endpoint may still
-// resume the stream.
-func (x *exchange) nextReadDeadline(t *dispatch.Ticket, first bool) time.Time {
+// nextReadDeadline returns the time until which to wait for the next complete
+// event of a stream. The newest event, or the head before any event, arrived at
+// progress. The time is earlier than the request's deadline if another endpoint
+// may still resume the stream.
+func (x *exchange) nextReadDeadline(t *dispatch.Ticket, hasEvent bool, progress time.Time) time.Time {
 	end := x.deadline.Add(deadlineGrace)
 	if !x.route.Repeatable() || x.sends >= x.route.MaxAttempts {
 		return end
 	}
 	wait := streamSilence
-	if first {
+	if !hasEvent {
 		wait += t.PredictedFirstEvent
 	}
-	if deadline := time.Now().Add(wait); deadline.Before(end) {
+	if deadline := progress.Add(wait); deadline.Before(end) {
 		return deadline
 	}
 	return end
@@ -158,20 +169,27 @@
 	resumeAfter string // events up to this ID were forwarded before
 	lastID      string // ID of the newest complete event
 	partial     []byte // start of an incomplete event
+	hasEvent    bool   // a complete event has been received
 }
 
+// memory returns how many bytes the splitter holds: the buffer of the incomplete
+// event, and a copy of it while an event is completed.
+func (s *eventSplitter) memory() int { return 2 * cap(s.partial) }
+
 var eventEnd = []byte("\n\n")
 
 // add appends bytes of the stream and returns the events that are complete now
 // and were not forwarded before. It reports false if an event exceeds
 // maxEventBytes.
 func (s *eventSplitter) add(p []byte) ([]byte, bool) {
+	searched := max(0, len(s.partial)-len(eventEnd)+1)
 	s.partial = append(s.partial, p...)
-	end := bytes.LastIndex(s.partial, eventEnd)
+	end := bytes.LastIndex(s.partial[searched:], eventEnd)
 	if end < 0 {
 		return nil, len(s.partial) <= maxEventBytes
 	}
-	end += len(eventEnd)
+	end += searched + len(eventEnd)
+	s.hasEvent = true
 	complete := bytes.Clone(s.partial[:end])
 	s.partial = append(s.partial[:0], s.partial[end:]...)
 	return s.dropDuplicates(complete), true
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,6 +22,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
 )
 
 const (
@@ -45,6 +48,11 @@
 	largeBodyBytes = 64 << 10
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes limits the head of a response, interim responses before it
+	// included. Heads of endpoints have a few hundred bytes.
+	maxHeadBytes = 64 << 10
+	// maxInterimResponses limits the interim (1xx) responses to one request.
+	maxInterimResponses = 5
 )
 
 var (
@@ -56,6 +64,10 @@
 // sent.
 var ErrUnreachable = errors.New("endpoint unreachable")
 
+// errTooManyInterim means that maxInterimResponses is exceeded. It is marked with
+// limitio.ErrTooLarge.
+var errTooManyInterim = errors.Mark(errors.New("too many interim responses"), limitio.ErrTooLarge)
+
 // Pool keeps idle connections. It is safe for concurrent use.
 type Pool struct {
 	mu      sync.Mutex
@@ -91,7 +103,8 @@
 	Reused bool
 
 	address     string
-	reader      *bufio.Reader
+	limit       *limitio.Reader // limits the response head; http.ReadResponse does not
+	reader      *bufio.Reader   // reads from limit
 	idleTimeout time.Duration
 	inFlight    atomic.Bool // a request was sent and its response is not complete
 	idleSince   time.Time
@@ -121,7 +134,8 @@
 		return nil, errors.Mark(err, ErrUnreachable)
 	}
 	connects.Inc()
-	return &Conn{Conn: nc, address: address, reader: bufio.NewReaderSize(nc, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	limit := &limitio.Reader{R: nc, Remaining: math.MaxInt}
+	return &Conn{Conn: nc, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // takeIdle removes the most recently used idle connection to an address from
@@ -259,10 +273,13 @@
 	return nil
 }
 
-// Receive reads the header of the next final response and skips interim (1xx)
-// responses.
+// Receive reads the head of the next final response and skips interim (1xx)
+// responses. The error is limitio.ErrTooLarge beyond maxHeadBytes or
+// maxInterimResponses. The caller limits the time by a read deadline.
 func (c *Conn) Receive(req *http.Request) (*http.Response, error) {
-	for {
+	c.limit.Remaining = maxHeadBytes
+	defer func() { c.limit.Remaining = math.MaxInt }()
+	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
 			return nil, err
@@ -272,6 +289,7 @@
 			return resp, nil
 		}
 	}
+	return nil, errTooManyInterim
 }
 
 // checkBodySent clears bodyResult if a large body has been sent completely, so
