Bound responses without end on the product's own interface

Callers saw: the router reads a response of its platform without a limit (an object, a list, an event of a watch), so that bytes without end take all of its memory; an endpoint that sends comments or single bytes without end holds a call open for as long as it likes, also after the end marker of a stream.

Cause: io.ReadAll and json.Decoder without a limit; any byte restarted the progress timeout; heads were limited to net/http's 10 MB.

Change: limits for objects (1 MB), events (2 MB), lists (64 MB), streams (64 MB) and what follows their end marker (32 MB), heads 64 KB; a response or event must be complete within ten progress timeouts, however many bytes arrive.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -34,6 +34,8 @@
 	dialTimeout      = time.Second
 	idleTimeout      = 30 * time.Second
 	maxResponseBytes = 8 << 20
+	// maxHeadBytes limits the head of a response.
+	maxHeadBytes = 64 << 10
 	// TCP keepalive detects an idle connection to a lost host after idle +
 	// interval * count. A lost connection that has been idle for that long
 	// is closed before it is used again.
@@ -70,7 +72,8 @@
 }
 
 // New returns a client. A call fails if the endpoint sends nothing for
-// progressTimeout.
+// progressTimeout, or sends bytes for uselessFactor times as long that complete
+// neither the response nor an event of a stream.
 func New(progressTimeout time.Duration) *Client {
 	dialer := &net.Dialer{
 		Timeout:         dialTimeout,
@@ -81,6 +84,8 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true, // responses are forwarded unchanged
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	newConn := transport.Clone()
 	newConn.DisableKeepAlives = true
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -12,9 +12,16 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
 )
 
-const maxEventBytes = 256 << 10
+const (
+	maxEventBytes = 256 << 10
+	// maxStreamBytes limits one response that is a stream.
+	maxStreamBytes = 64 << 20
+	// maxTrailingBytes limits what is read after the end marker.
+	maxTrailingBytes = 32 << 20
+)
 
 var (
 	dataField  = []byte("data:")
@@ -85,7 +92,7 @@
 		s.Close()
 		return nil, err
 	}
-	s.scanner = bufio.NewScanner(watch.reader(resp.Body))
+	s.scanner = bufio.NewScanner(&limitio.Reader{R: watch.reader(resp.Body), Remaining: maxStreamBytes})
 	s.scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	return s, nil
 }
@@ -125,6 +132,7 @@
 			s.gotEndMarker = true
 			return nil, io.EOF
 		}
+		s.watch.eventReceived()
 		return data, s.parseEvent(data)
 	}
 	if err := s.scanner.Err(); err != nil {
@@ -176,11 +184,13 @@
 }
 
 // Close ends the stream. If the end marker has not been received, the endpoint
-// cancels the rest. Otherwise Close waits for the end of the response: the
-// endpoint is busy until then, and the connection can be reused afterwards.
+// cancels the rest. Otherwise Close waits for the end of the response, within
+// maxTrailingBytes and the progress timeout: the endpoint is busy until then, and
+// the connection can be reused afterwards.
 func (s *Stream) Close() {
 	if s.gotEndMarker {
-		io.Copy(io.Discard, s.watch.reader(s.body))
+		// After an error the connection is closed, which ends the response too.
+		_, _ = io.Copy(io.Discard, io.LimitReader(s.watch.reader(s.body), maxTrailingBytes))
 	}
 	s.watch.stop()
 	s.body.Close()
--- a/internal/opsclient/opsclient.go
+++ b/internal/opsclient/opsclient.go
@@ -27,6 +27,7 @@
 const (
 	callTimeout      = 3 * time.Second // of one call to one router
 	maxResponseBytes = 32 << 20
+	maxHeadBytes     = 64 << 10
 )
 
 // Options configure a Client.
@@ -46,6 +47,7 @@
 // certificate.
 func New(opts Options) (*Client, error) {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = maxHeadBytes
 	if opts.CAFile != "" {
 		pool, err := loadCertPool(opts.CAFile)
 		if err != nil {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -23,6 +23,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
 )
 
 // The errors that callers distinguish with errors.Is.
@@ -45,6 +46,11 @@
 	// platform sends an empty event each second as a keepalive.
 	defaultWatchIdleTimeout = 4 * time.Second
 	maxValueBytes           = 1 << 20
+	// maxEventBytes limits one event of a watch: a value of maxValueBytes as
+	// base64, its key and what the decoder has read ahead.
+	maxEventBytes = 2 * maxValueBytes
+	maxListBytes  = 64 << 20
+	maxHeadBytes  = 64 << 10
 )
 
 // Object is one stored value.
@@ -104,7 +110,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return Object{}, statusError(resp)
 	}
-	value, err := io.ReadAll(resp.Body)
+	value, err := io.ReadAll(&limitio.Reader{R: resp.Body, Remaining: maxValueBytes})
 	if err != nil {
 		return Object{}, errors.Wrap(err, "read object")
 	}
@@ -183,8 +189,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp)
 	}
-	dec := json.NewDecoder(resp.Body)
+	body := &limitio.Reader{R: resp.Body}
+	dec := json.NewDecoder(body)
 	for {
+		body.Remaining = maxEventBytes
 		var e Event
 		if err := dec.Decode(&e); err != nil {
 			return errors.Wrap(watchError(ctx, err), "watch")
@@ -213,7 +221,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp)
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(into), "read list")
+	return errors.Wrap(json.NewDecoder(&limitio.Reader{R: resp.Body, Remaining: maxListBytes}).Decode(into), "read list")
 }
 
 func (c *Client) objectURL(key string) string {
--- a/internal/platform/traffic.go
+++ b/internal/platform/traffic.go
@@ -17,6 +17,7 @@
 // connections in the metrics.
 func newCountingTransport() *http.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = maxHeadBytes
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
