--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -22,6 +22,7 @@
 	version   int64                        // of the configuration
 	endpoints map[string]topology.Endpoint // by ID
 	addresses map[string]bool              // of the endpoints; true: not draining
+	retained  map[string]bool              // IDs of endpoints that are used although the store has removed them
 }
 
 // usesAddress reports whether the address belongs to an endpoint that may
@@ -89,12 +90,21 @@
 	e.decoded.mu.Lock()
 	previous := e.decoded.endpoints
 	e.decoded.endpoints = current
-	e.decoded.addresses = map[string]bool{}
+	retainedBefore := e.decoded.retained
+	e.decoded.addresses, e.decoded.retained = map[string]bool{}, map[string]bool{}
+	for _, id := range v.Retained {
+		e.decoded.retained[id] = true
+	}
 	for _, endpoint := range current {
 		e.decoded.addresses[endpoint.Address] = !endpoint.Draining
 	}
 	e.decoded.mu.Unlock()
 	e.logEndpoints(previous, current, v)
+	for _, id := range v.Retained {
+		if !retainedBefore[id] {
+			e.log.Log(oplog.StateChange, "endpoint.retained", slog.String("endpoint", id), slog.Int64("revision", v.Revision), slog.String("from", v.Origin))
+		}
+	}
 }
 
 // logEndpoints logs each endpoint that was added, changed or removed.
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
@@ -83,6 +84,7 @@
 // fetchNewer fetches the collections for which a peer has a higher revision.
 func (m *Mesh) fetchNewer(ctx context.Context, p *Router, theirs map[string]int64) {
 	ours := m.opts.Replica.Revisions()
+	m.trackLag(time.Now(), ours, theirs)
 	for _, kind := range replica.Kinds {
 		revision, ok := theirs[string(kind)]
 		if mine, known := ours[kind]; !ok || known && mine >= revision {
@@ -133,13 +135,16 @@
 			return
 		}
 	}
+	started := time.Now()
 	changed, err := m.mergeFrom(ctx, p, kind, ours)
 	if errors.Is(err, replica.ErrIncomplete) {
 		changed, err = m.mergeFrom(ctx, p, kind, 0)
 	}
+	countFetch(kind, changed, err)
 	if err != nil {
 		m.connections.drop(p.Address)
-		m.opts.Log.Log(oplog.StateChange, "peer.fetch_failed", slog.String("peer", p.Name), slog.String("collection", string(kind)), slog.String("error", err.Error()))
+		m.opts.Log.Log(oplog.StateChange, "peer.fetch_failed", slog.String("peer", p.Name), slog.String("collection", string(kind)),
+			slog.Duration("took", time.Since(started)), slog.String("error", err.Error()))
 		return
 	}
 	if changed {
@@ -148,6 +153,17 @@
 	}
 }
 
+func countFetch(kind replica.Kind, changed bool, err error) {
+	result := "unchanged"
+	switch {
+	case err != nil:
+		result = "failed"
+	case changed:
+		result = "changed"
+	}
+	metrics.GetOrCreateCounter(`cyclamenwinch_record_fetches_total{collection="` + string(kind) + `",result="` + result + `"}`).Inc()
+}
+
 // mergeFrom fetches what changed in a peer's copy after a revision and applies it.
 func (m *Mesh) mergeFrom(ctx context.Context, p *Router, kind replica.Kind, since int64) (bool, error) {
 	d, err := m.call(ctx, p.Address, kind, since)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -126,6 +126,7 @@
 	heartbeatInterval time.Duration // between two rounds
 	connections       connections
 	activeFetches     map[replica.Kind]int // fetches in progress
+	lags              map[replica.Kind]*copyLag
 	sendNow           chan struct{}
 
 	rows map[string]rowState // last report of each other row
@@ -137,7 +138,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for heartbeats")
 	}
-	return &Mesh{opts: opts, conn: conn, peers: map[netip.Addr]*Router{}, rows: map[string]rowState{}, heartbeatInterval: minHeartbeatInterval, sendNow: make(chan struct{}, 1), connections: newConnections(), activeFetches: map[replica.Kind]int{}}, nil
+	return &Mesh{opts: opts, conn: conn, peers: map[netip.Addr]*Router{}, rows: map[string]rowState{}, heartbeatInterval: minHeartbeatInterval, sendNow: make(chan struct{}, 1), connections: newConnections(), activeFetches: map[replica.Kind]int{}, lags: newLags()}, nil
 }
 
 // Close closes the socket and the connections to peers.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -74,6 +74,8 @@
 	}
 	req := x.outgoingRequest(t)
 	x.sends++
+	x.sendDelay = time.Since(t.GrantedAt)
+	sendDelays.Update(x.sendDelay.Seconds())
 	stopAbort := context.AfterFunc(ctx, func() { x.abort(conn) })
 	defer stopAbort()
 	if err := conn.Send(req, x.body); err != nil {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -42,6 +42,7 @@
 	attempts        []string          // one entry per attempt, for the log
 	lastTicket      *dispatch.Ticket  // of the latest decision
 	firstEventAfter time.Duration     // from arrival to the start of the response
+	sendDelay       time.Duration     // of the latest attempt, from the decision until it was sent
 	memory          []*reservation    // of the responses of all attempts
 }
 
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -16,6 +16,10 @@
 	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
 )
 
+// sendDelays are the times from the decision where to send a request until it is
+// sent, in seconds. They are long if the process waits for the CPU.
+var sendDelays = metrics.NewHistogram("cyclamenwinch_send_delay_seconds")
+
 // refusal returns the failure for a refused ticket.
 func (x *exchange) refusal(t *dispatch.Ticket) *code.Error {
 	c := code.WaitTooLong
@@ -61,7 +65,7 @@
 	x.attempts = append(x.attempts, t.Endpoint.ID+"@"+t.Endpoint.Address+": "+outcome)
 	x.h.opts.Log.Log(oplog.Routine, "request.sent", x.attrs(
 		slog.String("endpoint", t.Endpoint.ID), slog.String("address", t.Endpoint.Address),
-		slog.Duration("waited", t.GrantedAt.Sub(x.arrived)), slog.Duration("predicted", t.PredictedFirstEvent),
+		slog.Duration("waited", t.GrantedAt.Sub(x.arrived)), slog.Duration("send_delay", x.sendDelay), slog.Duration("predicted", t.PredictedFirstEvent),
 		slog.Duration("first", x.firstEventAfter), slog.Int("missing_tokens", t.UncachedTokens), slog.Int("shared_tokens_missing", t.RecomputedTokens),
 		slog.Int("events", x.eventCount), slog.Int("max_output", x.meta.MaxOutput), slog.Int("hint", x.meta.OutputHint),
 		slog.Bool("over_share", t.OverShare), slog.Bool("late", t.ObjectiveMissed),
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -120,6 +120,7 @@
 // retained ones.
 type View struct {
 	Records  []Record
+	Retained []string // names of those records that the store has removed
 	Revision int64
 	Origin   string // source of the newest change: OriginStore or the name of a router
 }
@@ -362,6 +363,7 @@
 	v := View{Records: c.list(), Revision: c.revision, Origin: from}
 	for _, l := range c.retained {
 		v.Records = append(v.Records, l.record)
+		v.Retained = append(v.Retained, l.record.Name)
 	}
 	r.onChange(kind, v)
 }
