--- a/internal/mesh/mesh_suite_test.go
+++ b/internal/mesh/mesh_suite_test.go
@@ -30,10 +30,12 @@
 
 // node is the mesh of one router and what it received.
 type node struct {
-	mesh    *mesh.Mesh
-	replica *replica.Replica
-	stop    func()
-	reading atomic.Bool
+	mesh      *mesh.Mesh
+	replica   *replica.Replica
+	address   string // IP:port
+	stop      func()
+	stopCalls func() // stops responding to the calls of peers
+	reading   atomic.Bool
 
 	mu      sync.Mutex
 	reports map[string]dispatch.Report
@@ -87,9 +89,11 @@
 		},
 	})
 	Expect(err).NotTo(HaveOccurred())
-	l, err := net.Listen("tcp", address.String())
+	n.address = address.String()
+	l, err := net.Listen("tcp", n.address)
 	Expect(err).NotTo(HaveOccurred())
 	server := mesh.NewServer(n.replica)
+	n.stopCalls = server.Stop
 	ctx, cancel := context.WithCancel(context.Background())
 	go server.Serve(l)
 	go n.mesh.Send(ctx)
--- a/internal/replica/replica_suite_test.go
+++ b/internal/replica/replica_suite_test.go
@@ -123,6 +123,23 @@
 		Expect(ok).To(BeFalse(), "larger than the byte budget")
 	})
 
+	It("takes over the revision of an equal copy, so that it is not fetched again and again", func() {
+		other := replica.New(func(replica.Kind, replica.View) {})
+		other.ApplySnapshot(start, replica.Endpoints, snapshot(14, record("a", 3), record("b", 5)), "store")
+		d, ok := other.DeltaSince(start, replica.Endpoints, r.Revisions()[replica.Endpoints])
+		Expect(ok).To(BeTrue())
+		changed, err := r.ApplyDelta(start, replica.Endpoints, d, "peer")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changed).To(BeFalse())
+		Expect(r.Revisions()).To(HaveKeyWithValue(replica.Endpoints, int64(14)))
+		By("passing the revision on with the next change")
+		other.ApplyChanges(start, replica.Endpoints, replica.Changes{Revision: 15, Changes: []replica.Change{{Record: record("c", 15)}}}, "store")
+		n, ok := other.RecentChanges(start, replica.Endpoints, time.Second, 1000)
+		Expect(ok).To(BeTrue())
+		Expect(r.ApplyRecent(start, replica.Endpoints, n, "peer")).To(BeTrue())
+		Expect(names(last)).To(Equal([]string{"a@3", "b@5", "c@15"}))
+	})
+
 	It("is complete once every collection has been read", func() {
 		// Guards against a router that reports itself ready before it knows any
 		// endpoint, as was once observed.
