Apply recent changes of a peer only where they list every change

Callers saw: a router goes on sending requests to an endpoint that the store no longer lists, for as long as nothing else corrects its copy: the endpoint was added and removed while the peer that passed the change on had skipped revisions. Class of fault: a difference between two states is applied as if it were the complete history between them.

Cause: heartbeats carry what changed between two revisions, and a router applies them if its own revision lies anywhere in between. A peer that has replaced its copy (list after a compacted history, fetch from another router) knows only the difference of the two states. An endpoint that was added and removed in between is not in it, so a router that has it keeps it, takes over the newer revision and so never fetches the removal.

Change: only steps that list all changes are passed on in heartbeats; a replacement of the copy discards the steps before it. A step lists also the removals of records that this router never had.

--- a/internal/replica/recent.go
+++ b/internal/replica/recent.go
@@ -17,7 +17,8 @@
 // recentWindow is how long changes are kept for RecentChanges.
 const recentWindow = 2 * time.Second
 
-// revisionChange lists the records that changed in one step of a collection.
+// revisionChange lists all records that changed in one step of a collection, also
+// those that were added and removed within it.
 type revisionChange struct {
 	at    time.Time
 	from  int64 // revision of the collection before the step
@@ -31,8 +32,13 @@
 	c.recent = append(c.recent, revisionChange{at: now, from: from, names: names})
 }
 
+// resetRecent discards all steps. It is called when a copy has been replaced: what
+// was added and removed in between is not known, so the replacement is no step
+// that a copy at a revision in between could apply. The caller holds the lock.
+func (c *collection) resetRecent() { c.recent = nil }
+
 // RecentChanges returns what changed in a collection within the given time. It
-// returns false if nothing changed or the records exceed byteBudget.
+// returns false if there was no step or the records exceed byteBudget.
 func (r *Replica) RecentChanges(now time.Time, kind Kind, within time.Duration, byteBudget int) (RecentChanges, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -43,7 +49,7 @@
 		if now.Sub(change.at) > within {
 			continue
 		}
-		if len(seen) == 0 {
+		if n.Since == 0 {
 			n.Since = change.from
 		}
 		for _, name := range change.names {
@@ -60,7 +66,7 @@
 			byteBudget -= len(rec.Data)
 		}
 	}
-	return n, len(seen) > 0 && n.Since > 0 && byteBudget >= 0
+	return n, n.Since > 0 && byteBudget >= 0
 }
 
 // ApplyRecent applies another router's recent changes if they continue from the
@@ -80,8 +86,7 @@
 	for _, name := range n.Removed {
 		changes.Changes = append(changes.Changes, Change{Record: Record{Name: name, Revision: n.Revision}, Deleted: true})
 	}
-	r.applyChanges(now, kind, c, changes, from)
-	c.revision = n.Revision
+	r.applyChanges(now, kind, c, changes, n.Revision, from)
 	return true
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -262,23 +262,21 @@
 	if !ok || c.loaded && revision < c.revision {
 		return false
 	}
-	var differing []string
+	changed := !c.loaded
 	for name, old := range c.records {
 		if _, ok := next[name]; !ok {
-			differing = append(differing, name)
+			changed = true
 			r.removeRecord(now, kind, c, old)
 		}
 	}
 	for name, rec := range next {
-		if c.records[name].Revision != rec.Revision {
-			differing = append(differing, name)
-		}
+		changed = changed || c.records[name].Revision != rec.Revision
 		delete(c.retained, name)
 	}
-	if len(differing) == 0 && c.loaded {
+	if !changed {
 		return false
 	}
-	c.recordRecent(now, c.revision, differing)
+	c.resetRecent()
 	c.records, c.revision, c.loaded = next, max(c.revision, revision), true
 	r.publish(now, kind, c, from)
 	return true
@@ -298,22 +296,27 @@
 func (r *Replica) ApplyChanges(now time.Time, kind Kind, changes Changes, from string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.applyChanges(now, kind, r.collections[kind], changes, from)
+	r.applyChanges(now, kind, r.collections[kind], changes, 0, from)
 }
 
-// applyChanges applies changes to a collection. The caller holds the lock.
-func (r *Replica) applyChanges(now time.Time, kind Kind, c *collection, changes Changes, from string) {
-	before, newest := c.revision, c.revision
-	var differing []string
+// applyChanges applies changes to a collection, whose revision is at least atLeast
+// afterwards. The caller holds the lock.
+func (r *Replica) applyChanges(now time.Time, kind Kind, c *collection, changes Changes, atLeast int64, from string) {
+	before, newest := c.revision, max(c.revision, atLeast)
+	var names []string
+	changed := false
 	for _, ch := range changes.Changes {
+		names = append(names, ch.Name)
 		if revision := r.applyChange(now, kind, c, ch, changes.Revision); revision > 0 {
 			newest = max(newest, revision)
-			differing = append(differing, ch.Name)
+			changed = true
 		}
 	}
 	c.revision = newest
-	if len(differing) > 0 {
-		c.recordRecent(now, before, differing)
+	if newest > before || changed {
+		c.recordRecent(now, before, names)
+	}
+	if changed {
 		r.publish(now, kind, c, from)
 	}
 }
--- a/internal/replica/replica_suite_test.go
+++ b/internal/replica/replica_suite_test.go
@@ -140,6 +140,22 @@
 		Expect(names(last)).To(Equal([]string{"a@3", "b@5", "c@15"}))
 	})
 
+	It("does not keep an endpoint that was added and removed while a peer skipped revisions", func() {
+		apply(12, replica.Change{Record: record("short-lived", 12)})
+		other := replica.New(func(replica.Kind, replica.View) {})
+		other.ApplySnapshot(start.Add(-time.Minute), replica.Endpoints, snapshot(10, record("a", 3), record("b", 5)), "store")
+		other.ApplySnapshot(start, replica.Endpoints, snapshot(14, record("a", 3), record("b", 14)), "store")
+		if n, ok := other.RecentChanges(start, replica.Endpoints, time.Second, 1000); ok {
+			r.ApplyRecent(start, replica.Endpoints, n, "peer")
+		}
+		if known := r.Revisions()[replica.Endpoints]; known < 14 { // a router fetches from a peer with a higher revision only
+			d, _ := other.DeltaSince(start, replica.Endpoints, known)
+			_, err := r.ApplyDelta(start, replica.Endpoints, d, "peer")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(names(last)).To(Equal([]string{"a@3", "b@14"}))
+	})
+
 	It("is complete once every collection has been read", func() {
 		// Guards against a router that reports itself ready before it knows any
 		// endpoint, as was once observed.
