An overloaded router reads heartbeats before it serves requests

Class of fault: control work waits in the same queue as client work.

Cause: the goroutine that reads heartbeats waits for the socket, so in a process without spare CPU time it runs after all requests that are ready to run (waits of 50 to 450 ms for the CPU, by the router's own measurement). The changes in a heartbeat are repeated for 0.4 s; once they are missed, a fetch by gRPC is needed, which takes several such waits, times out after 0.8 s and starts anew.

Change: heartbeats are read on a timer of 10 ms, all that have arrived at once. Record changes are applied before the load in a heartbeat.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -18,10 +18,12 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
@@ -54,6 +56,12 @@
 	// unregisteredTimeout is how long after its last heartbeat a router that is
 	// not registered still counts when limits are divided among routers.
 	unregisteredTimeout = 30 * time.Second
+	// receiveInterval is the time between two reads of the heartbeats that have
+	// arrived. It is a small part of the heartbeat interval.
+	receiveInterval = 10 * time.Millisecond
+	// maxArrived limits the heartbeats handled in a row, so that a flood of
+	// datagrams leaves time for other work.
+	maxArrived = 128
 	// maxDatagram is the largest payload of a UDP datagram, in bytes.
 	maxDatagram = 65_507
 )
@@ -257,27 +265,63 @@
 	return b
 }
 
-// Receive handles incoming heartbeats until the context ends.
+// Receive handles incoming heartbeats until the context ends. It reads them on a
+// timer instead of waiting for the socket: the runtime runs expired timers before
+// other work, so an overloaded router still learns of changes before it serves
+// the requests that wait for the CPU.
 func (m *Mesh) Receive(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { m.conn.SetReadDeadline(time.Unix(1, 0)) })
-	defer stop()
+	raw, err := m.conn.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "access heartbeat socket")
+	}
+	ticks := time.NewTicker(receiveInterval)
+	defer ticks.Stop()
 	buf := make([]byte, maxDatagram)
 	for {
-		n, from, err := m.conn.ReadFromUDPAddrPort(buf)
-		if ctx.Err() != nil {
+		select {
+		case <-ctx.Done():
 			return ctx.Err()
+		case <-ticks.C:
 		}
-		if err != nil {
+		if err := m.receiveArrived(ctx, raw, buf); err != nil {
 			return errors.Wrap(err, "read heartbeat")
 		}
+	}
+}
+
+// receiveArrived handles the heartbeats that have arrived.
+func (m *Mesh) receiveArrived(ctx context.Context, raw syscall.RawConn, buf []byte) error {
+	for range maxArrived {
+		n, from, err := recvfrom(raw, buf)
+		if errors.Is(err, unix.EAGAIN) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
 		var b peerpb.Beat
 		if err := proto.Unmarshal(buf[:n], &b); err != nil || b.Name == "" {
 			heartbeatsInvalid.Inc()
 			continue
 		}
 		heartbeatsReceived.Inc()
-		m.handleHeartbeat(ctx, from.Addr().Unmap(), &b)
+		m.handleHeartbeat(ctx, from, &b)
 	}
+	return nil
+}
+
+// recvfrom reads one datagram without waiting; unix.EAGAIN: none has arrived.
+func recvfrom(raw syscall.RawConn, buf []byte) (n int, from netip.Addr, err error) {
+	rawErr := raw.Read(func(fd uintptr) bool {
+		var sender unix.Sockaddr
+		if n, sender, err = unix.Recvfrom(int(fd), buf, unix.MSG_DONTWAIT); err == nil {
+			if v4, ok := sender.(*unix.SockaddrInet4); ok {
+				from = netip.AddrFrom4(v4.Addr)
+			}
+		}
+		return true
+	})
+	return n, from, errors.CombineErrors(rawErr, err)
 }
 
 func (m *Mesh) handleHeartbeat(ctx context.Context, from netip.Addr, b *peerpb.Beat) {
@@ -296,6 +340,7 @@
 	if changed {
 		m.updateKnownRouters(now)
 	}
+	m.applyRecent(now, b)
 	switch {
 	case b.WholeRow:
 		m.handleRowReport(now, b)
@@ -303,11 +348,15 @@
 		m.opts.OnReport(b.Name, decodeReport(b))
 	}
 	m.sendMembers(now, p, b)
+	m.fetchNewer(ctx, p, b.Revisions)
+}
+
+// applyRecent applies the record changes that a heartbeat carries.
+func (m *Mesh) applyRecent(now time.Time, b *peerpb.Beat) {
 	for _, n := range b.News {
 		kind := replica.Kind(n.Kind)
 		if m.opts.Replica.ApplyRecent(now, kind, decodeRecentChanges(n), b.Name) {
 			m.opts.Log.Log(oplog.StateChange, "peer.records_heard", slog.String("peer", b.Name), slog.String("collection", n.Kind), slog.Int64("revision", n.Revision))
 		}
 	}
-	m.fetchNewer(ctx, p, b.Revisions)
 }
--- a/internal/mesh/overload_test.go
+++ b/internal/mesh/overload_test.go
@@ -62,7 +62,7 @@
 			}()
 		}
 		time.Sleep(100 * time.Millisecond)
-		setConfig(a, 6, []byte("new"))
+		a.replica.ApplyChanges(time.Now(), replica.Config, replica.Changes{Revision: 6, Changes: []replica.Change{{Record: replica.Record{Name: "main", Revision: 6, Data: []byte("new")}}}}, "store")
 		turnsAtChange.Store(turns.Load())
 		a.mesh.TriggerSend()
 		Eventually(turnsUntilKnown.Load).ShouldNot(BeZero())
