Retain removed endpoints only after an outage for all routers

Class of fault: a failure that one router sees is taken for a failure of the whole store.

Cause: any failed call counted as a failure of the store, and its age was passed on with the records, so that it reached the routers that read the store without trouble. Entries that disappeared within 2.2 s of it were taken for expired.

Change: heartbeats say already which routers read the store. An outage is when no live router has read it for half a second; only then may an entry have expired because its endpoint could not renew it.

New specs for outages and for refused routers.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -277,7 +277,7 @@
 		{"overload", e.lagMeter.Serve},
 		{"beats out", e.mesh.Send},
 		{"beats in", e.mesh.Receive},
-		{"expiry", e.replica.RunExpiry},
+		{"expiry", func(ctx context.Context) error { return e.replica.RunExpiry(ctx, e.mesh.PeersReadStore) }},
 		{"registration", e.maintainRegistration},
 		{"connections", e.pruneConnections},
 		{"calls", e.servePeers},
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -187,8 +187,7 @@
 	if !set.Known {
 		return replica.Delta{}, errors.New("peer has no copy of the collection")
 	}
-	return replica.Delta{Since: since, Revision: set.Revision, Names: set.Names, Records: decodeRecords(set.Records),
-		StoreFailureAge: time.Duration(set.StoreFailedMs) * time.Millisecond}, nil
+	return replica.Delta{Since: since, Revision: set.Revision, Names: set.Names, Records: decodeRecords(set.Records)}, nil
 }
 
 // recordsServer implements the Records service that peers call.
@@ -200,9 +199,8 @@
 // Fetch returns what changed in this router's copy of a collection after the
 // requested revision.
 func (r recordsServer) Fetch(_ context.Context, req *peerpb.FetchRequest) (*peerpb.RecordSet, error) {
-	d, known := r.replica.DeltaSince(time.Now(), replica.Kind(req.Kind), req.Since)
-	return &peerpb.RecordSet{Known: known, Revision: d.Revision, Names: d.Names, Records: encodeRecords(d.Records),
-		StoreFailedMs: toUint32(int(d.StoreFailureAge / time.Millisecond))}, nil
+	d, known := r.replica.DeltaSince(replica.Kind(req.Kind), req.Since)
+	return &peerpb.RecordSet{Known: known, Revision: d.Revision, Names: d.Names, Records: encodeRecords(d.Records)}, nil
 }
 
 // NewServer returns the gRPC server from which peers fetch records.
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -65,14 +65,12 @@
 		}
 		b.News = append(b.News, &peerpb.RecordNews{
 			Kind: string(kind), Since: n.Since, Revision: n.Revision, Records: encodeRecords(n.Records), Removed: n.Removed,
-			StoreFailedMs: toUint32(int(n.StoreFailureAge / time.Millisecond)),
 		})
 	}
 }
 
 func decodeRecentChanges(n *peerpb.RecordNews) replica.RecentChanges {
-	return replica.RecentChanges{Since: n.Since, Revision: n.Revision, Records: decodeRecords(n.Records), Removed: n.Removed,
-		StoreFailureAge: time.Duration(n.StoreFailedMs) * time.Millisecond}
+	return replica.RecentChanges{Since: n.Since, Revision: n.Revision, Records: decodeRecords(n.Records), Removed: n.Removed}
 }
 
 func encodeRecords(records []replica.Record) (out []*peerpb.PlatformRecord) {
--- a/internal/mesh/mesh_suite_test.go
+++ b/internal/mesh/mesh_suite_test.go
@@ -187,7 +187,7 @@
 		b.replica.ApplySnapshot(time.Now(), replica.Config, replica.Snapshot{Revision: 5, Records: []replica.Record{{Name: "main", Revision: 5, Data: []byte("five")}}}, "store")
 		a.mesh.AddPeer("r2", "z", netip.MustParseAddr("127.0.0.2"), true)
 		Eventually(func() int64 { return b.replica.Revisions()[replica.Config] }).Should(Equal(int64(7)))
-		d, _ := b.replica.DeltaSince(time.Now(), replica.Config, 0)
+		d, _ := b.replica.DeltaSince(replica.Config, 0)
 		Expect(string(d.Records[0].Data)).To(Equal("seven"))
 		Expect(a.replica.Revisions()[replica.Config]).To(Equal(int64(7)))
 	})
--- a/internal/mesh/reader.go
+++ b/internal/mesh/reader.go
@@ -42,3 +42,16 @@
 	}
 	return higher < maxReaders && reading < targetReaders
 }
+
+// PeersReadStore reports whether a live peer reads the store successfully.
+func (m *Mesh) PeersReadStore() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, p := range m.peers {
+		if p.ReadsStore && now.Sub(p.LastHeard) < aliveTimeout {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -26,7 +26,8 @@
 	// standbyInterval is how often a router that is not a reader checks whether
 	// it has to become one.
 	standbyInterval = 100 * time.Millisecond
-	// expiryInterval is how often retained records are checked for expiry.
+	// expiryInterval is how often retained records are checked for expiry, and
+	// whether any router reads the store.
 	expiryInterval = 100 * time.Millisecond
 )
 
@@ -130,7 +131,6 @@
 }
 
 func (f *follower) readFailed(ctx context.Context, err error) {
-	f.replica.RecordStoreFailure(time.Now())
 	f.replica.setReading(f.kind, false)
 	f.failures++
 	metrics.GetOrCreateCounter(`cyclamenwinch_store_failures_total{collection="` + string(f.kind) + `"}`).Inc()
@@ -155,8 +155,9 @@
 	}
 }
 
-// RunExpiry calls Expire regularly until the context ends.
-func (r *Replica) RunExpiry(ctx context.Context) error {
+// RunExpiry calls Expire and RecordReadable regularly until the context ends.
+// peersRead reports whether another router reads the store successfully.
+func (r *Replica) RunExpiry(ctx context.Context, peersRead func() bool) error {
 	ticks := time.NewTicker(expiryInterval)
 	defer ticks.Stop()
 	for {
@@ -164,6 +165,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticks.C:
+			r.RecordReadable(now, r.ReadsStore() || peersRead())
 			r.Expire(now)
 		}
 	}
--- a/internal/replica/recent.go
+++ b/internal/replica/recent.go
@@ -11,7 +11,6 @@
 	Since, Revision int64
 	Records         []Record
 	Removed         []string
-	StoreFailureAge time.Duration // since the last store failure that router knows of; 0: none
 }
 
 // recentWindow is how long changes are kept for RecentChanges.
@@ -43,7 +42,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.collections[kind]
-	n := RecentChanges{Revision: c.revision, StoreFailureAge: r.storeFailureAge(now)}
+	n := RecentChanges{Revision: c.revision}
 	seen := map[string]bool{}
 	for _, change := range c.recent {
 		if now.Sub(change.at) > within {
@@ -78,7 +77,6 @@
 	if !ok || !c.loaded || c.revision < n.Since || c.revision >= n.Revision {
 		return false
 	}
-	r.mergeStoreFailure(now, n.StoreFailureAge)
 	changes := Changes{Revision: n.Revision}
 	for _, rec := range n.Records {
 		changes.Changes = append(changes.Changes, Change{Record: rec})
@@ -89,20 +87,3 @@
 	r.applyChanges(now, kind, c, changes, n.Revision, from)
 	return true
 }
-
-// storeFailureAge returns how long ago a call to the store last failed, on any
-// router as far as known; 0 if none has. The caller holds the lock.
-func (r *Replica) storeFailureAge(now time.Time) time.Duration {
-	if r.lastStoreFailure.IsZero() {
-		return 0
-	}
-	return max(now.Sub(r.lastStoreFailure), time.Millisecond)
-}
-
-// mergeStoreFailure records the age of the last store failure that another router
-// knows of, if it is later than the last known one. The caller holds the lock.
-func (r *Replica) mergeStoreFailure(now time.Time, age time.Duration) {
-	if failed := now.Add(-age); age > 0 && failed.After(r.lastStoreFailure) {
-		r.lastStoreFailure = failed
-	}
-}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -48,11 +48,10 @@
 
 // Delta holds what changed in a router's copy of a collection after a revision.
 type Delta struct {
-	Since           int64 // revision after which it starts; 0: everything
-	Revision        int64
-	Records         []Record      // that changed after Since
-	Names           []string      // of all records in the collection
-	StoreFailureAge time.Duration // since the last store failure that router knows of; 0: none
+	Since    int64 // revision after which it starts; 0: everything
+	Revision int64
+	Records  []Record // that changed after Since
+	Names    []string // of all records in the collection
 }
 
 // ErrIncomplete means that a delta omits unchanged records that this router's
@@ -89,10 +88,16 @@
 	Watch(ctx context.Context, kind Kind, since int64, wait time.Duration) (Changes, error)
 }
 
-// renewalGrace is how long after the store's last failure an endpoint whose
-// record expired is retained. An endpoint that has not renewed its record by
-// then is removed.
-const renewalGrace = 2200 * time.Millisecond
+const (
+	// renewalGrace is how long after the end of an outage of the store an endpoint
+	// whose record expired is retained. An endpoint that has not renewed its record
+	// by then is removed.
+	renewalGrace = 2200 * time.Millisecond
+	// minOutage is how long no router must have read the store until that counts
+	// as an outage. It covers the time in which routers replace readers that the
+	// store refuses.
+	minOutage = 500 * time.Millisecond
+)
 
 // collection is the copy of one kind.
 type collection struct {
@@ -106,7 +111,7 @@
 	publishedAt time.Time
 }
 
-// retainedRecord is a record that was removed during or shortly after a failure
+// retainedRecord is a record that was removed during or shortly after an outage
 // of the store.
 type retainedRecord struct {
 	record Record
@@ -127,11 +132,12 @@
 
 // Replica holds the copies of all collections. It is safe for concurrent use.
 type Replica struct {
-	mu               sync.Mutex
-	collections      map[Kind]*collection
-	lastStoreFailure time.Time     // last known failure of a call to the store, by any router
-	startDelay       time.Duration // before the first read of the store
-	onChange         func(Kind, View)
+	mu          sync.Mutex
+	collections map[Kind]*collection
+	unreadSince time.Time     // since when no router reads the store; zero: one does
+	lastOutage  time.Time     // when the store was last known to be unavailable to all routers
+	startDelay  time.Duration // before the first read of the store
+	onChange    func(Kind, View)
 }
 
 // New returns a replica without records. onChange is called after each change.
@@ -162,14 +168,14 @@
 // DeltaSince returns what changed in a collection after a revision, for a router
 // whose copy is at that revision. It returns false if this router has never read
 // the collection.
-func (r *Replica) DeltaSince(now time.Time, kind Kind, since int64) (Delta, bool) {
+func (r *Replica) DeltaSince(kind Kind, since int64) (Delta, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c, ok := r.collections[kind]
 	if !ok || !c.loaded {
 		return Delta{}, false
 	}
-	d := Delta{Since: since, Revision: c.revision, StoreFailureAge: r.storeFailureAge(now)}
+	d := Delta{Since: since, Revision: c.revision}
 	for name, rec := range c.records {
 		d.Names = append(d.Names, name)
 		if rec.Revision > since {
@@ -209,11 +215,19 @@
 	r.collections[kind].reading = reading
 }
 
-// RecordStoreFailure records that a call to the store failed.
-func (r *Replica) RecordStoreFailure(now time.Time) {
+// RecordReadable records whether any router reads the store successfully. A
+// failure of single routers is no outage: the others read what is removed.
+func (r *Replica) RecordReadable(now time.Time, readable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lastStoreFailure = now
+	switch {
+	case readable:
+		r.unreadSince = time.Time{}
+	case r.unreadSince.IsZero():
+		r.unreadSince = now
+	case now.Sub(r.unreadSince) >= minOutage:
+		r.lastOutage = now
+	}
 }
 
 // ApplySnapshot replaces a collection by a snapshot unless the copy is newer. It
@@ -233,7 +247,6 @@
 func (r *Replica) ApplyDelta(now time.Time, kind Kind, d Delta, from string) (bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mergeStoreFailure(now, d.StoreFailureAge)
 	c, ok := r.collections[kind]
 	if !ok || c.loaded && d.Revision < c.revision {
 		return false, nil
@@ -287,11 +300,11 @@
 }
 
 // removeRecord removes a record. An endpoint's record that is removed during or
-// soon after a failure of the store may have expired only because the endpoint
+// soon after an outage of the store may have expired only because the endpoint
 // could not renew it, so it is retained until renewalGrace is over.
 func (r *Replica) removeRecord(now time.Time, kind Kind, c *collection, old Record) {
 	delete(c.records, old.Name)
-	if until := r.lastStoreFailure.Add(renewalGrace); kind == Endpoints && !r.lastStoreFailure.IsZero() && now.Before(until) {
+	if until := r.lastOutage.Add(renewalGrace); kind == Endpoints && now.Before(until) {
 		c.retained[old.Name] = retainedRecord{record: old, until: until}
 	}
 }
--- a/internal/replica/replica_suite_test.go
+++ b/internal/replica/replica_suite_test.go
@@ -79,8 +79,13 @@
 		Expect(names(last)).To(Equal([]string{"a@3"}))
 	})
 
-	It("retains endpoints whose records expired during a store failure for a grace period", func() {
-		r.RecordStoreFailure(start)
+	outage := func() {
+		r.RecordReadable(start.Add(-600*time.Millisecond), false)
+		r.RecordReadable(start, false)
+	}
+
+	It("retains endpoints whose records expired during an outage of the store for a grace period", func() {
+		outage()
 		r.ApplySnapshot(start.Add(time.Second), replica.Endpoints, snapshot(20, record("a", 3)), "store")
 		Expect(names(last)).To(Equal([]string{"a@3", "b@5"}))
 		r.Expire(start.Add(2100 * time.Millisecond))
@@ -89,14 +94,22 @@
 		Expect(names(last)).To(Equal([]string{"a@3"}))
 	})
 
-	It("removes endpoints at once if the store has not failed recently", func() {
-		r.RecordStoreFailure(start)
+	It("removes endpoints at once while another router reads the store", func() {
+		r.RecordReadable(start.Add(-600*time.Millisecond), false)
+		r.RecordReadable(start, true)
+		r.RecordReadable(start.Add(100*time.Millisecond), false)
+		r.ApplySnapshot(start.Add(200*time.Millisecond), replica.Endpoints, snapshot(20, record("a", 3)), "store")
+		Expect(names(last)).To(Equal([]string{"a@3"}))
+	})
+
+	It("removes endpoints at once if there was no outage recently", func() {
+		outage()
 		r.ApplySnapshot(start.Add(3*time.Second), replica.Endpoints, snapshot(20, record("a", 3)), "store")
 		Expect(names(last)).To(Equal([]string{"a@3"}))
 	})
 
 	It("replaces a retained endpoint when its record is renewed", func() {
-		r.RecordStoreFailure(start)
+		outage()
 		r.ApplySnapshot(start.Add(time.Second), replica.Endpoints, snapshot(20, record("a", 3)), "store")
 		apply(21, replica.Change{Record: record("b", 21)})
 		Expect(names(last)).To(Equal([]string{"a@3", "b@21"}))
@@ -107,7 +120,6 @@
 		other.ApplySnapshot(start, replica.Endpoints, snapshot(10, record("a", 3), record("b", 5)), "store")
 		_, ok := r.RecentChanges(start.Add(3*time.Second), replica.Endpoints, time.Second, 1000)
 		Expect(ok).To(BeFalse(), "nothing changed recently")
-		r.RecordStoreFailure(start.Add(3 * time.Second))
 		r.ApplyChanges(start.Add(4*time.Second), replica.Endpoints, replica.Changes{Revision: 14, Changes: []replica.Change{{Record: record("c", 12)}, {Record: record("b", 5), Deleted: true}}}, "store")
 		n, ok := r.RecentChanges(start.Add(4*time.Second), replica.Endpoints, time.Second, 1000)
 		Expect(ok).To(BeTrue())
@@ -127,7 +139,7 @@
 	It("takes over the revision of an equal copy, so that it is not fetched again and again", func() {
 		other := replica.New(func(replica.Kind, replica.View) {})
 		other.ApplySnapshot(start, replica.Endpoints, snapshot(14, record("a", 3), record("b", 5)), "store")
-		d, ok := other.DeltaSince(start, replica.Endpoints, r.Revisions()[replica.Endpoints])
+		d, ok := other.DeltaSince(replica.Endpoints, r.Revisions()[replica.Endpoints])
 		Expect(ok).To(BeTrue())
 		changed, err := r.ApplyDelta(start, replica.Endpoints, d, "peer")
 		Expect(err).NotTo(HaveOccurred())
@@ -150,7 +162,7 @@
 			r.ApplyRecent(start, replica.Endpoints, n, "peer")
 		}
 		if known := r.Revisions()[replica.Endpoints]; known < 14 { // a router fetches from a peer with a higher revision only
-			d, _ := other.DeltaSince(start, replica.Endpoints, known)
+			d, _ := other.DeltaSince(replica.Endpoints, known)
 			_, err := r.ApplyDelta(start, replica.Endpoints, d, "peer")
 			Expect(err).NotTo(HaveOccurred())
 		}
@@ -168,9 +180,9 @@
 	})
 
 	It("returns deltas only of collections that it has read", func() {
-		_, known := r.DeltaSince(start, replica.Config, 0)
+		_, known := r.DeltaSince(replica.Config, 0)
 		Expect(known).To(BeFalse())
-		d, known := r.DeltaSince(start, replica.Endpoints, 0)
+		d, known := r.DeltaSince(replica.Endpoints, 0)
 		Expect(known).To(BeTrue())
 		Expect(d.Revision).To(Equal(int64(10)))
 		Expect(d.Records).To(HaveLen(2))
@@ -242,7 +254,7 @@
 				if rapid.Bool().Draw(t, "full delta") {
 					known = 0
 				}
-				if d, ok := copies[rapid.IntRange(0, 2).Draw(t, "peer")].DeltaSince(start, replica.Config, known); ok {
+				if d, ok := copies[rapid.IntRange(0, 2).Draw(t, "peer")].DeltaSince(replica.Config, known); ok {
 					if _, err := copies[i].ApplyDelta(start, replica.Config, d, "peer"); err != nil {
 						t.Fatal(err)
 					}
@@ -254,7 +266,7 @@
 		}
 		for i, r := range copies {
 			r.ApplyChanges(start, replica.Config, replica.Changes{Changes: events[since[i]:], Revision: newest}, "store")
-			d, _ := r.DeltaSince(start, replica.Config, 0)
+			d, _ := r.DeltaSince(replica.Config, 0)
 			got := map[string]int64{}
 			for _, rec := range d.Records {
 				got[rec.Name] = rec.Revision
