Check the endpoint again right before a request is sent

Class of fault: a decision is acted on after the state that it was made on has changed.

Cause: the endpoint is chosen when a request leaves the queue. Until it is sent its goroutine waits for the CPU at least twice (to be woken, and for the new connection), up to half a second each in an overloaded router, and for up to 0.4 s for the connection.

Change: the dispatcher confirms the ticket after the connection is established and the request is built. If the endpoint is draining, gone, started anew or in a zone that is out, nothing is sent, and the request is placed again without a charge to the retry budget or the route's attempts.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -117,6 +117,7 @@
 	Rejected                       // the endpoint reported that it did not run the request
 	Misdirected                    // the address belongs to another endpoint
 	Canceled                       // the caller left or the deadline passed
+	Withdrawn                      // the endpoint may no longer receive requests; nothing was sent
 )
 
 // Options configure a Dispatcher.
@@ -338,6 +339,13 @@
 	return t
 }
 
+// Confirm reports whether the endpoint of a granted ticket may still receive the
+// request. It is to be asked right before the request is sent: the endpoint may
+// have begun to leave while a connection was established.
+func (d *Dispatcher) Confirm(t *Ticket) bool {
+	return t.State == Granted && d.endpoints[t.Endpoint.ID] == t.endpoint && d.eligible(t.endpoint, &t.Request)
+}
+
 // RecordFirstEvent records that the first event of the response has arrived, so
 // the endpoint has prefilled the prompt.
 func (d *Dispatcher) RecordFirstEvent(now time.Time, t *Ticket) {
@@ -382,6 +390,6 @@
 	case Misdirected:
 		ep.misdirected = true
 		clear(d.preferred)
-	case Canceled:
+	case Canceled, Withdrawn:
 	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -73,6 +73,10 @@
 		return x.canceled(ctx, false)
 	}
 	req := x.outgoingRequest(t)
+	if !x.h.opts.Dispatcher.Confirm(t) {
+		conn.Close()
+		return failedAttempt(dispatch.Withdrawn, false, code.Unreachable, "the endpoint began to leave before the request was sent")
+	}
 	x.sends++
 	x.sendDelay = time.Since(t.GrantedAt)
 	sendDelays.Update(x.sendDelay.Seconds())
--- a/internal/relay/dispatcher.go
+++ b/internal/relay/dispatcher.go
@@ -67,6 +67,14 @@
 	}
 }
 
+// Confirm reports whether the endpoint of a granted ticket may still receive the
+// request.
+func (d *SharedDispatcher) Confirm(t *dispatch.Ticket) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dispatcher.Confirm(t)
+}
+
 // RecordFirstEvent records that the response has started.
 func (d *SharedDispatcher) RecordFirstEvent(t *dispatch.Ticket) {
 	d.Update(func(now time.Time, inner *dispatch.Dispatcher) { inner.RecordFirstEvent(now, t) })
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -33,7 +33,7 @@
 
 	triedEndpoints  []string          // endpoints that must not receive it again
 	sends           int               // number of times it was sent to an endpoint
-	unreachable     int               // failed connection attempts
+	unsent          int               // attempts that sent nothing
 	mayHaveRun      bool              // an endpoint may have run it
 	endpointFailure *bufferedResponse // error response of an endpoint, delivered unless a retry succeeds
 	streamStarted   bool              // the head of a stream has been written
@@ -166,23 +166,22 @@
 }
 
 const (
-	// maxUnreachable limits the failed connection attempts of one request.
-	maxUnreachable = 6
+	// maxUnsent limits the attempts of one request that send nothing.
+	maxUnsent = 6
 	// minTimeForRetry is the least time left before the deadline that makes a
 	// retry worthwhile.
 	minTimeForRetry = 30 * time.Millisecond
 )
 
 // allowRetry reports whether the request may be sent again after an attempt. It
-// takes a retry from the retry budget of the service unless the endpoint was
-// unreachable.
+// takes a retry from the retry budget of the service unless nothing was sent.
 func (x *exchange) allowRetry(ctx context.Context, t *dispatch.Ticket, result attemptResult) bool {
 	if ctx.Err() != nil || time.Until(x.deadline) < minTimeForRetry {
 		return false
 	}
-	if result.outcome == dispatch.Unreachable {
-		x.unreachable++
-		return x.unreachable < maxUnreachable
+	if result.outcome == dispatch.Unreachable || result.outcome == dispatch.Withdrawn {
+		x.unsent++
+		return x.unsent < maxUnsent
 	}
 	x.triedEndpoints = append(x.triedEndpoints, t.Endpoint.ID)
 	if x.sends >= max(x.route.MaxAttempts, 1) {
--- a/internal/relay/relay_suite_test.go
+++ b/internal/relay/relay_suite_test.go
@@ -30,8 +30,9 @@
 	RunSpecs(t, "Relay")
 }
 
-// testProtocol is a relay.Protocol with header fields for tests.
-type testProtocol struct{}
+// testProtocol is a relay.Protocol with header fields for tests. beforeSend, if
+// set, is called when a request to an endpoint has been built.
+type testProtocol struct{ beforeSend func(endpoint string) }
 
 func (testProtocol) ReadRequest(h http.Header) relay.RequestMeta {
 	m := relay.RequestMeta{ID: h.Get("Test-Id"), APIKey: h.Get("Test-Key"), LastEventID: h.Get("Test-Resume")}
@@ -41,7 +42,10 @@
 	return m
 }
 
-func (testProtocol) WriteRequest(h http.Header, f relay.ForwardMeta) {
+func (p testProtocol) WriteRequest(h http.Header, f relay.ForwardMeta) {
+	if p.beforeSend != nil {
+		p.beforeSend(f.Endpoint)
+	}
 	h.Set("Test-Endpoint", f.Endpoint)
 	h.Set("Test-Account", f.Account)
 	h.Set("Test-Left", strconv.FormatInt(f.Remaining.Milliseconds(), 10))
@@ -156,9 +160,15 @@
 	return newServerWithOptions(relay.Options{}, route, endpoints...)
 }
 
-// newServerWithOptions is newServer with options for the relay. Protocol,
-// Dispatcher, Pool and Log are set here.
+// newServerWithOptions is newServer with options for the relay. Dispatcher, Pool
+// and Log are set here.
 func newServerWithOptions(opts relay.Options, route topology.Route, endpoints ...*fakeEndpoint) (*httptest.Server, *relay.Relay) {
+	server, h, _ := newServerWithDispatcher(opts, route, endpoints...)
+	return server, h
+}
+
+// newServerWithDispatcher is newServerWithOptions that returns the dispatcher too.
+func newServerWithDispatcher(opts relay.Options, route topology.Route, endpoints ...*fakeEndpoint) (*httptest.Server, *relay.Relay, *relay.SharedDispatcher) {
 	inner := dispatch.New(dispatch.Options{Self: "r", Zone: "z", RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second})
 	route.Host, route.Prefix = "127.0.0.1", "/p/"
 	route.Targets = []topology.Target{{Service: "s", Weight: 1}}
@@ -170,14 +180,13 @@
 		Accounts: []topology.Account{{Name: "acc", Keys: []string{"key"}}},
 	})
 	inner.SetTable(table)
-	var targets []topology.Endpoint
-	for i, f := range endpoints {
-		targets = append(targets, topology.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: f.listener.Addr().String(), Zone: "z", Slots: 4})
-	}
-	inner.SetEndpoints(time.Now(), targets)
+	inner.SetEndpoints(time.Now(), declared(endpoints...))
 	dispatcher := relay.NewSharedDispatcher(inner)
 	log := oplog.New(io.Discard)
-	opts.Protocol, opts.Dispatcher, opts.Pool, opts.Log = testProtocol{}, dispatcher, upstream.NewPool(), log
+	if opts.Protocol == nil {
+		opts.Protocol = testProtocol{}
+	}
+	opts.Dispatcher, opts.Pool, opts.Log = dispatcher, upstream.NewPool(), log
 	h := relay.New(opts)
 	h.SetTable(table)
 	ctx, stop := context.WithCancel(context.Background())
@@ -186,7 +195,16 @@
 	server.Config.ConnContext = h.ConnContext
 	server.Start()
 	DeferCleanup(func() { server.CloseClientConnections(); server.Close(); stop() })
-	return server, h
+	return server, h, dispatcher
+}
+
+// declared returns the endpoints as the platform declares them, with the IDs e0, e1
+// and so on.
+func declared(endpoints ...*fakeEndpoint) (out []topology.Endpoint) {
+	for i, f := range endpoints {
+		out = append(out, topology.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: f.listener.Addr().String(), Zone: "z", Slots: 4})
+	}
+	return out
 }
 
 // send sends a request with a default ID and API key.
