Gossip about live routers, so that all of a row are introduced

Callers saw: nothing yet; routers that don't know each other leave each other's load out of their decisions and addresses out of the directory.

Cause: a router learns of another one of its row only from that router's own heartbeats. Representatives report a row's members to other rows only, and all live routers are sent only to a peer that divides the fleet into fewer rows. Two routers that miss each other's first heartbeats may so never be introduced.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -142,6 +142,7 @@
 	nextFetch         map[replica.Kind]time.Time
 	lags              map[replica.Kind]*copyLag
 	pushes            pushes
+	gossipedAt        time.Time
 	sendNow           chan struct{}
 
 	rows map[string]rowState // last report of each other row
@@ -167,6 +168,7 @@
 	for {
 		m.SendHeartbeats()
 		m.pushToLaggards(time.Now())
+		m.gossip(time.Now())
 		m.detectSilentPeers(time.Now())
 		select {
 		case <-ctx.Done():
--- a/internal/mesh/row.go
+++ b/internal/mesh/row.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -133,16 +134,54 @@
 		return
 	}
 	p.membersSentAt = now
-	var others []*peerpb.Other
+	others := m.aliveExcept(now, p)
+	m.mu.Unlock()
+	m.sendWithMembers(others, p.Address)
+}
+
+// aliveExcept returns the descriptions of all live routers but one, in random
+// order. The caller holds the lock.
+func (m *Mesh) aliveExcept(now time.Time, p *Router) (others []*peerpb.Other) {
 	for _, o := range m.peers {
 		if o != p && o.Name != "" && now.Sub(o.LastHeard) < aliveTimeout {
 			others = append(others, o.toMember(now))
 		}
 	}
-	m.mu.Unlock()
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others
+}
+
+func (m *Mesh) sendWithMembers(members []*peerpb.Other, to netip.Addr) {
 	heartbeat := m.ownHeartbeat()
-	heartbeat.Members = others
-	m.send(heartbeat, []netip.Addr{p.Address})
+	heartbeat.Members = members
+	m.send(heartbeat, []netip.Addr{to})
+}
+
+const (
+	// gossipInterval is the time between two gossips about live routers.
+	gossipInterval = time.Second
+	// maxGossipMembers limits the routers in one gossip, and so its size to about
+	// 4 KB.
+	maxGossipMembers = 64
+)
+
+// gossip tells one random live router of others, at most every gossipInterval.
+// Without it, two routers of a row that missed each other's first heartbeats may
+// never be introduced: a row reports its members to other rows only.
+func (m *Mesh) gossip(now time.Time) {
+	m.mu.Lock()
+	if now.Sub(m.gossipedAt) < gossipInterval {
+		m.mu.Unlock()
+		return
+	}
+	m.gossipedAt = now
+	others := m.aliveExcept(now, nil)
+	m.mu.Unlock()
+	if len(others) < 2 {
+		return
+	}
+	to := others[0]
+	m.sendWithMembers(others[1:min(len(others), maxGossipMembers)], unpackIPv4(to.Address))
 }
 
 // acceptsRow reports whether to use this representative's report of a row. While
