Reset connections to endpoints before the kernel gives them up

Callers saw: nothing, their requests had been served elsewhere; but a request that had been given up still reached its endpoint, 2.4 s after that had said that it leaves (bound 2 s), once a partition healed. Class of fault: two parties end the same connection, and only one of them recalls what is on the way.

The kernel's own timeouts (TCP_USER_TIMEOUT and keepalive, which had counted since before the request) ended the connection 0.49 s after the request was sent: "3003 Silent", where the router itself waits 1.7 s. Close then had nothing left to reset, so the request's bytes stayed in the network and arrived at 15.8 s.

Change: no TCP_USER_TIMEOUT; keepalive is off from the moment a request is sent until the head of its response arrives, which shows that the request has been delivered. The router's own deadline for the head bounds the send too, and its Close resets.

Evidence: the new spec of the socket options failed before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -82,8 +82,12 @@
 	sendDelays.Update(x.sendDelay.Seconds())
 	stopAbort := context.AfterFunc(ctx, func() { x.abort(conn) })
 	defer stopAbort()
+	conn.SetDeadline(x.responseDeadline(t))
 	if err := conn.Send(req, x.body); err != nil {
 		conn.Close()
+		if isTimeout(err) {
+			return x.interrupted(ctx, code.Silent, "the endpoint did not accept the request in time")
+		}
 		return x.interrupted(ctx, code.EndpointError, "the connection failed while the request was being sent")
 	}
 	resp, failure := x.receiveHead(ctx, conn, req, t)
@@ -123,7 +127,6 @@
 // receiveHead reads the head of the response to this request. It skips late
 // responses to earlier requests on the connection.
 func (x *exchange) receiveHead(ctx context.Context, conn *upstream.Conn, req *http.Request, t *dispatch.Ticket) (*http.Response, *attemptResult) {
-	conn.SetReadDeadline(x.responseDeadline(t))
 	for range maxStaleResponses {
 		resp, err := conn.Receive(req)
 		if err != nil {
@@ -212,6 +215,7 @@
 
 // deliver forwards a response to the client, or returns why it can't.
 func (x *exchange) deliver(ctx context.Context, conn *upstream.Conn, resp *http.Response, t *dispatch.Ticket) attemptResult {
+	conn.SetWriteDeadline(x.deadline.Add(deadlineGrace)) // of a large body that is still being sent
 	meta := x.h.opts.Protocol.ReadResponse(resp.StatusCode, resp.Header)
 	if resp.StatusCode == http.StatusOK && x.route.Kind == topology.Stream && resp.Header.Get("Content-Encoding") == "" {
 		return x.stream(ctx, conn, resp, t)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -30,9 +30,6 @@
 	// connectTimeout limits a connection attempt. Endpoints are a few
 	// milliseconds away, and one that is unreachable does not answer at all.
 	connectTimeout = 400 * time.Millisecond
-	// userTimeout is the time after which the kernel closes a connection whose
-	// peer does not acknowledge sent data (TCP_USER_TIMEOUT).
-	userTimeout = 2 * time.Second
 	// defaultIdleTimeout is how long an idle connection is kept unless the
 	// endpoint announces an idle timeout of its own.
 	defaultIdleTimeout = 4 * time.Second
@@ -79,22 +76,31 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	p := &Pool{idle: map[string][]*Conn{}, maxIdle: maxIdlePerEndpoint}
-	p.dialer = net.Dialer{
-		Timeout:         connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2},
-		Control:         setUserTimeout,
-	}
+	p.dialer = net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	return p
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, so that the kernel closes a connection
-// whose data is not acknowledged.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var optErr error
-	err := c.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
-	})
-	return errors.CombineErrors(err, optErr)
+// idleKeepAlive finds connections to an endpoint that is lost, while they are idle
+// or deliver a response.
+var idleKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
+
+// setKeepAlive switches TCP keepalives on or off. They are off while a request may
+// not have reached the endpoint: a connection that the kernel ends can't be reset
+// by Close any more, and what the network still holds of the request would reach
+// the endpoint after a partition, when the request has been sent to another one.
+func (c *Conn) setKeepAlive(on bool) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || on == c.keepAlive {
+		return
+	}
+	// An error means that the connection has failed, which its next use shows.
+	if on && !c.keepAliveSet {
+		_ = tcp.SetKeepAliveConfig(idleKeepAlive)
+		c.keepAliveSet = true
+	} else {
+		_ = tcp.SetKeepAlive(on)
+	}
+	c.keepAlive = on
 }
 
 // Conn is a connection to an endpoint.
@@ -109,6 +115,9 @@
 	inFlight    atomic.Bool // a request was sent and its response is not complete
 	idleSince   time.Time
 	bodyResult  chan error // result of sending a large body in the background, or nil
+
+	keepAlive    bool // TCP keepalives are on
+	keepAliveSet bool // their parameters are set
 }
 
 // Get returns a connection to an address: an idle one if there is any, unless
@@ -256,9 +265,10 @@
 }
 
 // Send writes the request with the given body; it ignores req.Body. A large
-// body is sent in the background.
+// body is sent in the background. The caller limits the time by a deadline.
 func (c *Conn) Send(req *http.Request, body []byte) error {
 	c.inFlight.Store(true)
+	c.setKeepAlive(false)
 	req.ContentLength = int64(len(body))
 	req.Body = http.NoBody
 	if len(body) > 0 {
@@ -286,6 +296,7 @@
 		}
 		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
 			c.checkBodySent()
+			c.setKeepAlive(true)
 			return resp, nil
 		}
 	}
--- a/internal/upstream/upstream_suite_test.go
+++ b/internal/upstream/upstream_suite_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"github.com/cyclamenwinch/cyclamenwinch/internal/upstream"
 )
@@ -106,6 +107,32 @@
 		Expect(errors.Is(readErr, syscall.ECONNRESET)).To(BeTrue(), "%v", readErr)
 	})
 
+	It("leaves it to the router to end a connection whose request may not have arrived", func() {
+		option := func(c *upstream.Conn, level, name int) (value int) {
+			raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), level, name) })).To(Succeed())
+			Expect(err).NotTo(HaveOccurred())
+			return value
+		}
+		address := serveResponse(ok, func(net.Conn) {})
+		for range 2 {
+			c, err := pool.Get(context.Background(), address, false)
+			Expect(err).NotTo(HaveOccurred())
+			req, err := http.NewRequest("POST", "http://x/", nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.Send(req, nil)).To(Succeed())
+			Expect(option(c, unix.SOL_SOCKET, unix.SO_KEEPALIVE)).To(BeZero())
+			Expect(option(c, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)).To(BeZero())
+			resp, err := c.Receive(req)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(option(c, unix.SOL_SOCKET, unix.SO_KEEPALIVE)).To(Equal(1))
+			_, err = io.Copy(io.Discard, resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			pool.Put(c, resp)
+		}
+	})
+
 	It("keeps a connection whose response is complete", func() {
 		address := serveResponse(ok, func(net.Conn) {})
 		exchange(address, nil)
