A client that leaves does not end a connection that serves another request

Callers saw: a stream or an idempotent request cut off or sent again although its endpoint was well, when another client had disconnected just then. Class of fault: a resource is cleaned up by a former owner.

Cause: the connection of a complete response returned to the pool before the response was written to the client, and the client's disconnect still closed it until the handler had returned. A client that left in between reset whatever request the connection carried by then.

Change: the attempt gives its connection up before the pool gets it; what ends the request afterwards no longer reaches it.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -80,7 +80,8 @@
 	x.sends++
 	x.sendDelay = time.Since(t.GrantedAt)
 	sendDelays.Update(x.sendDelay.Seconds())
-	stopAbort := context.AfterFunc(ctx, func() { x.abort(conn) })
+	x.attemptConn = &attemptConn{conn: conn}
+	stopAbort := context.AfterFunc(ctx, func() { x.attemptConn.do(x.abort) })
 	defer stopAbort()
 	conn.SetDeadline(x.responseDeadline(t))
 	if err := conn.Send(req, x.body); err != nil {
@@ -233,10 +234,18 @@
 		return x.interrupted(ctx, code.Truncated, "the response is truncated")
 	}
 	x.recordFirstEvent(t)
-	x.h.opts.Pool.Put(conn, resp)
+	x.putConn(conn, resp)
 	return x.handleResponse(resp, meta, body)
 }
 
+// putConn returns the connection of a complete response to the pool. What happens
+// to this request afterwards must not end the connection, which another request
+// may use already.
+func (x *exchange) putConn(conn *upstream.Conn, resp *http.Response) {
+	x.attemptConn.giveUp()
+	x.h.opts.Pool.Put(conn, resp)
+}
+
 // handleResponse decides whether a complete response is written to the client,
 // kept as an endpoint failure or dropped.
 func (x *exchange) handleResponse(resp *http.Response, meta ResponseMeta, body []byte) attemptResult {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/cyclamenwinch/cyclamenwinch/internal/upstream"
 )
 
 type connKey struct{}
@@ -25,9 +28,11 @@
 		return true
 	}
 	c, ok := x.r.Context().Value(connKey{}).(syscall.Conn)
-	if !ok {
-		return false
-	}
+	return ok && isClosed(c)
+}
+
+// isClosed reports whether the other end has closed a connection.
+func isClosed(c syscall.Conn) bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return true // closed
@@ -40,3 +45,26 @@
 	})
 	return err != nil || closed
 }
+
+// attemptConn is the connection of an attempt until the attempt gives it up. It is
+// safe for concurrent use.
+type attemptConn struct {
+	mu   sync.Mutex
+	conn *upstream.Conn // nil: given up
+}
+
+// giveUp ends the use of the connection, which another request may use next.
+func (a *attemptConn) giveUp() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = nil
+}
+
+// do calls f with the connection, unless it has been given up.
+func (a *attemptConn) do(f func(*upstream.Conn)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		f(a.conn)
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -44,6 +44,7 @@
 	firstEventAfter time.Duration     // from arrival to the start of the response
 	sendDelay       time.Duration     // of the latest attempt, from the decision until it was sent
 	memory          []*reservation    // of the responses of all attempts
+	attemptConn     *attemptConn      // of the latest attempt
 }
 
 // reserve returns a reservation for the response of one attempt.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -77,7 +77,7 @@
 	if !x.streamStarted {
 		x.writeStreamHead(resp)
 	}
-	x.h.opts.Pool.Put(conn, resp)
+	x.putConn(conn, resp)
 	return attemptResult{outcome: dispatch.Completed, delivered: true, mayHaveRun: true}
 }
 
