An overloaded router ends the runs of clients that have left in time

Class of fault: control work waits in the queue of client work, as with the heartbeats.

Cause: a client's close reaches the HTTP server's reading goroutine, then the goroutine that ends the attempt; in an overloaded router each waits up to half a second for the CPU.

Change: while work waits for over 10 ms, a timer looks every 0.1 s whether the clients of running requests have disconnected, and resets their connections.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -275,6 +275,7 @@
 	parts := []supervisedPart{
 		{"desk", e.dispatcher.Serve},
 		{"overload", e.lagMeter.Serve},
+		{"disconnects", e.relay.DetectDisconnects},
 		{"beats out", e.mesh.Send},
 		{"beats in", e.mesh.Receive},
 		{"expiry", func(ctx context.Context) error { return e.replica.RunExpiry(ctx, e.mesh.PeersReadStore) }},
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -83,6 +83,8 @@
 	x.attemptConn = &attemptConn{conn: conn}
 	stopAbort := context.AfterFunc(ctx, func() { x.attemptConn.do(x.abort) })
 	defer stopAbort()
+	x.h.open.add(x, x.attemptConn)
+	defer x.h.open.remove(x)
 	conn.SetDeadline(x.responseDeadline(t))
 	if err := conn.Send(req, x.body); err != nil {
 		conn.Close()
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -68,3 +70,62 @@
 		f(a.conn)
 	}
 }
+
+// openExchanges are the exchanges with an attempt in progress. It is safe for
+// concurrent use.
+type openExchanges struct {
+	mu  sync.Mutex
+	all map[*exchange]*attemptConn
+}
+
+func (o *openExchanges) add(x *exchange, a *attemptConn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.all[x] = a
+}
+
+func (o *openExchanges) remove(x *exchange) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.all, x)
+}
+
+func (o *openExchanges) list() map[*exchange]*attemptConn {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return maps.Clone(o.all)
+}
+
+const (
+	// closeCheckInterval is the time between two checks for clients that have
+	// disconnected.
+	closeCheckInterval = 100 * time.Millisecond
+	// minDetectLag is the wait for the CPU from which the HTTP server is too slow
+	// to detect a close: it takes several such waits.
+	minDetectLag = 10 * time.Millisecond
+)
+
+// DetectDisconnects ends the attempts of clients that have disconnected until the
+// context ends. The HTTP server notices a close too, but in an overloaded process
+// only after the requests that wait for the CPU; expired timers run before these.
+// It is needed only then, so it does nothing while work does not wait.
+func (h *Relay) DetectDisconnects(ctx context.Context) error {
+	ticks := time.NewTicker(closeCheckInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks.C:
+		}
+		if h.lag() < minDetectLag {
+			continue
+		}
+		for x, a := range h.open.list() {
+			if x.clientDisconnected() {
+				x.clientLeft()
+				a.do(func(c *upstream.Conn) { c.Close() })
+			}
+		}
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -45,6 +45,7 @@
 	sendDelay       time.Duration     // of the latest attempt, from the decision until it was sent
 	memory          []*reservation    // of the responses of all attempts
 	attemptConn     *attemptConn      // of the latest attempt
+	clientLeft      func()            // ends the request's context, as the HTTP server does when the client disconnects
 }
 
 // reserve returns a reservation for the response of one attempt.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,6 +69,7 @@
 	rejecting    atomic.Bool
 	openRequests atomic.Int64
 	bodyBudget   byteBudget
+	open         openExchanges
 }
 
 // Table is the active configuration.
@@ -80,7 +81,7 @@
 // New returns a relay without a configuration. It refuses every request until
 // SetTable is called.
 func New(opts Options) *Relay {
-	return &Relay{opts: opts, bodyBudget: byteBudget{limit: opts.MaxBodyBytes}}
+	return &Relay{opts: opts, bodyBudget: byteBudget{limit: opts.MaxBodyBytes}, open: openExchanges{all: map[*exchange]*attemptConn{}}}
 }
 
 // SetTable applies a configuration.
@@ -126,11 +127,14 @@
 	}
 	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), meta: h.opts.Protocol.ReadRequest(r.Header)}
 	defer x.releaseMemory()
+	clientCtx, clientLeft := context.WithCancel(r.Context())
+	defer clientLeft()
+	x.r, x.clientLeft = r.WithContext(clientCtx), clientLeft
 	if failure := x.prepare(); failure != nil {
 		x.writeFailure(failure)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	ctx, cancel := context.WithDeadline(clientCtx, x.deadline)
 	defer cancel()
 	// Keeps a client that does not read from holding the request open past
 	// its deadline.
