Log per account how requests ended and what the waiting ones lacked

The log showed the decision on single requests only, so it could not tell whether an account is held back by the wait for the CPU, by cold endpoints, by full ones or by other accounts, nor at which routers its requests arrive. Once a second each router now logs its three busiest accounts: outcomes, demand and usage here and in the fleet, the share, the limits that waiting requests met, and what the router believes of the endpoints. Refusals of an overloaded router come before authentication, so the account is looked up for the count only.

No decision is changed.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -98,6 +98,8 @@
 	FairShare           float64       // cost that the account may use in the same time; +Inf: no limit
 	ExpectedWait        time.Duration // time in the queue, as expected on arrival
 
+	Blocked BlockedEndpoints // at the last attempt to place it
+
 	endpoint            *endpointState
 	unreadTokens        int     // tokens counted as not yet prefilled
 	accountUsage        float64 // recent usage of the account at the last sort of the queue
@@ -105,6 +107,26 @@
 	deadlineUnreachable bool    // at the last check, no endpoint could complete the response in time
 }
 
+// BlockedEndpoints counts the endpoints that a request could not be sent to, by
+// what they lacked for it.
+type BlockedEndpoints struct {
+	Unavailable int // paused after a failure, or at this router's limit of requests
+	TooLate     int // could not complete the response in time
+	Slots       int // no slot free within the limits of the request
+	Memory      int // too little memory free
+	Prefill     int // too many prompt tokens to prefill before
+	Cold        int // the limit of a cold endpoint is reached
+}
+
+func (b *BlockedEndpoints) add(o BlockedEndpoints) {
+	b.Unavailable += o.Unavailable
+	b.TooLate += o.TooLate
+	b.Slots += o.Slots
+	b.Memory += o.Memory
+	b.Prefill += o.Prefill
+	b.Cold += o.Cold
+}
+
 // Outcome is how a granted request ended. It is used within one router only,
 // unlike admission.Outcome, whose numbers are sent between routers.
 type Outcome int
@@ -302,6 +324,7 @@
 			if !t.awaitsCache {
 				misses++
 			}
+			s.account(t.Request.Account).blocked.add(t.Blocked)
 			kept = append(kept, t)
 			continue
 		}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -117,9 +117,14 @@
 	var bestScore, bestUncached = math.Inf(1), 0
 	unshared := unsharedTokens(t.Request.Parts, t.Request.PromptTokens)
 	t.deadlineUnreachable = t.Request.OutputTokens > 0
+	t.Blocked = BlockedEndpoints{}
 	fewestSharedUncached := math.MaxInt // shared tokens that cacheHolder has to prefill
 	for _, ep := range d.sortedEndpoints {
-		if !d.eligible(ep, &t.Request) || now.Before(ep.pausedUntil) || ep.ownLoad.Active >= d.maxActiveRequests(t.Request.Service, ep) {
+		if !d.eligible(ep, &t.Request) {
+			continue
+		}
+		if now.Before(ep.pausedUntil) || ep.ownLoad.Active >= d.maxActiveRequests(t.Request.Service, ep) {
+			t.Blocked.Unavailable++
 			continue
 		}
 		uncached := ep.uncachedTokens(engine, t.Request.Parts, t.Request.PromptTokens)
@@ -127,10 +132,15 @@
 			fewestSharedUncached, cacheHolder = uncached-unshared, ep
 		}
 		if t.Request.OutputTokens > 0 && !ep.canMeetDeadline(now, &t.Request, uncached) {
+			t.Blocked.TooLate++
 			continue
 		}
 		t.deadlineUnreachable = false
-		if !limits.hasRoom(ep, engine, t, uncached) || !d.coldAllows(ep, now) {
+		if !limits.hasRoom(ep, engine, t, uncached) {
+			continue
+		}
+		if !d.coldAllows(ep, now) {
+			t.Blocked.Cold++
 			continue
 		}
 		score := d.score(now, s, ep, t, uncached)
@@ -253,9 +263,9 @@
 	return max(0, 1-t.RecentUsage/t.FairShare)
 }
 
-// hasRoom reports whether the endpoint has room for the request. The length of
-// a prompt does not count against an endpoint that has no prompt left to
-// prefill.
+// hasRoom reports whether the endpoint has room for the request, and counts on the
+// ticket what it lacks. The length of a prompt does not count against an endpoint
+// that has no prompt left to prefill.
 func (l occupancyLimits) hasRoom(ep *endpointState, engine *topology.Engine, t *Ticket, uncached int) bool {
 	load := ep.totalLoad()
 	maxWait, slotFraction := l.maxWait, l.slotFraction
@@ -269,13 +279,19 @@
 		return float64(load.Active) < slots*(1+plainQueueFactor)
 	}
 	if float64(load.Active) >= slots*slotFraction {
+		t.Blocked.Slots++
 		return false
 	}
 	if need := load.Resident + t.Request.PromptTokens + t.Request.OutputTokens; engine.MemoryTokens > 0 &&
 		load.Active > 0 && float64(need) > maxMemoryFraction*float64(engine.MemoryTokens) {
+		t.Blocked.Memory++
 		return false
 	}
-	return load.Pending == 0 || ep.predictFirstEvent(0) <= maxWait
+	if load.Pending > 0 && ep.predictFirstEvent(0) > maxWait {
+		t.Blocked.Prefill++
+		return false
+	}
+	return true
 }
 
 // maxActiveRequests returns how many requests this router may have in progress
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -68,6 +68,8 @@
 
 	fleetGranted float64 // recent cost granted in the whole fleet, at the last refresh
 	queuedCost   float64 // cost of its requests that wait at this router
+
+	blocked BlockedEndpoints // summed over the attempts to place its requests, since the last report
 }
 
 func newServiceState() *serviceState {
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -78,6 +79,63 @@
 	return out
 }
 
+// AccountUsage is what one account asked for and was granted of the model runners
+// within usageWindow, in cost, and what its waiting requests lacked.
+type AccountUsage struct {
+	Demand, Granted           float64 // at this router
+	FleetDemand, FleetGranted float64 // at all routers
+	Share                     float64 // that the account is entitled to; 0: no limit
+	Overloaded                bool    // a service is asked for more than it can do
+	Queued                    float64 // cost of the requests that wait at this router
+	// Blocked is summed over all attempts to place waiting requests since the last
+	// report.
+	Blocked   BlockedEndpoints
+	Endpoints EndpointsView // of the services that it asks
+}
+
+// EndpointsView sums up what this router believes of some endpoints.
+type EndpointsView struct {
+	Count         int
+	LatencyFactor float64 // mean
+	Own, Peers    Load
+}
+
+func (v *EndpointsView) add(ep *endpointState) {
+	v.LatencyFactor = (v.LatencyFactor*float64(v.Count) + ep.latencyFactor) / float64(v.Count+1)
+	v.Count++
+	v.Own.add(ep.ownLoad)
+	v.Peers.add(ep.peerLoad)
+}
+
+// ReportAccount returns the recent demand and usage of an account.
+func (d *Dispatcher) ReportAccount(now time.Time, account string) AccountUsage {
+	var sum AccountUsage
+	for name, s := range d.services {
+		u, ok := s.accounts[account]
+		if d.engine(name) == nil || !ok {
+			continue
+		}
+		demand, granted := u.demand.value(now, usageWindow), u.granted.value(now, usageWindow)
+		sum.Demand += demand
+		sum.Granted += granted
+		sum.FleetDemand += demand + u.peerDemand
+		sum.FleetGranted += granted + u.peerGranted
+		if !math.IsInf(s.fairShare, 1) {
+			sum.Share += s.fairShare
+		}
+		sum.Overloaded = sum.Overloaded || s.overloaded
+		sum.Queued += u.queuedCost
+		sum.Blocked.add(u.blocked)
+		u.blocked = BlockedEndpoints{}
+		for _, ep := range d.sortedEndpoints {
+			if ep.Service == name {
+				sum.Endpoints.add(ep)
+			}
+		}
+	}
+	return sum
+}
+
 // RowReport returns the sum of this router's report and those of other routers
 // of its row, for the routers of other rows. All routers of a row know the same
 // cold endpoints, so those are not added up.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -276,6 +276,7 @@
 		{"desk", e.dispatcher.Serve},
 		{"overload", e.lagMeter.Serve},
 		{"disconnects", e.relay.DetectDisconnects},
+		{"account log", e.relay.LogAccounts},
 		{"beats out", e.mesh.Send},
 		{"beats in", e.mesh.Receive},
 		{"expiry", func(ctx context.Context) error { return e.replica.RunExpiry(ctx, e.mesh.PeersReadStore) }},
--- a/internal/relay/dispatcher.go
+++ b/internal/relay/dispatcher.go
@@ -87,6 +87,13 @@
 	d.dispatcher.RecordTokens(t, tokens, took)
 }
 
+// ReportAccount returns the recent demand and usage of an account.
+func (d *SharedDispatcher) ReportAccount(account string) dispatch.AccountUsage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dispatcher.ReportAccount(time.Now(), account)
+}
+
 // Finish ends a granted ticket with the outcome of its request.
 func (d *SharedDispatcher) Finish(t *dispatch.Ticket, outcome dispatch.Outcome) {
 	d.Update(func(now time.Time, inner *dispatch.Dispatcher) { inner.Finish(now, t, outcome) })
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -78,19 +78,19 @@
 func (x *exchange) finish(failure *code.Error) {
 	took := time.Since(x.arrived)
 	if failure == nil {
-		x.count("served")
+		x.count("served", "served")
 		metrics.GetOrCreateHistogram(`cyclamenwinch_request_seconds{kind="` + x.route.Kind.String() + `"}`).Update(took.Seconds())
 		metrics.GetOrCreateHistogram(`cyclamenwinch_first_event_seconds{kind="` + x.route.Kind.String() + `"}`).Update(x.firstEventAfter.Seconds())
 		return
 	}
 	if x.streamStarted {
 		x.logFailure(failure, "cut")
-		x.count("cut")
+		x.count("cut", "cut")
 		panic(http.ErrAbortHandler)
 	}
 	if x.endpointFailure != nil && failure.Code != code.CallerLeft {
 		x.logFailure(failure, "endpoint_failure")
-		x.count("endpoint_failure")
+		x.count("endpoint_failure", "endpoint_failure")
 		x.endpointFailure.writeTo(x.w)
 		return
 	}
@@ -104,7 +104,7 @@
 		outcome = "refused"
 	}
 	x.logFailure(failure, outcome)
-	x.count(outcome)
+	x.count(outcome, outcome+" "+failure.Code.Info().Name)
 	if failure.Code == code.CallerLeft {
 		panic(http.ErrAbortHandler)
 	}
@@ -142,7 +142,15 @@
 	return status
 }
 
-func (x *exchange) count(outcome string) {
+// count counts the outcome in the metrics and, with more detail, for the account.
+func (x *exchange) count(outcome, detail string) {
+	account := x.account
+	if account == "" && x.table != nil { // refused before it was authenticated
+		if a := x.table.AccountByKey(x.meta.APIKey); a != nil {
+			account = a.Name
+		}
+	}
+	x.h.tallies.countOutcome(account, detail)
 	kind := "unknown"
 	if x.route != nil {
 		kind = x.route.Kind.String()
@@ -163,7 +171,7 @@
 	if t == nil {
 		return slog.Attr{}
 	}
-	attrs := []any{slog.Duration("expected_wait", t.ExpectedWait), slog.Bool("over_share", t.OverShare), slog.Bool("late", t.ObjectiveMissed), slog.Float64("used", t.RecentUsage)}
+	attrs := []any{slog.Duration("expected_wait", t.ExpectedWait), slog.Bool("over_share", t.OverShare), slog.Bool("late", t.ObjectiveMissed), slog.Float64("used", t.RecentUsage), blockedAttr(t.Blocked)}
 	if !math.IsInf(t.FairShare, 1) {
 		attrs = append(attrs, slog.Float64("share", t.FairShare))
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,6 +70,7 @@
 	openRequests atomic.Int64
 	bodyBudget   byteBudget
 	open         openExchanges
+	tallies      accountTallies
 }
 
 // Table is the active configuration.
--- a/internal/relay/relay_suite_test.go
+++ b/internal/relay/relay_suite_test.go
@@ -160,8 +160,8 @@
 	return newServerWithOptions(relay.Options{}, route, endpoints...)
 }
 
-// newServerWithOptions is newServer with options for the relay. Dispatcher, Pool
-// and Log are set here.
+// newServerWithOptions is newServer with options for the relay. Dispatcher and
+// Pool are set here.
 func newServerWithOptions(opts relay.Options, route topology.Route, endpoints ...*fakeEndpoint) (*httptest.Server, *relay.Relay) {
 	server, h, _ := newServerWithDispatcher(opts, route, endpoints...)
 	return server, h
@@ -182,11 +182,13 @@
 	inner.SetTable(table)
 	inner.SetEndpoints(time.Now(), declared(endpoints...))
 	dispatcher := relay.NewSharedDispatcher(inner)
-	log := oplog.New(io.Discard)
+	if opts.Log == nil {
+		opts.Log = oplog.New(io.Discard)
+	}
 	if opts.Protocol == nil {
 		opts.Protocol = testProtocol{}
 	}
-	opts.Dispatcher, opts.Pool, opts.Log = dispatcher, upstream.NewPool(), log
+	opts.Dispatcher, opts.Pool = dispatcher, upstream.NewPool()
 	h := relay.New(opts)
 	h.SetTable(table)
 	ctx, stop := context.WithCancel(context.Background())
