Report a cold endpoint only by who observed it

Cause: a router that can't connect marks the endpoint as cold for the cold time of its service and reports the time left. Every router that heard of it reported it again. The report carries no age, so each hop added the time in transit, and in a fleet there is always a router about to report: a mark circulated for good after a single failure, in all routers.

A router now reports to its row only what it observed itself, and to other rows what its row observed, so a mark passes two hops at most. The spec "learns that an endpoint is cold from another router" looked for the mark in the router's own report; it now checks the limit itself and the report to other rows.

--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -19,10 +19,39 @@
 // endpoint record.
 const coldMargin = 300 * time.Millisecond
 
-// markCold marks an endpoint as cold for the given time.
+// coldMark says until when an endpoint is cold, by who observed it. A report does
+// not account for its time in transit, so every router that passes a mark on
+// lengthens it. Each router therefore reports only what it observed itself, or to
+// other rows what its row observed, and never what it heard from another row.
+type coldMark struct {
+	observed time.Time // by this router
+	row      time.Time // by another router of its row
+	other    time.Time // by a router of another row
+}
+
+func (m coldMark) until() time.Time { return later(later(m.observed, m.row), m.other) }
+
+// markCold records that this router observed an endpoint to be cold for the given
+// time.
 func (d *Dispatcher) markCold(ep *endpointState, now time.Time, remaining time.Duration) {
 	if remaining > 0 {
-		ep.coldUntil = later(ep.coldUntil, now.Add(remaining+coldMargin))
+		ep.cold.observed = later(ep.cold.observed, now.Add(remaining+coldMargin))
+	}
+}
+
+// mergeCold applies the cold endpoints that another router or row reported.
+func (d *Dispatcher) mergeCold(now time.Time, reports []ColdReport, fromRow bool) {
+	for _, c := range reports {
+		ep, ok := d.endpoints[c.Endpoint]
+		if !ok || ep.StartMillis != c.StartMillis || c.Remaining <= 0 {
+			continue
+		}
+		until := now.Add(c.Remaining + coldMargin)
+		if fromRow {
+			ep.cold.row = later(ep.cold.row, until)
+		} else {
+			ep.cold.other = later(ep.cold.other, until)
+		}
 	}
 }
 
@@ -66,7 +95,7 @@
 	return rank
 }
 
-func (ep *endpointState) isCold(now time.Time) bool { return now.Before(ep.coldUntil) }
+func (ep *endpointState) isCold(now time.Time) bool { return now.Before(ep.cold.until()) }
 
 // coldLimited reports whether the endpoint is cold and its service limits cold
 // endpoints.
@@ -91,13 +120,18 @@
 	ep.nextColdGrant = now.Add(time.Duration(float64(time.Second) / d.coldRate(ep)))
 }
 
-// coldEndpoints returns the cold endpoints with the remaining time, for the
-// report to the other routers.
-func (d *Dispatcher) coldEndpoints(now time.Time) []ColdReport {
+// coldEndpoints returns the endpoints that this router observed to be cold, with
+// the remaining time, for the report to the other routers. A report to other rows
+// includes what the whole row observed.
+func (d *Dispatcher) coldEndpoints(now time.Time, forOtherRows bool) []ColdReport {
 	var out []ColdReport
 	for id, ep := range d.endpoints {
-		if ep.isCold(now) {
-			out = append(out, ColdReport{Endpoint: id, Remaining: ep.coldUntil.Sub(now) - coldMargin, StartMillis: ep.StartMillis})
+		until := ep.cold.observed
+		if forOtherRows {
+			until = later(until, ep.cold.row)
+		}
+		if now.Add(coldMargin).Before(until) {
+			out = append(out, ColdReport{Endpoint: id, Remaining: until.Sub(now) - coldMargin, StartMillis: ep.StartMillis})
 		}
 	}
 	slices.SortFunc(out, func(a, b ColdReport) int { return strings.Compare(a.Endpoint, b.Endpoint) })
--- a/core/dispatch/dispatch_suite_test.go
+++ b/core/dispatch/dispatch_suite_test.go
@@ -142,9 +142,21 @@
 	It("learns that an endpoint is cold from another router", func() {
 		d := newDispatcher("r1", endpoint("e1", model, "a"))
 		d.SetPeerReport(start, "r2", dispatch.Report{Cold: []dispatch.ColdReport{{Endpoint: "e1", StartMillis: 1, Remaining: time.Second}}})
-		Expect(d.Report(start).Cold).To(HaveLen(1))
+		Expect(d.RowReport(start, nil).Cold).To(HaveLen(1))
+		Expect(d.Report(start).Cold).To(BeEmpty(), "the other routers of the row hear it from r2")
+		Expect(d.Submit(start, chatRequest(start, "x", 10)).State).To(Equal(dispatch.Granted))
+		Expect(d.Submit(start, chatRequest(start, "x", 11)).State).To(Equal(dispatch.Waiting), "the limit of a cold endpoint")
 		d.SetPeerReport(start, "r2", dispatch.Report{Cold: []dispatch.ColdReport{{Endpoint: "e1", StartMillis: 2, Remaining: time.Hour}}})
-		Expect(d.Report(at(2000)).Cold).To(BeEmpty(), "report is for another incarnation of the endpoint")
+		Expect(d.RowReport(at(2000), nil).Cold).To(BeEmpty(), "report is for another incarnation of the endpoint")
+	})
+
+	It("tells no row what it heard from another row", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		d.SetRowReport(start, "row 2", dispatch.Report{Cold: []dispatch.ColdReport{{Endpoint: "e1", StartMillis: 1, Remaining: time.Second}}})
+		Expect(d.Report(start).Cold).To(BeEmpty())
+		Expect(d.RowReport(start, nil).Cold).To(BeEmpty())
+		Expect(d.Submit(start, chatRequest(start, "x", 10)).State).To(Equal(dispatch.Granted))
+		Expect(d.Submit(start, chatRequest(start, "x", 11)).State).To(Equal(dispatch.Waiting), "the limit of a cold endpoint")
 	})
 
 	It("sends a prompt to the endpoint that has its shared part cached, also if another router sent it there", func() {
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -73,7 +73,7 @@
 	connectFailures int // consecutive failures to connect
 	misdirected     bool
 
-	coldUntil     time.Time
+	cold          coldMark
 	nextColdGrant time.Time // when the cold limit allows the next request
 	coldRank      int       // result of Dispatcher.coldRank; -1: not computed
 
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -19,7 +19,8 @@
 	Load
 }
 
-// ColdReport reports an endpoint that is cold for the remaining time.
+// ColdReport reports an endpoint that the sender, or a router of its row, observed
+// to be cold for the remaining time.
 type ColdReport struct {
 	Endpoint    string
 	StartMillis int64
@@ -54,7 +55,7 @@
 
 // Report returns the report for the other routers of the row.
 func (d *Dispatcher) Report(now time.Time) Report {
-	r := Report{Cold: d.coldEndpoints(now), Placements: d.recentPlacements(now, false), Crashes: d.recentCrashes(now, false)}
+	r := Report{Cold: d.coldEndpoints(now, false), Placements: d.recentPlacements(now, false), Crashes: d.recentCrashes(now, false)}
 	for id, ep := range d.endpoints {
 		if ep.ownLoad.Active > 0 {
 			r.Endpoints = append(r.Endpoints, EndpointReport{Endpoint: id, Load: ep.ownLoad})
@@ -137,11 +138,10 @@
 }
 
 // RowReport returns the sum of this router's report and those of other routers
-// of its row, for the routers of other rows. All routers of a row know the same
-// cold endpoints, so those are not added up.
+// of its row, for the routers of other rows.
 func (d *Dispatcher) RowReport(now time.Time, row []string) Report {
 	sum := d.Report(now)
-	sum.Placements, sum.Crashes = d.recentPlacements(now, true), d.recentCrashes(now, true)
+	sum.Placements, sum.Crashes, sum.Cold = d.recentPlacements(now, true), d.recentCrashes(now, true), d.coldEndpoints(now, true)
 	endpoints, accounts := map[string]int{}, map[[2]string]int{}
 	for i, e := range sum.Endpoints {
 		endpoints[e.Endpoint] = i
@@ -196,11 +196,7 @@
 	next.lastPlacement = d.mergePlacements(now, r.Placements, next.lastPlacement, forward)
 	d.mergeCrashes(now, r.Crashes, forward)
 	d.replacePeer(peer, next)
-	for _, c := range r.Cold {
-		if ep, ok := d.endpoints[c.Endpoint]; ok && ep.StartMillis == c.StartMillis {
-			d.markCold(ep, now, c.Remaining)
-		}
-	}
+	d.mergeCold(now, r.Cold, forward)
 }
 
 // DropStalePeers removes the reports of peers that have been silent for
