Don't refuse requests as late while all endpoints are paused

What callers saw: a request was refused at once with not_whole_in_time, although every endpoint was only paused, for 40 ms after it had reported to be full. No endpoint had been looked at, which counted as none being in time. An endpoint that is paused or at this router's limit may be free again in time, so the request waits.

--- a/core/dispatch/dispatch_suite_test.go
+++ b/core/dispatch/dispatch_suite_test.go
@@ -220,6 +220,13 @@
 		Expect(t.Reason).To(Equal(dispatch.DeadlineUnreachable))
 	})
 
+	It("does not refuse a request as late while all endpoints are paused", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		d.Finish(start, d.Submit(start, chatRequest(start, "x", 9)), dispatch.Rejected)
+		Expect(d.Submit(at(1), chatRequest(at(1), "x", 10)).State).To(Equal(dispatch.Waiting))
+		Expect(d.Poll(at(100))).To(HaveLen(1))
+	})
+
 	It("refuses a waiting request before its caller stops waiting for a first event", func() {
 		d := newDispatcher("r1", endpoint("e1", model, "a"))
 		d.SetPeerReport(at(0), "r2", dispatch.Report{Endpoints: []dispatch.EndpointReport{{Endpoint: "e1", Load: dispatch.Load{Active: slots}}}})
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -125,6 +125,7 @@
 		}
 		if now.Before(ep.pausedUntil) || ep.ownLoad.Active >= d.maxActiveRequests(t.Request.Service, ep) {
 			t.Blocked.Unavailable++
+			t.deadlineUnreachable = false // it may be free again in time
 			continue
 		}
 		uncached := ep.uncachedTokens(engine, t.Request.Parts, t.Request.PromptTokens)
