Don't take this router's own delays for slow endpoints

Cause: a router measured endpoints by its own clock, its own waits for the CPU included. Its latency factor rose to 4 to 5 where other routers had 1.02 to 1.06, and stayed there for minutes, since few requests were sent that could have corrected it; so all endpoints looked full to it ("prefill" blocked 86 to 96%). Connects that timed out while it waited for the CPU were reported to the fleet as endpoints that have restarted and are cold, and silence as their failure.

While work waits for over 5 ms for the CPU, times to the first event and per token are not learned, a connect that times out only pauses the endpoint at this router, and silence is no failure of the endpoint. Connections that are refused or break still count: they don't depend on the clock.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -132,14 +132,15 @@
 type Outcome int
 
 const (
-	Completed   Outcome = iota + 1 // complete response
-	Failed                         // error response from the endpoint
-	Interrupted                    // connection lost or response cut off
-	Unreachable                    // no connection; nothing was sent
-	Rejected                       // the endpoint reported that it did not run the request
-	Misdirected                    // the address belongs to another endpoint
-	Canceled                       // the caller left or the deadline passed
-	Withdrawn                      // the endpoint may no longer receive requests; nothing was sent
+	Completed      Outcome = iota + 1 // complete response
+	Failed                            // error response from the endpoint
+	Interrupted                       // connection lost or response cut off
+	Unreachable                       // no connection; nothing was sent
+	ConnectTimeout                    // the same, but this router may have been too slow to connect
+	Rejected                          // the endpoint reported that it did not run the request
+	Misdirected                       // the address belongs to another endpoint
+	Canceled                          // the caller left or the deadline passed
+	Withdrawn                         // the endpoint may no longer receive requests; nothing was sent
 )
 
 // Options configure a Dispatcher.
@@ -370,13 +371,16 @@
 }
 
 // RecordFirstEvent records that the first event of the response has arrived, so
-// the endpoint has prefilled the prompt.
-func (d *Dispatcher) RecordFirstEvent(now time.Time, t *Ticket) {
+// the endpoint has prefilled the prompt. If timed is not set, the time that it took
+// says more about this router than about the endpoint.
+func (d *Dispatcher) RecordFirstEvent(now time.Time, t *Ticket, timed bool) {
 	if t.State != Granted || t.endpoint == nil {
 		return
 	}
 	t.endpoint.markPromptRead(t)
-	t.endpoint.observeFirstEvent(now.Sub(t.GrantedAt), t.PredictedFirstEvent)
+	if timed {
+		t.endpoint.observeFirstEvent(now.Sub(t.GrantedAt), t.PredictedFirstEvent)
+	}
 }
 
 // RecordTokens records the time that the endpoint took for some tokens of a
@@ -407,7 +411,10 @@
 		ep.recordFailure(now)
 		s.errors.record(now, true)
 	case Unreachable:
-		d.markUnreachable(now, ep)
+		d.pauseUnreachable(now, ep)
+		d.markCold(ep, now, d.coldDuration(ep)+ep.pausedUntil.Sub(now))
+	case ConnectTimeout:
+		d.pauseUnreachable(now, ep)
 	case Rejected:
 		ep.recordRejection(now)
 	case Misdirected:
--- a/core/dispatch/dispatch_suite_test.go
+++ b/core/dispatch/dispatch_suite_test.go
@@ -82,7 +82,7 @@
 		Expect(t.State).To(Equal(dispatch.Granted))
 		Expect(t.Endpoint.ID).To(Equal("e1"))
 		Expect(d.Report(start).Endpoints).To(ConsistOf(dispatch.EndpointReport{Endpoint: "e1", Load: dispatch.Load{Active: 1, Pending: 1000, Resident: 1050}}))
-		d.RecordFirstEvent(at(30), t)
+		d.RecordFirstEvent(at(30), t, true)
 		Expect(d.Report(at(30)).Endpoints[0].Pending).To(BeZero())
 		d.Finish(at(60), t, dispatch.Completed)
 		Expect(d.Report(at(60)).Endpoints).To(BeEmpty())
@@ -139,6 +139,14 @@
 		Expect(d.Report(at(100)).Cold[0].Endpoint).To(Equal("e2"))
 	})
 
+	It("pauses an endpoint that it was perhaps too slow to connect to, without reporting it as cold", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		d.Finish(start, d.Submit(start, chatRequest(start, "x", 9)), dispatch.ConnectTimeout)
+		Expect(d.RowReport(at(1), nil).Cold).To(BeEmpty())
+		Expect(d.Submit(at(1), chatRequest(at(1), "x", 10)).State).To(Equal(dispatch.Waiting))
+		Expect(d.Poll(at(500))).To(HaveLen(1))
+	})
+
 	It("learns that an endpoint is cold from another router", func() {
 		d := newDispatcher("r1", endpoint("e1", model, "a"))
 		d.SetPeerReport(start, "r2", dispatch.Report{Cold: []dispatch.ColdReport{{Endpoint: "e1", StartMillis: 1, Remaining: time.Second}}})
@@ -242,7 +250,7 @@
 		var running []*dispatch.Ticket
 		for i := range uint64(slots) {
 			t := d.Submit(start, chatRequest(start, "much", 10+i))
-			d.RecordFirstEvent(start, t)
+			d.RecordFirstEvent(start, t, true)
 			running = append(running, t)
 		}
 		waiting := d.Submit(start, chatRequest(start, "little", 50))
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -162,16 +162,14 @@
 	ep.pausedUntil = later(ep.pausedUntil, now.Add(rejectionPause))
 }
 
-// markUnreachable pauses an endpoint that could not be connected to. It has
-// probably restarted by the time it can be reached again, so it counts as cold.
-func (d *Dispatcher) markUnreachable(now time.Time, ep *endpointState) {
+// pauseUnreachable pauses an endpoint that could not be connected to.
+func (d *Dispatcher) pauseUnreachable(now time.Time, ep *endpointState) {
 	if ep.connectFailures == 0 {
 		clear(d.preferred)
 	}
 	ep.connectFailures++
 	pause := min(minPause<<min(ep.connectFailures-1, 8), maxPause)
 	ep.pausedUntil = later(ep.pausedUntil, now.Add(pause))
-	d.markCold(ep, now, d.coldDuration(ep)+pause)
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/dispatch/props_test.go
+++ b/core/dispatch/props_test.go
@@ -111,7 +111,7 @@
 				open = slices.Delete(open, at, at+1)
 				switch rapid.IntRange(0, 2).Draw(t, "end") {
 				case 0:
-					d.RecordFirstEvent(now, ticket)
+					d.RecordFirstEvent(now, ticket, true)
 					d.Finish(now, ticket, dispatch.Completed)
 				case 1:
 					d.Finish(now, ticket, dispatch.Interrupted)
@@ -153,7 +153,7 @@
 				if now.Before(r.end) {
 					return false
 				}
-				d.RecordFirstEvent(now, r.ticket)
+				d.RecordFirstEvent(now, r.ticket, true)
 				d.Finish(now, r.ticket, dispatch.Completed)
 				return true
 			})
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -66,7 +66,11 @@
 		if ctx.Err() != nil {
 			return x.canceled(ctx, false)
 		}
-		return failedAttempt(dispatch.Unreachable, false, code.Unreachable, "failed to connect to the endpoint")
+		outcome := dispatch.Unreachable
+		if isTimeout(err) && !x.h.timesEndpoints() {
+			outcome = dispatch.ConnectTimeout
+		}
+		return failedAttempt(outcome, false, code.Unreachable, "failed to connect to the endpoint")
 	}
 	if ctx.Err() != nil {
 		conn.Close()
@@ -89,7 +93,7 @@
 	if err := conn.Send(req, x.body); err != nil {
 		conn.Close()
 		if isTimeout(err) {
-			return x.interrupted(ctx, code.Silent, "the endpoint did not accept the request in time")
+			return x.silent(ctx, "the endpoint did not accept the request in time")
 		}
 		return x.interrupted(ctx, code.EndpointError, "the connection failed while the request was being sent")
 	}
@@ -157,11 +161,10 @@
 		r := x.oversized(ctx, err.Error())
 		return &r
 	}
-	c, detail := code.EndpointError, "the connection failed before the response"
+	r := x.interrupted(ctx, code.EndpointError, "the connection failed before the response")
 	if isTimeout(err) {
-		c, detail = code.Silent, "the endpoint did not respond in time"
+		r = x.silent(ctx, "the endpoint did not respond in time")
 	}
-	r := x.interrupted(ctx, c, detail)
 	return &r
 }
 
@@ -199,6 +202,16 @@
 	return r
 }
 
+// silent returns the result of an attempt whose endpoint sent nothing for too long,
+// by the clock of this router.
+func (x *exchange) silent(ctx context.Context, detail string) attemptResult {
+	r := x.interrupted(ctx, code.Silent, detail)
+	if !x.h.timesEndpoints() && r.outcome == dispatch.Interrupted {
+		r.outcome = dispatch.Canceled
+	}
+	return r
+}
+
 // oversized returns the result of an attempt whose response exceeds a limit. Unlike
 // a lost connection, it is no sign of a crash.
 func (x *exchange) oversized(ctx context.Context, detail string) attemptResult {
@@ -276,7 +289,7 @@
 	if x.firstEventAfter == 0 {
 		x.firstEventAfter = time.Since(x.arrived)
 	}
-	x.h.opts.Dispatcher.RecordFirstEvent(t)
+	x.h.opts.Dispatcher.RecordFirstEvent(t, x.h.timesEndpoints())
 }
 
 // bufferedResponse is a complete response held in memory.
--- a/internal/relay/dispatcher.go
+++ b/internal/relay/dispatcher.go
@@ -75,9 +75,10 @@
 	return d.dispatcher.Confirm(t)
 }
 
-// RecordFirstEvent records that the response has started.
-func (d *SharedDispatcher) RecordFirstEvent(t *dispatch.Ticket) {
-	d.Update(func(now time.Time, inner *dispatch.Dispatcher) { inner.RecordFirstEvent(now, t) })
+// RecordFirstEvent records that the response has started, and how long it took if
+// timed is set.
+func (d *SharedDispatcher) RecordFirstEvent(t *dispatch.Ticket, timed bool) {
+	d.Update(func(now time.Time, inner *dispatch.Dispatcher) { inner.RecordFirstEvent(now, t, timed) })
 }
 
 // RecordTokens records how long a stream took to produce a number of tokens.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -181,7 +181,7 @@
 	if ctx.Err() != nil || time.Until(x.deadline) < minTimeForRetry {
 		return false
 	}
-	if result.outcome == dispatch.Unreachable || result.outcome == dispatch.Withdrawn {
+	if result.outcome == dispatch.Unreachable || result.outcome == dispatch.ConnectTimeout || result.outcome == dispatch.Withdrawn {
 		x.unsent++
 		return x.unsent < maxUnsent
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -54,7 +54,7 @@
 				}
 				progress = time.Now()
 			}
-			if tokens, took := rate.observe(x.eventCount, time.Now()); tokens > 0 {
+			if tokens, took := rate.observe(x.eventCount, time.Now()); tokens > 0 && x.h.timesEndpoints() {
 				x.h.opts.Dispatcher.RecordTokens(t, tokens, took)
 			}
 		}
@@ -64,7 +64,7 @@
 			return x.finishStream(conn, resp)
 		case isTimeout(err):
 			conn.Close()
-			return x.interrupted(ctx, code.Silent, "the stream delivered nothing for too long")
+			return x.silent(ctx, "the stream delivered nothing for too long")
 		default:
 			conn.Close()
 			return x.interrupted(ctx, code.Truncated, "the connection failed before the end of the stream")
