Heed endpoints that leave or ask for a pause in a response

The notice is applied when the head of any response arrives, late responses to other requests included, and is asked for again right before a request is sent. It is kept by incarnation, also while the endpoint's record has lapsed. Requests that could only wait for longer pauses are refused at once with the first end. The new specs fail without the change (by construction: nothing read the fields).

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -164,6 +164,7 @@
 	peers           map[string]*peerReport
 	routers         []string                     // all known routers including this one, sorted
 	preferred       map[prefixKey]*endpointState // cached results of preferredEndpoint
+	notices         map[string]notice            // of endpoints about themselves, by ID
 
 	placements       []Placement // of this router and its row, newest last
 	lastSequence     uint64      // sequence number of the newest placement
@@ -183,6 +184,7 @@
 		peers:            map[string]*peerReport{},
 		routers:          []string{opts.Self},
 		preferred:        map[prefixKey]*endpointState{},
+		notices:          map[string]notice{},
 		announceDuration: defaultAnnounceDuration,
 
 		quarantine: route.NewQuarantine(),
@@ -232,6 +234,7 @@
 			delete(d.endpoints, id)
 		}
 	}
+	d.dropNotices()
 	clear(d.preferred)
 	d.sortedEndpoints = slices.SortedFunc(maps.Values(d.endpoints), func(a, b *endpointState) int { return strings.Compare(a.ID, b.ID) })
 }
@@ -268,8 +271,8 @@
 	if !r.Retry {
 		s.addDemand(now, r.Account, r.cost())
 	}
-	if !d.hasEligibleEndpoint(r) {
-		return refuse(t, NoEndpoint, noEndpointRetryAfter, now)
+	if ok, after := d.hasEligibleEndpoint(now, t); !ok {
+		return refuse(t, NoEndpoint, after, now)
 	}
 	d.updateShare(now, s, t)
 	if len(s.queue) == 0 && d.place(now, s, t) {
@@ -366,8 +369,8 @@
 // Confirm reports whether the endpoint of a granted ticket may still receive the
 // request. It is to be asked right before the request is sent: the endpoint may
 // have begun to leave while a connection was established.
-func (d *Dispatcher) Confirm(t *Ticket) bool {
-	return t.State == Granted && d.endpoints[t.Endpoint.ID] == t.endpoint && d.eligible(t.endpoint, &t.Request)
+func (d *Dispatcher) Confirm(now time.Time, t *Ticket) bool {
+	return t.State == Granted && d.endpoints[t.Endpoint.ID] == t.endpoint && d.eligible(t.endpoint, &t.Request) && !now.Before(d.pauseEnd(t.endpoint))
 }
 
 // RecordFirstEvent records that the first event of the response has arrived, so
--- /dev/null
+++ b/core/dispatch/notice.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import "time"
+
+// Notice is what an endpoint says about itself in a response.
+type Notice struct {
+	Leaving bool          // it leaves; it wants no further requests
+	Pause   time.Duration // it wants no requests of this router for so long; 0: no pause
+}
+
+// notice is what one incarnation of an endpoint has said. It is kept when the
+// endpoint's record lapses, since the record may return while the notice holds.
+type notice struct {
+	startMillis int64
+	leaving     bool
+	pausedUntil time.Time
+}
+
+// RecordNotice applies what the endpoint of a ticket says about itself. It reports
+// whether that is new.
+func (d *Dispatcher) RecordNotice(now time.Time, t *Ticket, n Notice) bool {
+	old, known := d.notices[t.Endpoint.ID]
+	if known && old.startMillis > t.Endpoint.StartMillis {
+		return false // of an earlier incarnation
+	}
+	next := notice{startMillis: t.Endpoint.StartMillis, leaving: n.Leaving}
+	if n.Pause > 0 {
+		next.pausedUntil = now.Add(n.Pause)
+	}
+	if known && old.startMillis == next.startMillis {
+		next.leaving = next.leaving || old.leaving
+		next.pausedUntil = later(next.pausedUntil, old.pausedUntil)
+	}
+	d.notices[t.Endpoint.ID] = next
+	if next.leaving != old.leaving {
+		clear(d.preferred)
+	}
+	return next.leaving != old.leaving || !now.Before(old.pausedUntil) && n.Pause > 0
+}
+
+// saysLeaving reports whether the endpoint has said that it leaves.
+func (d *Dispatcher) saysLeaving(ep *endpointState) bool {
+	n, ok := d.notices[ep.ID]
+	return ok && n.startMillis == ep.StartMillis && n.leaving
+}
+
+// pauseEnd returns the end of the pause that the endpoint asked for, or the zero
+// time.
+func (d *Dispatcher) pauseEnd(ep *endpointState) time.Time {
+	if n, ok := d.notices[ep.ID]; ok && n.startMillis == ep.StartMillis {
+		return n.pausedUntil
+	}
+	return time.Time{}
+}
+
+// dropNotices drops what endpoints have said that have started again.
+func (d *Dispatcher) dropNotices() {
+	for id, n := range d.notices {
+		if ep, ok := d.endpoints[id]; ok && ep.StartMillis != n.startMillis {
+			delete(d.notices, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/dispatch/notice_test.go
@@ -0,0 +1,63 @@
+package dispatch_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+)
+
+var _ = Describe("An endpoint that says in a response", func() {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	// told returns a dispatcher that has heard the notice from e1, its only endpoint.
+	told := func(n dispatch.Notice) *dispatch.Dispatcher {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		t := d.Submit(start, chatRequest(start, "x", 10))
+		Expect(d.RecordNotice(start, t, n)).To(BeTrue())
+		Expect(d.RecordNotice(start, t, n)).To(BeFalse(), "not new")
+		d.Finish(start, t, dispatch.Completed)
+		return d
+	}
+
+	It("that it leaves gets no further request, also after its record lapsed and returned", func() {
+		d := told(dispatch.Notice{Leaving: true})
+		d.SetEndpoints(start, nil)
+		d.SetEndpoints(start, []topology.Endpoint{endpoint("e1", model, "a")})
+		t := d.Submit(at(1), chatRequest(at(1), "x", 11))
+		Expect(t.State).To(Equal(dispatch.Refused))
+		Expect(t.Reason).To(Equal(dispatch.NoEndpoint))
+	})
+
+	It("that it leaves gets requests again after it has started again", func() {
+		d := told(dispatch.Notice{Leaving: true})
+		again := endpoint("e1", model, "a")
+		again.StartMillis++
+		d.SetEndpoints(start, []topology.Endpoint{again})
+		Expect(d.Submit(at(1), chatRequest(at(1), "x", 11)).State).To(Equal(dispatch.Granted))
+	})
+
+	It("that it wants a pause gets no request until its end", func() {
+		d := told(dispatch.Notice{Pause: time.Second})
+		Expect(d.Submit(at(1), chatRequest(at(1), "x", 11)).State).To(Equal(dispatch.Waiting))
+		Expect(d.Poll(at(999))).To(BeEmpty())
+		Expect(d.Poll(at(1000))).To(HaveLen(1))
+	})
+
+	It("that it wants a pause does not get a request that was about to be sent", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		first, second := d.Submit(start, chatRequest(start, "x", 10)), d.Submit(start, chatRequest(start, "x", 11))
+		Expect(d.Confirm(start, second)).To(BeTrue())
+		d.RecordNotice(start, first, dispatch.Notice{Pause: time.Second})
+		Expect(d.Confirm(at(1), second)).To(BeFalse())
+	})
+
+	It("that it wants a long pause lets requests be refused at once, with its end as the time to come back", func() {
+		d := told(dispatch.Notice{Pause: 3 * time.Second})
+		t := d.Submit(at(0), chatRequest(at(0), "x", 11))
+		Expect(t.State).To(Equal(dispatch.Refused))
+		Expect(t.RetryAfter).To(Equal(3 * time.Second))
+	})
+})
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -78,19 +78,27 @@
 )
 
 // hasEligibleEndpoint reports whether any endpoint of the service may receive
-// the request, now or after a wait.
-func (d *Dispatcher) hasEligibleEndpoint(r Request) bool {
+// the request, now or after a wait, and if not, when to ask again.
+func (d *Dispatcher) hasEligibleEndpoint(now time.Time, t *Ticket) (bool, time.Duration) {
+	var firstPauseEnd time.Time
 	for _, ep := range d.sortedEndpoints {
-		if d.eligible(ep, &r) {
-			return true
+		if !d.eligible(ep, &t.Request) {
+			continue
+		}
+		end := d.pauseEnd(ep)
+		if end.Before(t.waitDeadline()) {
+			return true, 0
+		}
+		if firstPauseEnd.IsZero() || end.Before(firstPauseEnd) {
+			firstPauseEnd = end
 		}
 	}
-	return false
+	return false, max(noEndpointRetryAfter, firstPauseEnd.Sub(now))
 }
 
 // eligible reports whether an endpoint may receive a request once it has room.
 func (d *Dispatcher) eligible(ep *endpointState, r *Request) bool {
-	if ep.Service != r.Service || ep.Draining || ep.misdirected || d.zonesOut[ep.Zone] {
+	if ep.Service != r.Service || ep.Draining || ep.misdirected || d.zonesOut[ep.Zone] || d.saysLeaving(ep) {
 		return false
 	}
 	for _, id := range r.ExcludedEndpoints {
@@ -123,7 +131,7 @@
 		if !d.eligible(ep, &t.Request) {
 			continue
 		}
-		if now.Before(ep.pausedUntil) || ep.ownLoad.Active >= d.maxActiveRequests(t.Request.Service, ep) {
+		if now.Before(ep.pausedUntil) || now.Before(d.pauseEnd(ep)) || ep.ownLoad.Active >= d.maxActiveRequests(t.Request.Service, ep) {
 			t.Blocked.Unavailable++
 			t.deadlineUnreachable = false // it may be free again in time
 			continue
@@ -382,7 +390,7 @@
 	var best *endpointState
 	var bestWeight uint64
 	for _, ep := range d.sortedEndpoints {
-		if ep.Service != service || ep.Draining || ep.misdirected || d.zonesOut[ep.Zone] || ep.connectFailures > 0 {
+		if ep.Service != service || ep.Draining || ep.misdirected || d.zonesOut[ep.Zone] || ep.connectFailures > 0 || d.saysLeaving(ep) {
 			continue
 		}
 		if w := grid.Weight(prefix, ep.ID); best == nil || w > bestWeight {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/url"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/upstream"
 )
 
@@ -139,7 +141,9 @@
 		if err != nil {
 			return nil, x.noResponse(ctx, err)
 		}
-		if meta := x.h.opts.Protocol.ReadResponse(resp.StatusCode, resp.Header); x.meta.ID == "" || meta.ID == x.meta.ID {
+		meta := x.h.opts.Protocol.ReadResponse(resp.StatusCode, resp.Header)
+		x.applyNotice(t, meta)
+		if x.meta.ID == "" || meta.ID == x.meta.ID {
 			return resp, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBytes+1))
@@ -154,6 +158,21 @@
 	return nil, &r
 }
 
+// applyNotice applies what an endpoint says about itself in the head of a response,
+// also of one to an earlier request.
+func (x *exchange) applyNotice(t *dispatch.Ticket, meta ResponseMeta) {
+	if !meta.Leaving && meta.Pause == 0 {
+		return
+	}
+	isNew := false
+	x.h.opts.Dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
+		isNew = d.RecordNotice(now, t, dispatch.Notice{Leaving: meta.Leaving, Pause: meta.Pause})
+	})
+	if isNew {
+		x.h.opts.Log.Log(oplog.StateChange, "endpoint.notice", x.attrs(slog.String("endpoint", t.Endpoint.ID), slog.Bool("leaving", meta.Leaving), slog.Duration("pause", meta.Pause))...)
+	}
+}
+
 // noResponse returns the result of an attempt whose response head could not be
 // read.
 func (x *exchange) noResponse(ctx context.Context, err error) *attemptResult {
--- a/internal/relay/dispatcher.go
+++ b/internal/relay/dispatcher.go
@@ -72,7 +72,7 @@
 func (d *SharedDispatcher) Confirm(t *dispatch.Ticket) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.dispatcher.Confirm(t)
+	return d.dispatcher.Confirm(time.Now(), t)
 }
 
 // RecordFirstEvent records that the response has started, and how long it took if
--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -45,3 +45,23 @@
 		}),
 	)
 })
+
+var _ = Describe("An endpoint that says in a response", func() {
+	DescribeTable("what ends its use gets no further request",
+		func(status int, header, prefix string) {
+			f := newFakeEndpoint(func(_ int, s receivedRequest) reply {
+				return reply{raw: prefix + response(s, status, "", header)}
+			})
+			server, _ := newServer(atMostOnce, f)
+			for range 3 {
+				_, _, err := send(server, "POST", "/p/", "x")
+				Expect(err).NotTo(HaveOccurred())
+			}
+			Expect(f.requests()).To(HaveLen(1))
+		},
+		Entry("that it leaves", 200, "Test-Leaving: 1\r\n", ""),
+		Entry("that it leaves, with a rejection", 503, "Test-Not-Run: 1\r\nTest-Leaving: 1\r\n", ""),
+		Entry("that it leaves, in a late response to another request", 200, "", "HTTP/1.1 200 OK\r\nTest-Id: other\r\nTest-Leaving: 1\r\nContent-Length: 0\r\n\r\n"),
+		Entry("that it wants a pause", 503, "Test-Not-Run: 1\r\nTest-Pause: 1m\r\n", ""),
+	)
+})
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -42,6 +42,10 @@
 type ResponseMeta struct {
 	ID     string // of the request that the response belongs to
 	NotRun bool   // the endpoint did not run the request
+	// Leaving says that the endpoint leaves and wants no further requests; Pause for
+	// how long it wants none of this router.
+	Leaving bool
+	Pause   time.Duration
 }
 
 // Protocol translates between HTTP header fields and the types of this package.
--- a/internal/relay/relay_suite_test.go
+++ b/internal/relay/relay_suite_test.go
@@ -55,7 +55,9 @@
 }
 
 func (testProtocol) ReadResponse(status int, h http.Header) relay.ResponseMeta {
-	return relay.ResponseMeta{ID: h.Get("Test-Id"), NotRun: h.Get("Test-Not-Run") != "" || status == http.StatusMisdirectedRequest}
+	pause, _ := time.ParseDuration(h.Get("Test-Pause"))
+	return relay.ResponseMeta{ID: h.Get("Test-Id"), NotRun: h.Get("Test-Not-Run") != "" || status == http.StatusMisdirectedRequest,
+		Leaving: h.Get("Test-Leaving") != "", Pause: pause}
 }
 
 // receivedRequest is a request as an endpoint received it.
