Count the demand that an overloaded router resets

Cause: an account's share is max-min over what the accounts ask for. A router that resets new connections sees a fraction of what its clients ask for, so the account seemed to ask for less than its share, and the rest was shared out among the others. Whose the reset requests are is not known, since they are not read.

Kept connections are not counted, so demand may be overstated; a share that is not used is free to others while endpoints have room.

"reports the demand of clients that it has no CPU time for" fails if the report is not scaled.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -165,6 +165,7 @@
 	routers         []string                     // all known routers including this one, sorted
 	preferred       map[prefixKey]*endpointState // cached results of preferredEndpoint
 	notices         map[string]notice            // of endpoints about themselves, by ID
+	demandFactor    float64                      // see SetDemandFactor
 
 	placements       []Placement // of this router and its row, newest last
 	lastSequence     uint64      // sequence number of the newest placement
@@ -185,6 +186,7 @@
 		routers:          []string{opts.Self},
 		preferred:        map[prefixKey]*endpointState{},
 		notices:          map[string]notice{},
+		demandFactor:     1,
 		announceDuration: defaultAnnounceDuration,
 
 		quarantine: route.NewQuarantine(),
@@ -203,6 +205,11 @@
 	}
 }
 
+// SetDemandFactor sets how many times as many requests clients send to this router
+// as it accepts, at least 1. The accounts of those that it has no CPU time for are
+// unknown, so the demand of all that it accepts is scaled.
+func (d *Dispatcher) SetDemandFactor(factor float64) { d.demandFactor = max(1, factor) }
+
 // SetZonesOut sets the availability zones that receive no new requests.
 // Endpoints of a zone that returns to service count as cold, since operators
 // may have restarted them.
--- a/core/dispatch/dispatch_suite_test.go
+++ b/core/dispatch/dispatch_suite_test.go
@@ -383,6 +383,13 @@
 		Expect(placed("poor", 102)).To(Equal(dispatch.Granted))
 	})
 
+	It("reports the demand of clients that it has no CPU time for", func() {
+		d := newLargeFleet(endpoint("e1", model, "a"))
+		d.SetDemandFactor(4)
+		d.Submit(start, chatRequest(start, "x", 100))
+		Expect(d.Report(start.Add(200 * time.Millisecond)).Accounts[0].Demand).To(BeNumerically("~", 4*1100*0.9, 50))
+	})
+
 	It("sums the reports of a row, and forwards placements and crashes of all its routers", func() {
 		d := newLargeFleet(endpoint("e1", model, "a"), endpoint("e2", model, "a"))
 		d.Submit(start, chatRequest(start, "a", 100))
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -57,7 +57,8 @@
 	shareUpdatedAt time.Time
 	usageUpdatedAt time.Time
 
-	overloaded bool // demand exceeds capacity
+	overloaded   bool    // demand exceeds capacity
+	demandFactor float64 // of the demand seen at this router, see Dispatcher.SetDemandFactor
 }
 
 // accountCost is the cost that an account recently requested and was granted, by
@@ -73,7 +74,7 @@
 }
 
 func newServiceState() *serviceState {
-	return &serviceState{accounts: map[string]*accountCost{}, fairShare: math.Inf(1)}
+	return &serviceState{accounts: map[string]*accountCost{}, fairShare: math.Inf(1), demandFactor: 1}
 }
 
 func (s *serviceState) account(name string) *accountCost {
@@ -116,6 +117,7 @@
 	}
 	if now.Sub(s.shareUpdatedAt) >= shareRefreshInterval {
 		s.shareUpdatedAt = now
+		s.demandFactor = d.demandFactor
 		s.refreshUsage(now)
 		capacity := max(perSecond*usageWindow.Seconds(), s.totalGranted())
 		s.fairShare = s.maxMinShare(now, capacity)
@@ -126,6 +128,11 @@
 	t.OverShare = t.RecentUsage > t.FairShare
 }
 
+// fleetDemand returns the recent demand of an account in the whole fleet.
+func (s *serviceState) fleetDemand(now time.Time, u *accountCost) float64 {
+	return s.demandFactor*u.demand.value(now, usageWindow) + u.peerDemand
+}
+
 // totalGranted returns the recent usage of all accounts in the whole fleet.
 // Where it exceeds the configured capacity, it is the capacity to share.
 func (s *serviceState) totalGranted() float64 {
@@ -140,7 +147,7 @@
 func (s *serviceState) totalDemand(now time.Time) float64 {
 	total := 0.0
 	for _, u := range s.accounts {
-		total += u.demand.value(now, usageWindow) + u.peerDemand
+		total += s.fleetDemand(now, u)
 	}
 	return total
 }
@@ -151,7 +158,7 @@
 func (s *serviceState) maxMinShare(now time.Time, capacity float64) float64 {
 	demands := make([]float64, 0, len(s.accounts))
 	for _, u := range s.accounts {
-		demands = append(demands, u.demand.value(now, usageWindow)+u.peerDemand)
+		demands = append(demands, s.fleetDemand(now, u))
 	}
 	slices.Sort(demands)
 	for i, demand := range demands {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -124,6 +124,7 @@
 	relay      *relay.Relay
 	pool       *upstream.Pool
 	lagMeter   *overload.Meter
+	front      *overload.Listener // for client requests
 	replica    *replica.Replica
 	mesh       *mesh.Mesh
 	peerServer *grpc.Server
@@ -167,7 +168,10 @@
 // heartbeatState returns the state that each heartbeat carries.
 func (e *Edge) heartbeatState() mesh.State {
 	s := mesh.State{Ready: e.ready(), Leaving: e.leaving.Load(), ReadsStore: e.replica.ReadsStore()}
-	e.dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) { s.Report = d.Report(now) })
+	e.dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
+		d.SetDemandFactor(e.front.Pressure())
+		s.Report = d.Report(now)
+	})
 	return s
 }
 
--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -56,7 +56,8 @@
 		}
 		listener, err := listen(l.address)
 		if err == nil && l.name == "front" {
-			listener, err = overload.NewListener(listener.(*net.TCPListener), e.lagMeter.Lag)
+			e.front, err = overload.NewListener(listener.(*net.TCPListener), e.lagMeter.Lag)
+			listener = e.front
 		}
 		if err != nil {
 			return nil, errors.Wrap(err, "listen for "+l.name)
--- a/internal/overload/listener.go
+++ b/internal/overload/listener.go
@@ -40,6 +40,8 @@
 	raw    syscall.RawConn
 	lag    func() time.Duration
 	unread atomic.Int64 // connections returned by Accept that nothing was read from yet
+
+	pressure pressure
 }
 
 // NewListener returns a Listener. lag returns how long work waits for the CPU, as
@@ -64,14 +66,25 @@
 		}
 		if !l.overloaded() {
 			l.unread.Add(1)
+			l.count(1, 0)
 			return &clientConn{TCPConn: c, l: l}, nil
 		}
-		resets.Inc()
+		l.count(0, 1)
 		// An error means that the client has closed the connection.
 		_ = c.Close()
 	}
 }
 
+// count counts new connections.
+func (l *Listener) count(accepted, reset int) {
+	l.pressure.add(time.Now(), accepted, reset)
+	resets.Add(reset)
+}
+
+// Pressure returns how many times as many connections clients have recently opened
+// as were accepted, at least 1.
+func (l *Listener) Pressure() float64 { return l.pressure.ratio(time.Now()) }
+
 func (l *Listener) overloaded() bool {
 	lag := l.lag()
 	return lag > maxAcceptLag || lag > minQueueLag && l.unread.Load() >= maxUnread
@@ -89,11 +102,11 @@
 				return // none is waiting
 			}
 			n++
-			resets.Inc()
 			// With the request unread, or on its way, closing resets the connection.
 			_ = unix.Close(c)
 		}
 	})
+	l.count(0, n)
 	return err == nil
 }
 
