Hold accounts back while another one gets much less than its share

Cause: the share was an upper bound only. Each router decides by reports that are 100 to 200 ms old, so an account that arrives at many routers finds a slot as soon as it is free; one at a single router finds endpoints full, and what it lacks is used by the others beyond their shares, up to half of all slots. Class of fault: a limit enforced by each part on its own, where the promise is one on the ratio between accounts in the whole fleet.

While a service is overloaded and an account that asks for more than its share gets less than 0.8 of it, the others may use 1.7 times as much as that account, but not less than 0.6 of their share, since it may lack the CPU time of its router, which they can't give it. Requests beyond that take only endpoints with a fifth of the slots in use, cached prompts included. Requests of the underserved account may wait longer inside endpoints.

Evidence: 'blocked' in account.requests of the flooded router was mostly slots and prefill. Three specs fail without the change: "lets accounts beyond their shares yield", "lets no account get much more than twice as much", "lets an account that gets much less than its share wait inside full endpoints".

--- a/core/dispatch/dispatch_suite_test.go
+++ b/core/dispatch/dispatch_suite_test.go
@@ -359,6 +359,24 @@
 		}
 	})
 
+	It("lets accounts beyond their shares yield to one that gets much less than its share at another router", func() {
+		// state returns what a request of the account gets beside 2 of 8 slots in use.
+		state := func(account string, poorGranted float64) dispatch.State {
+			d := newLargeFleet(endpoint("e1", model, "a"))
+			d.SetPeerReport(start, "r1", dispatch.Report{
+				Endpoints: []dispatch.EndpointReport{{Endpoint: "e1", Load: dispatch.Load{Active: 2}}},
+				Accounts: []dispatch.AccountReport{
+					{Service: model, Account: "rich", Demand: 400_000, Granted: 110_000},
+					{Service: model, Account: "poor", Demand: 400_000, Granted: poorGranted},
+				},
+			})
+			return d.Submit(start, chatRequest(start, account, 100)).State
+		}
+		Expect(state("rich", 100_000)).To(Equal(dispatch.Granted), "no account gets much less than its share")
+		Expect(state("rich", 40_000)).NotTo(Equal(dispatch.Granted))
+		Expect(state("other", 40_000)).To(Equal(dispatch.Granted), "within its share")
+	})
+
 	It("grants an account with little usage room in endpoints filled by accounts beyond their shares", func() {
 		// Guards against an account at one router that gets a third of its share,
 		// since endpoints look full to that router.
@@ -383,6 +401,22 @@
 		Expect(placed("poor", 102)).To(Equal(dispatch.Granted))
 	})
 
+	It("lets no account get much more than twice as much as one that asks for as much", func() {
+		// share is what accounts may use in two seconds while two others share 200,000.
+		share := func(poor, poorGranted float64) float64 {
+			d := newLargeFleet(endpoint("e1", model, "a"))
+			d.SetPeerReport(start, "r1", dispatch.Report{Accounts: []dispatch.AccountReport{
+				{Service: model, Account: "rich", Demand: 400_000, Granted: 100_000},
+				{Service: model, Account: "poor", Demand: poor, Granted: poorGranted},
+			}})
+			return d.Submit(start, chatRequest(start, "rich", 100)).FairShare
+		}
+		Expect(share(90_000, 30_000)).To(BeNumerically("~", 110_000, 1_000), "the other account asks for less than half")
+		Expect(share(400_000, 80_000)).To(BeNumerically("~", 100_000, 1_000), "not much less")
+		Expect(share(400_000, 45_000)).To(BeNumerically("~", 1.7*45_000, 1_000))
+		Expect(share(400_000, 5_000)).To(BeNumerically("~", 0.6*100_000, 1_000), "which may lack CPU time of its router")
+	})
+
 	It("reports the demand of clients that it has no CPU time for", func() {
 		d := newLargeFleet(endpoint("e1", model, "a"))
 		d.SetDemandFactor(4)
@@ -390,6 +424,22 @@
 		Expect(d.Report(start.Add(200 * time.Millisecond)).Accounts[0].Demand).To(BeNumerically("~", 4*1100*0.9, 50))
 	})
 
+	It("lets an account that gets much less than its share wait inside full endpoints", func() {
+		full := func(granted float64) dispatch.State {
+			d := newLargeFleet(endpoint("e1", model, "a"))
+			d.SetPeerReport(start, "r1", dispatch.Report{
+				Endpoints: []dispatch.EndpointReport{{Endpoint: "e1", Load: dispatch.Load{Active: slots / 2, Pending: 18_000}}},
+				Accounts: []dispatch.AccountReport{
+					{Service: model, Account: "large", Demand: 400_000, Granted: 300_000},
+					{Service: model, Account: "poor", Demand: 400_000, Granted: granted},
+				},
+			})
+			return d.Submit(start, chatRequest(start, "poor", 100)).State
+		}
+		Expect(full(140_000)).NotTo(Equal(dispatch.Granted))
+		Expect(full(50_000)).To(Equal(dispatch.Granted))
+	})
+
 	It("sums the reports of a row, and forwards placements and crashes of all its routers", func() {
 		d := newLargeFleet(endpoint("e1", model, "a"), endpoint("e2", model, "a"))
 		d.Submit(start, chatRequest(start, "a", 100))
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -47,6 +47,9 @@
 	inShareSlotFraction   = 1.0
 	overShareSlotFraction = 0.5
 	cachedSlotFraction    = 0.8
+	// yieldingSlotFraction is the same for requests beyond the share while another
+	// account is underserved, which may wait at a router that sees free slots later.
+	yieldingSlotFraction = 0.2
 	// inShareWaitFraction, overShareWaitFraction and cachedWaitFraction are the
 	// fractions of the objective within which an endpoint must start to prefill
 	// a prompt, in the same three cases. The prefill and the first decode steps
@@ -54,6 +57,10 @@
 	inShareWaitFraction   = 0.35
 	overShareWaitFraction = 0.2
 	cachedWaitFraction    = 0.4
+	// underservedWaitFactor lengthens the wait further for an underserved account.
+	// Its requests are rather late than refused while other routers, which see free
+	// slots sooner, fill the endpoints.
+	underservedWaitFactor = 4.0
 	// maxMemoryFraction is the fraction of an endpoint's memory that running
 	// requests may fill. Estimates of their output length are rough, and a model
 	// runner that runs out of memory preempts a request.
@@ -238,6 +245,9 @@
 	slotFraction  float64       // of the slots
 	maxWait       time.Duration // until the endpoint starts to prefill the prompt
 	maxCachedWait time.Duration // the same, if the endpoint has much of the prompt cached
+	// maxCachedSlots is the fraction of the slots if the endpoint has much of the
+	// prompt cached.
+	maxCachedSlots float64
 }
 
 // limitsFor returns the limits for a request. They are tighter if the request
@@ -249,15 +259,20 @@
 	t.ObjectiveMissed = left < cachedFirstToken
 	cached := time.Duration(cachedWaitFraction * float64(objective))
 	d.updateShare(now, s, t)
+	if t.OverShare && s.underserved {
+		return occupancyLimits{slotFraction: yieldingSlotFraction, maxCachedSlots: yieldingSlotFraction}
+	}
 	if t.OverShare && s.overloaded {
 		ratio := t.FairShare / t.RecentUsage // the further beyond its share, the tighter the limits
-		return occupancyLimits{slotFraction: overShareSlotFraction * ratio, maxWait: time.Duration(overShareWaitFraction * ratio * float64(objective)), maxCachedWait: time.Duration(ratio * float64(cached))}
+		return occupancyLimits{slotFraction: overShareSlotFraction * ratio, maxWait: time.Duration(overShareWaitFraction * ratio * float64(objective)), maxCachedWait: time.Duration(ratio * float64(cached)), maxCachedSlots: cachedSlotFraction}
 	}
 	if t.ObjectiveMissed || t.OverShare {
-		return occupancyLimits{slotFraction: overShareSlotFraction, maxWait: time.Duration(overShareWaitFraction * float64(objective)), maxCachedWait: cached}
+		return occupancyLimits{slotFraction: overShareSlotFraction, maxWait: time.Duration(overShareWaitFraction * float64(objective)), maxCachedWait: cached, maxCachedSlots: cachedSlotFraction}
 	}
-	wait := time.Duration(inShareWaitFraction * (1 + d.shareDeficit(s, t)) * float64(objective))
-	return occupancyLimits{slotFraction: inShareSlotFraction, maxWait: wait, maxCachedWait: max(cached, wait)}
+	deficit := d.shareDeficit(s, t)
+	longer := 1 + deficit + underservedWaitFactor*max(0, deficit-(1-underservedFraction))
+	wait := time.Duration(inShareWaitFraction * longer * float64(objective))
+	return occupancyLimits{slotFraction: inShareSlotFraction, maxWait: wait, maxCachedWait: max(cached, wait), maxCachedSlots: cachedSlotFraction}
 }
 
 // shareDeficit returns the fraction of its share that an account has not
@@ -279,7 +294,7 @@
 	load := ep.totalLoad()
 	maxWait, slotFraction := l.maxWait, l.slotFraction
 	if t.Request.PromptTokens-uncached >= minCacheWaitTokens {
-		maxWait, slotFraction = max(maxWait, l.maxCachedWait), max(slotFraction, cachedSlotFraction)
+		maxWait, slotFraction = max(maxWait, l.maxCachedWait), max(slotFraction, l.maxCachedSlots)
 	} else {
 		load.Active += ep.reservedSlots
 	}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -26,6 +26,15 @@
 	// service counts as overloaded. It exceeds 1 because requests that wait
 	// briefly are part of the demand before they are served.
 	overloadThreshold = 1.15
+	// underservedFraction is the fraction of what an account is entitled to below
+	// which it counts as underserved.
+	underservedFraction = 0.8
+	// maxUsageRatio is how much more an account may get than the least underserved
+	// one. Below two, since usage at other routers is known late.
+	maxUsageRatio = 1.7
+	// minShareFraction is the fraction of its max-min share that an account may use
+	// however little another one gets.
+	minShareFraction = 0.6
 	// maxWaitFraction limits the expected wait of a request within its
 	// account's share, as a fraction of the time that the caller waits for a
 	// first event. Beyond it, the request is refused at once, while the caller
@@ -58,6 +67,7 @@
 	usageUpdatedAt time.Time
 
 	overloaded   bool    // demand exceeds capacity
+	underserved  bool    // an account gets much less than its share and asks for it
 	demandFactor float64 // of the demand seen at this router, see Dispatcher.SetDemandFactor
 }
 
@@ -122,6 +132,7 @@
 		capacity := max(perSecond*usageWindow.Seconds(), s.totalGranted())
 		s.fairShare = s.maxMinShare(now, capacity)
 		s.overloaded = s.totalDemand(now) > overloadThreshold*capacity
+		s.limitToUnderserved(now)
 	}
 	s.refreshUsage(now)
 	t.RecentUsage, t.FairShare = s.account(t.Request.Account).fleetGranted, s.fairShare
@@ -133,6 +144,31 @@
 	return s.demandFactor*u.demand.value(now, usageWindow) + u.peerDemand
 }
 
+// leastUnderserved returns the least recent usage of an account that asks for more
+// than its share and gets much less; false if there is none. Accounts that ask for
+// less are left out: one request more or less is a large part of their demand.
+func (s *serviceState) leastUnderserved(now time.Time) (usage float64, ok bool) {
+	usage = underservedFraction * s.fairShare
+	for _, u := range s.accounts {
+		if s.fleetDemand(now, u) > s.fairShare && u.fleetGranted < usage {
+			usage, ok = u.fleetGranted, true
+		}
+	}
+	return usage, ok
+}
+
+// limitToUnderserved lowers the share while an account is underserved, so that no
+// other account gets much more than twice as much. What that account lacks may be
+// CPU time of its router, which no other request takes from it; the share is
+// therefore not lowered below minShareFraction.
+func (s *serviceState) limitToUnderserved(now time.Time) {
+	usage, ok := s.leastUnderserved(now)
+	s.underserved = ok && s.overloaded
+	if s.underserved {
+		s.fairShare = min(s.fairShare, max(maxUsageRatio*usage, minShareFraction*s.fairShare))
+	}
+}
+
 // totalGranted returns the recent usage of all accounts in the whole fleet.
 // Where it exceeds the configured capacity, it is the capacity to share.
 func (s *serviceState) totalGranted() float64 {
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -119,7 +119,7 @@
 		demand, granted := u.demand.value(now, usageWindow), u.granted.value(now, usageWindow)
 		sum.Demand += demand
 		sum.Granted += granted
-		sum.FleetDemand += demand + u.peerDemand
+		sum.FleetDemand += s.fleetDemand(now, u)
 		sum.FleetGranted += granted + u.peerGranted
 		if !math.IsInf(s.fairShare, 1) {
 			sum.Share += s.fairShare
