Quarantine the prompt parts that crash endpoints

Cause: the quarantine knows a request by path, account and body, so requests that only share a part of the prompt were all new to it; and it blamed every request whose connection broke, also those whose response had begun, which can't be the cause. Class of fault: the identity of what is blamed is that of the request, not of what the failures have in common.

Shared parts of requests whose connection broke before the response had begun are now suspects; a response that begins clears its request's parts of the crashes up to then. Evidence adds up over the fleet by heartbeats, with times that no hop renews. The request's own quarantine no longer counts crashes after the response had begun.

Peer messages get two fields; routers without them ignore these.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -171,6 +171,8 @@
 	lastSequence     uint64      // sequence number of the newest placement
 	quarantine       *route.Quarantine
 	crashes          []crashAnnouncement
+	parts            *route.PartQuarantine
+	soundParts       map[uint64]soundAnnouncement
 	announceDuration time.Duration // how long placements and crashes are reported
 }
 
@@ -190,6 +192,8 @@
 		announceDuration: defaultAnnounceDuration,
 
 		quarantine: route.NewQuarantine(),
+		parts:      route.NewPartQuarantine(),
+		soundParts: map[uint64]soundAnnouncement{},
 	}
 }
 
@@ -377,7 +381,8 @@
 // request. It is to be asked right before the request is sent: the endpoint may
 // have begun to leave while a connection was established.
 func (d *Dispatcher) Confirm(now time.Time, t *Ticket) bool {
-	return t.State == Granted && d.endpoints[t.Endpoint.ID] == t.endpoint && d.eligible(t.endpoint, &t.Request) && !now.Before(d.pauseEnd(t.endpoint))
+	return t.State == Granted && d.endpoints[t.Endpoint.ID] == t.endpoint && d.eligible(t.endpoint, &t.Request) &&
+		!now.Before(d.pauseEnd(t.endpoint)) && !d.parts.StoppedSince(now, t.GrantedAt, sharedPartIDs(t.Request.Parts))
 }
 
 // RecordFirstEvent records that the first event of the response has arrived, so
--- /dev/null
+++ b/core/dispatch/parts.go
@@ -0,0 +1,109 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/route"
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+)
+
+const (
+	// partReportDuration is how long a crash or a sound part is reported. It spans
+	// several heartbeats, also of a large fleet.
+	partReportDuration = 2 * time.Second
+	// maxReportedParts limits the crashes, and the sound parts, in one report.
+	maxReportedParts = 64
+)
+
+// soundAnnouncement is a prompt part that other routers may suspect without reason.
+type soundAnnouncement struct {
+	begun    time.Time // when a response with the part began
+	at       time.Time // when this router had reason to report it
+	fromPeer bool      // reported by another router of the same row
+}
+
+// sharedPartIDs returns the parts of a prompt that other requests may have.
+func sharedPartIDs(parts []PromptPart) []uint64 {
+	if len(parts) < 2 {
+		return nil
+	}
+	ids := make([]uint64, 0, len(parts)-1)
+	for _, p := range parts[:len(parts)-1] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
+// incarnationKey identifies an incarnation of an endpoint in reports.
+func incarnationKey(e topology.Endpoint) uint64 {
+	return xxhash.Sum64String(e.ID + "@" + strconv.FormatInt(e.StartMillis, 10))
+}
+
+// RecordBegun records that the response to the request of a ticket has begun, so
+// none of the parts that it shares with others crashes endpoints.
+func (d *Dispatcher) RecordBegun(now time.Time, t *Ticket) {
+	for _, p := range sharedPartIDs(t.Request.Parts) {
+		if d.parts.RecordBegun(now, p) {
+			d.soundParts[p] = soundAnnouncement{begun: now, at: now}
+		}
+	}
+}
+
+// RecordPartCrash records that the endpoint of a ticket crashed before it had begun
+// the response. It returns the parts of the prompt that may be the cause.
+func (d *Dispatcher) RecordPartCrash(now time.Time, t *Ticket) (suspects []uint64) {
+	for _, p := range sharedPartIDs(t.Request.Parts) {
+		if d.parts.RecordCrash(now, route.PartCrash{Part: p, Endpoint: incarnationKey(t.Endpoint)}) {
+			suspects = append(suspects, p)
+		}
+	}
+	return suspects
+}
+
+// PartBlocked returns a part of the prompt that seems to crash endpoints, because of
+// which a request may not be sent now.
+func (d *Dispatcher) PartBlocked(now time.Time, parts []PromptPart) (part uint64, blocked bool) {
+	return d.parts.Blocked(now, sharedPartIDs(parts))
+}
+
+// recentSoundParts returns the parts that this router knows to be sound and others
+// may suspect or, for a report to other rows, those that its row knows. What it
+// heard from another row is not passed on: each hop would make it seem newer.
+func (d *Dispatcher) recentSoundParts(now time.Time, forOtherRows bool) []route.SoundPart {
+	var out []route.SoundPart
+	for p, a := range d.soundParts {
+		if now.Sub(a.at) >= partReportDuration {
+			delete(d.soundParts, p)
+		} else if forOtherRows || !a.fromPeer {
+			out = append(out, route.SoundPart{Part: p, Age: max(0, now.Sub(a.begun))})
+		}
+	}
+	slices.SortFunc(out, func(a, b route.SoundPart) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Part, b.Part))
+	})
+	return out[:min(len(out), maxReportedParts)]
+}
+
+// mergeParts applies the crashes and sound parts of another router's or row's
+// report. Where this router has seen a response that is newer than a crash, its next
+// reports say so.
+func (d *Dispatcher) mergeParts(now time.Time, r Report, forward bool) {
+	for _, s := range r.SoundParts {
+		d.parts.RecordSound(now, s)
+		if a, ok := d.soundParts[s.Part]; forward && (!ok || a.fromPeer) {
+			d.soundParts[s.Part] = soundAnnouncement{begun: now.Add(-s.Age), at: now, fromPeer: true}
+		}
+	}
+	for _, c := range r.PartCrashes {
+		if age, ok := d.parts.Refutes(now, c); ok {
+			d.soundParts[c.Part] = soundAnnouncement{begun: now.Add(-age), at: now}
+			continue
+		}
+		d.parts.RecordCrash(now, c)
+	}
+}
--- /dev/null
+++ b/core/dispatch/parts_test.go
@@ -0,0 +1,90 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/core/route"
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+)
+
+// tainted returns a request with the part 77 among those that it shares.
+func tainted(now time.Time, own uint64) dispatch.Request {
+	r := chatRequest(now, "x", own)
+	r.Parts = []dispatch.PromptPart{{ID: 1, Tokens: 300}, {ID: 77, Tokens: 100}, {ID: own, Tokens: 600}}
+	return r
+}
+
+// TestCrashesOfOnePartAddUpOverRouters guards against each router of a fleet losing
+// endpoints to the same prompt part.
+func TestCrashesOfOnePartAddUpOverRouters(t *testing.T) {
+	all := newRouters(20)
+	now := start
+	for i := range route.PartQuarantineCrashes {
+		e := endpoint(fmt.Sprint("e", i), model, "a")
+		d := all[i*7%len(all)]
+		d.SetEndpoints(now, []topology.Endpoint{e})
+		ticket := d.Submit(now, tainted(now, uint64(100+i)))
+		if suspects := d.RecordPartCrash(now, ticket); len(suspects) == 0 {
+			t.Fatalf("crash %d names no part", i)
+		}
+		sound := d.Submit(now, chatRequest(now, "x", uint64(200+i)))
+		d.RecordBegun(now, sound)
+	}
+	exchangeReports(all, start.Add(500*time.Millisecond), 100*time.Millisecond, 15*time.Millisecond)
+	now = start.Add(time.Minute)
+	for i, d := range all {
+		if _, blocked := d.PartBlocked(now, tainted(now, 300).Parts); !blocked {
+			t.Errorf("router %d sends a request with the part", i)
+		}
+		if _, blocked := d.PartBlocked(now, chatRequest(now, "x", 300).Parts); blocked {
+			t.Errorf("router %d refuses a request that shares the other parts", i)
+		}
+	}
+}
+
+// TestRouterThatKnowsBetterClearsPart guards against a fleet that refuses a part of
+// which one router knows that it is sound.
+func TestRouterThatKnowsBetterClearsPart(t *testing.T) {
+	all := newRouters(20)
+	crashed := start.Add(-100 * time.Millisecond)
+	for i := range route.PartQuarantineCrashes {
+		d := all[0]
+		d.SetEndpoints(crashed, []topology.Endpoint{endpoint(fmt.Sprint("e", i), model, "a")})
+		d.RecordPartCrash(crashed, d.Submit(crashed, tainted(crashed, uint64(100+i))))
+	}
+	last := all[len(all)-1]
+	last.SetEndpoints(start, []topology.Endpoint{endpoint("e9", model, "a")})
+	last.RecordBegun(start, last.Submit(start, tainted(start, 200)))
+	exchangeReports(all, start.Add(time.Second), 100*time.Millisecond, 15*time.Millisecond)
+	now := start.Add(time.Second)
+	for i, d := range all {
+		if part, blocked := d.PartBlocked(now, tainted(now, 300).Parts); blocked {
+			t.Errorf("router %d still refuses part %d", i, part)
+		}
+	}
+}
+
+// TestSoundPartStaysUsableWhileEndpointsCrash guards against refusing a part that
+// most requests have because all endpoints of an availability zone crash at once.
+func TestSoundPartStaysUsableWhileEndpointsCrash(t *testing.T) {
+	all := newRouters(20)
+	crashed := start.Add(-100 * time.Millisecond)
+	for i, d := range all {
+		d.SetEndpoints(crashed, []topology.Endpoint{endpoint(fmt.Sprint("e", i), model, "a")})
+		if i%2 == 0 {
+			d.RecordBegun(crashed.Add(-time.Minute), d.Submit(crashed, chatRequest(crashed, "x", 50)))
+		}
+		d.RecordPartCrash(crashed, d.Submit(crashed, chatRequest(crashed, "x", uint64(100+i))))
+	}
+	all[3].RecordBegun(start, all[3].Submit(start, chatRequest(start, "x", 60)))
+	now := start.Add(500 * time.Millisecond)
+	exchangeReports(all, now, 100*time.Millisecond, 15*time.Millisecond)
+	for i, d := range all {
+		if part, blocked := d.PartBlocked(now, chatRequest(now, "x", 70).Parts); blocked {
+			t.Errorf("router %d refuses part %d", i, part)
+		}
+	}
+}
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -43,6 +43,8 @@
 	Incarnation int64 // of the router; sequence numbers of placements start anew with each
 	Placements  []Placement
 	Crashes     []route.Crash // recent ones
+	PartCrashes []route.PartCrash
+	SoundParts  []route.SoundPart // which other routers may suspect without reason
 }
 
 // peerReport is the newest report of a peer: another router of the same row, or
@@ -56,6 +58,8 @@
 // Report returns the report for the other routers of the row.
 func (d *Dispatcher) Report(now time.Time) Report {
 	r := Report{Cold: d.coldEndpoints(now, false), Placements: d.recentPlacements(now, false), Crashes: d.recentCrashes(now, false)}
+	r.PartCrashes = d.parts.Crashes(now, partReportDuration, maxReportedParts)
+	r.SoundParts = d.recentSoundParts(now, false)
 	for id, ep := range d.endpoints {
 		if ep.ownLoad.Active > 0 {
 			r.Endpoints = append(r.Endpoints, EndpointReport{Endpoint: id, Load: ep.ownLoad})
@@ -142,6 +146,7 @@
 func (d *Dispatcher) RowReport(now time.Time, row []string) Report {
 	sum := d.Report(now)
 	sum.Placements, sum.Crashes, sum.Cold = d.recentPlacements(now, true), d.recentCrashes(now, true), d.coldEndpoints(now, true)
+	sum.SoundParts = d.recentSoundParts(now, true)
 	endpoints, accounts := map[string]int{}, map[[2]string]int{}
 	for i, e := range sum.Endpoints {
 		endpoints[e.Endpoint] = i
@@ -195,6 +200,7 @@
 	}
 	next.lastPlacement = d.mergePlacements(now, r.Placements, next.lastPlacement, forward)
 	d.mergeCrashes(now, r.Crashes, forward)
+	d.mergeParts(now, r, forward)
 	d.replacePeer(peer, next)
 	d.mergeCold(now, r.Cold, forward)
 }
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -23,6 +23,12 @@
 	for _, c := range r.Crashes {
 		b.Crashes = append(b.Crashes, &peerpb.EndpointCrash{Fingerprint: c.Fingerprint, Id: c.Endpoint, AgeMs: toUint32(int(c.Age / time.Millisecond))})
 	}
+	for _, c := range r.PartCrashes {
+		b.PartCrashes = append(b.PartCrashes, &peerpb.PartCrash{Part: c.Part, Endpoint: c.Endpoint, AgeMs: toUint32(int(c.Age / time.Millisecond))})
+	}
+	for _, p := range r.SoundParts {
+		b.SoundParts = append(b.SoundParts, &peerpb.SoundPart{Part: p.Part, AgeMs: toUint32(int(p.Age / time.Millisecond))})
+	}
 	for _, a := range r.Accounts {
 		b.Accounts = append(b.Accounts, &peerpb.AccountUse{Service: a.Service, Account: a.Account, Asked: float32(a.Demand), Served: float32(a.Granted)})
 	}
@@ -32,6 +38,12 @@
 
 func decodeReport(b *peerpb.Beat) dispatch.Report {
 	r := dispatch.Report{Incarnation: b.Incarnation}
+	for _, c := range b.PartCrashes {
+		r.PartCrashes = append(r.PartCrashes, route.PartCrash{Part: c.Part, Endpoint: c.Endpoint, Age: time.Duration(c.AgeMs) * time.Millisecond})
+	}
+	for _, p := range b.SoundParts {
+		r.SoundParts = append(r.SoundParts, route.SoundPart{Part: p.Part, Age: time.Duration(p.AgeMs) * time.Millisecond})
+	}
 	for _, p := range b.Placements {
 		r.Placements = append(r.Placements, dispatch.Placement{Sequence: p.Number, Endpoint: p.Id, Parts: p.Parts, NewTokens: int(p.Fresh)})
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -268,10 +268,20 @@
 		return x.interrupted(ctx, code.Truncated, "the response is truncated")
 	}
 	x.recordFirstEvent(t)
+	if !meta.NotRun {
+		x.recordBegun(t)
+	}
 	x.putConn(conn, resp)
 	return x.handleResponse(resp, meta, body)
 }
 
+// recordBegun records that the endpoint has begun the response to this request, so
+// that a later crash is not its fault.
+func (x *exchange) recordBegun(t *dispatch.Ticket) {
+	x.begun = true
+	x.h.opts.Dispatcher.RecordBegun(t)
+}
+
 // putConn returns the connection of a complete response to the pool. What happens
 // to this request afterwards must not end the connection, which another request
 // may use already.
--- a/internal/relay/dispatcher.go
+++ b/internal/relay/dispatcher.go
@@ -81,6 +81,13 @@
 	d.Update(func(now time.Time, inner *dispatch.Dispatcher) { inner.RecordFirstEvent(now, t, timed) })
 }
 
+// RecordBegun records that the endpoint has begun the response.
+func (d *SharedDispatcher) RecordBegun(t *dispatch.Ticket) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dispatcher.RecordBegun(time.Now(), t)
+}
+
 // RecordTokens records how long a stream took to produce a number of tokens.
 func (d *SharedDispatcher) RecordTokens(t *dispatch.Ticket, tokens int, took time.Duration) {
 	d.mu.Lock()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"time"
@@ -45,6 +46,7 @@
 	sendDelay       time.Duration     // of the latest attempt, from the decision until it was sent
 	memory          []*reservation    // of the responses of all attempts
 	attemptConn     *attemptConn      // of the latest attempt
+	begun           bool              // the response of the latest attempt has begun
 	clientLeft      func()            // ends the request's context, as the HTTP server does when the client disconnects
 }
 
@@ -121,8 +123,8 @@
 	dispatcher := x.h.opts.Dispatcher
 	dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) { d.RecordRequest(now, x.service) })
 	for {
-		if x.quarantined() {
-			return notRunError(code.Quarantined, 0)
+		if detail, blocked := x.quarantined(); blocked {
+			return x.quarantineFailure(detail)
 		}
 		ticket, err := dispatcher.Acquire(ctx, x.dispatchRequest())
 		if err != nil {
@@ -132,10 +134,11 @@
 		if ticket.State == dispatch.Refused {
 			return x.refusal(ticket)
 		}
+		x.begun = false
 		result := x.attempt(ctx, ticket)
 		dispatcher.Finish(ticket, result.outcome)
 		x.recordAttempt(ticket, result)
-		if result.suspectedCrash && x.recordCrash(ticket) {
+		if result.suspectedCrash && !x.begun && x.recordCrash(ticket) {
 			return result.failure
 		}
 		if result.delivered || !x.allowRetry(ctx, ticket, result) {
@@ -144,14 +147,28 @@
 	}
 }
 
-// quarantined reports whether the request is known to crash endpoints. A request
-// that may have run already was checked after that attempt.
-func (x *exchange) quarantined() (blocked bool) {
+// quarantined reports whether the request, or a part of its prompt, is known to
+// crash endpoints. A request that may have run already was checked after that
+// attempt.
+func (x *exchange) quarantined() (detail string, blocked bool) {
+	x.h.opts.Dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
+		if part, ok := d.PartBlocked(now, x.meta.Parts); ok {
+			detail, blocked = fmt.Sprintf("prompt part %x seems to crash endpoints", part), true
+		} else if !x.mayHaveRun && d.Quarantined(now, x.fingerprint()) {
+			detail, blocked = "the request seems to crash endpoints", true
+		}
+	})
+	return detail, blocked
+}
+
+// quarantineFailure returns the failure of a quarantined request.
+func (x *exchange) quarantineFailure(detail string) *code.Error {
 	if x.mayHaveRun {
-		return false
+		return code.Fail(code.EndpointError, detail)
 	}
-	x.h.opts.Dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) { blocked = d.Quarantined(now, x.fingerprint()) })
-	return blocked
+	failure := notRunError(code.Quarantined, 0)
+	failure.Detail = detail
+	return failure
 }
 
 // recordCrash records that the endpoint seems to have crashed on the request. It
@@ -159,11 +176,13 @@
 func (x *exchange) recordCrash(t *dispatch.Ticket) bool {
 	quarantined := false
 	fingerprint := x.fingerprint()
+	var suspects []uint64
 	x.h.opts.Dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
+		suspects = d.RecordPartCrash(now, t)
 		d.RecordCrash(now, fingerprint, t.Endpoint.ID)
 		quarantined = d.Quarantined(now, fingerprint)
 	})
-	x.h.opts.Log.Log(oplog.Failure, "request.broke_endpoint", x.attrs(slog.String("endpoint", t.Endpoint.ID), slog.Bool("quarantined", quarantined))...)
+	x.h.opts.Log.Log(oplog.Failure, "request.broke_endpoint", x.attrs(slog.String("endpoint", t.Endpoint.ID), slog.Bool("quarantined", quarantined), slog.Any("suspect_parts", suspects))...)
 	return quarantined
 }
 
--- a/internal/relay/relay_suite_test.go
+++ b/internal/relay/relay_suite_test.go
@@ -38,6 +38,11 @@
 	m := relay.RequestMeta{ID: h.Get("Test-Id"), APIKey: h.Get("Test-Key"), LastEventID: h.Get("Test-Resume")}
 	ms, _ := strconv.Atoi(h.Get("Test-Wait"))
 	m.Timeout = time.Duration(ms) * time.Millisecond
+	for _, id := range strings.Fields(h.Get("Test-Parts")) {
+		n, _ := strconv.ParseUint(id, 10, 64)
+		m.Parts = append(m.Parts, dispatch.PromptPart{ID: n, Tokens: 100})
+		m.PromptTokens += 100
+	}
 	h.Del("Test-Key")
 	return m
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -47,6 +47,9 @@
 				conn.Close()
 				return x.oversized(ctx, "an event or the stream exceeds its size limit or the memory for responses")
 			}
+			if s.hasEvent && !x.begun {
+				x.recordBegun(t)
+			}
 			if len(complete) > 0 {
 				if !x.forwardEvents(resp, complete, s.lastID) {
 					conn.Close()
