Close a connection on which an endpoint rejected a request

Cause: late responses to other requests are told apart by their request ID, but a rejected request may be sent again with its ID on the same kept connection. A faulty endpoint that writes its rejection once more there is believed. Class of fault: an identity that is not unique on the connection.

A connection whose response says "not run" is now closed. That costs a new connection for each rejection; routers send within the endpoint's slots, so rejections are rare.

"is not said not to have run because of the copy of an earlier rejection" got a 503 for a request that the endpoint ran before the change.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -268,10 +268,12 @@
 		return x.interrupted(ctx, code.Truncated, "the response is truncated")
 	}
 	x.recordFirstEvent(t)
-	if !meta.NotRun {
+	if meta.NotRun {
+		conn.Close() // a faulty endpoint may write the same rejection again
+	} else {
 		x.recordBegun(t)
+		x.putConn(conn, resp)
 	}
-	x.putConn(conn, resp)
 	return x.handleResponse(resp, meta, body)
 }
 
--- a/internal/relay/relay_suite_test.go
+++ b/internal/relay/relay_suite_test.go
@@ -74,6 +74,7 @@
 // fakeEndpoint is an endpoint whose raw responses come from a script function.
 type fakeEndpoint struct {
 	listener     net.Listener
+	accepted     atomic.Int64 // connections
 	mu           sync.Mutex
 	received     []receivedRequest
 	disconnected chan string // IDs of requests whose connection was closed by the router
@@ -100,6 +101,7 @@
 			if err != nil {
 				return
 			}
+			f.accepted.Add(1)
 			go f.serve(c, script)
 		}
 	}()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -143,6 +143,27 @@
 		Expect(body).To(Equal("right"))
 	})
 
+	It("is not said not to have run because of the copy of an earlier rejection", func() {
+		var f *fakeEndpoint
+		f = newFakeEndpoint(func(n int, s receivedRequest) reply {
+			rejection := response(s, 503, "", "Test-Not-Run: 1\r\n")
+			switch {
+			case n == 1:
+				return reply{raw: rejection}
+			case f.accepted.Load() == 1:
+				return reply{raw: rejection + response(s, 200, event(1))}
+			}
+			return reply{raw: response(s, 200, event(1))}
+		})
+		server, _ := newServer(topology.Route{Kind: topology.Stream, MaxAttempts: 1}, f)
+		for _, status := range []int{http.StatusServiceUnavailable, http.StatusOK} {
+			resp, _, err := send(server, "POST", "/p/", "x")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(status))
+			time.Sleep(100 * time.Millisecond) // the end of the pause of an endpoint that rejected a request
+		}
+	})
+
 	It("does not reuse a connection that delivered more than one response", func() {
 		f := newFakeEndpoint(func(n int, s receivedRequest) reply {
 			return reply{raw: response(s, 200, "right") + "HTTP/1.1 200 OK\r\nTest-Id: id-1\r\nContent-Length: 5\r\n\r\nextra"}
