Don't join what is no rest of a stream to a stream that broke off

Cause: an endpoint that is asked to resume a stream and responds with status 200 was taken to resume it, whatever its body was: a document, text without events, or nothing. Class of fault: a response trusted by its status alone where its content continues that of another endpoint.

The rest of a stream must not be declared as another media type, must begin with an event that has an ID (comments may stand before it), and must not be empty. Otherwise the response to the client is aborted, as it is after an error status. A stream whose last event had arrived before it broke off is aborted too; its client may resume it. What a client itself resumes is passed on as it is.

Five entries of "never contain what another endpoint responds instead of resuming them" fail without the change: a document, text without and with the type of a stream, an empty response and an empty stream that ends with its connection. Errors, rejections and cut heads held before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"mime"
 	"net/http"
 	"net/url"
 	"time"
@@ -253,6 +254,9 @@
 	conn.SetWriteDeadline(x.deadline.Add(deadlineGrace)) // of a large body that is still being sent
 	meta := x.h.opts.Protocol.ReadResponse(resp.StatusCode, resp.Header)
 	if resp.StatusCode == http.StatusOK && x.route.Kind == topology.Stream && resp.Header.Get("Content-Encoding") == "" {
+		if x.streamStarted && declaresOtherType(resp) {
+			return notResumed(conn)
+		}
 		return x.stream(ctx, conn, resp, t)
 	}
 	conn.SetReadDeadline(x.deadline.Add(deadlineGrace))
@@ -284,6 +288,14 @@
 	x.h.opts.Dispatcher.RecordBegun(t)
 }
 
+// declaresOtherType reports whether a response is declared as something else than a
+// stream of events.
+func declaresOtherType(resp *http.Response) bool {
+	declared := resp.Header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(declared)
+	return declared != "" && (err != nil || mediaType != "text/event-stream")
+}
+
 // putConn returns the connection of a complete response to the pool. What happens
 // to this request afterwards must not end the connection, which another request
 // may use already.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -270,6 +270,55 @@
 		Expect([]string{all[0].header.Get("Test-Resume"), all[1].header.Get("Test-Resume")}).To(ConsistOf("", "2"))
 	})
 
+	DescribeTable("never contain what another endpoint responds instead of resuming them",
+		func(answer func(s receivedRequest) string) {
+			const secret = "overloaded"
+			first := true
+			script := func(_ int, s receivedRequest) reply {
+				if first {
+					first = false
+					return reply{raw: streamHead(s) + chunk(event(1)), close: true}
+				}
+				return reply{raw: answer(s), close: true}
+			}
+			server, _ := newServer(resumable, newFakeEndpoint(script), newFakeEndpoint(script))
+			_, body, err := send(server, "POST", "/p/", "x")
+			Expect(err).To(HaveOccurred(), "the stream must not look complete")
+			Expect(body).NotTo(ContainSubstring(secret))
+			Expect(body).To(ContainSubstring("piece 1"))
+		},
+		Entry("an error", func(s receivedRequest) string { return response(s, 500, "overloaded") }),
+		Entry("a rejection", func(s receivedRequest) string { return response(s, 503, "overloaded", "Test-Not-Run: 1\r\n") }),
+		Entry("a document with status 200", func(s receivedRequest) string {
+			return response(s, 200, "<p>overloaded</p>\n\n", "Content-Type: text/html\r\n")
+		}),
+		Entry("text with status 200 and no type", func(s receivedRequest) string { return response(s, 200, "overloaded\n\n") }),
+		Entry("text declared as a stream", func(s receivedRequest) string { return streamHead(s) + chunk("overloaded\n\n") + "0\r\n\r\n" }),
+		Entry("half a head", func(s receivedRequest) string { return "HTTP/1.1 200 OK\r\nTest-Id: id-1\r\nX: overloaded" }),
+		Entry("an empty response", func(s receivedRequest) string { return response(s, 200, "") }),
+		Entry("an empty stream that ends with its connection", func(s receivedRequest) string {
+			return "HTTP/1.1 200 OK\r\nTest-Id: id-1\r\n\r\n"
+		}),
+		Entry("half an event and the end of the connection", func(s receivedRequest) string {
+			return "HTTP/1.1 200 OK\r\nTest-Id: id-1\r\n\r\nid: 2\ndata: overloa"
+		}),
+		Entry("no bytes", func(s receivedRequest) string { return "" }),
+	)
+
+	It("may begin with a comment when they are resumed, and end with an event without ID", func() {
+		script := func(_ int, s receivedRequest) reply {
+			if s.header.Get("Test-Resume") == "" {
+				return reply{raw: streamHead(s) + chunk(event(1)), close: true}
+			}
+			return reply{raw: streamHead(s) + chunk(": ping\n\n\n") + chunk(event(2)) + chunk("data: done\n\n") + "0\r\n\r\n", close: true}
+		}
+		server, _ := newServer(resumable, newFakeEndpoint(script), newFakeEndpoint(script))
+		_, body, err := send(server, "POST", "/p/", "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(ContainSubstring("piece 2"))
+		Expect(body).To(HaveSuffix("data: done\n\n"))
+	})
+
 	It("that can't be resumed are aborted", func() {
 		script := func(_ int, s receivedRequest) reply {
 			if s.header.Get("Test-Resume") == "" {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -28,7 +28,7 @@
 // stream forwards the events of a response as they arrive. Only complete events
 // are forwarded, so that the stream can be resumed after any of them.
 func (x *exchange) stream(ctx context.Context, conn *upstream.Conn, resp *http.Response, t *dispatch.Ticket) attemptResult {
-	s := eventSplitter{resumeAfter: x.lastEventID}
+	s := eventSplitter{resumeAfter: x.lastEventID, continues: x.streamStarted}
 	memory := x.reserve()
 	buf := make([]byte, streamBufferSize)
 	received := 0
@@ -43,6 +43,9 @@
 			}
 			received += n
 			complete, ok := s.add(buf[:n])
+			if s.foreign {
+				return notResumed(conn)
+			}
 			if !ok || received > maxStreamBytes || !memory.resize(s.memory()) {
 				conn.Close()
 				return x.oversized(ctx, "an event or the stream exceeds its size limit or the memory for responses")
@@ -64,6 +67,8 @@
 		}
 		switch {
 		case err == nil:
+		case err == io.EOF && s.continues && !s.hasID:
+			return notResumed(conn)
 		case err == io.EOF && len(s.partial) == 0:
 			return x.finishStream(conn, resp)
 		case isTimeout(err):
@@ -93,6 +98,13 @@
 	}
 }
 
+// notResumed returns the result of an attempt whose endpoint responded with
+// something else than the rest of the stream.
+func notResumed(conn *upstream.Conn) attemptResult {
+	conn.Close()
+	return failedAttempt(dispatch.Failed, true, code.EndpointError, "the endpoint did not resume the stream")
+}
+
 // finishStream ends a stream that arrived completely.
 func (x *exchange) finishStream(conn *upstream.Conn, resp *http.Response) attemptResult {
 	if !x.streamStarted {
@@ -188,9 +200,12 @@
 // eventSplitter splits a stream into complete events.
 type eventSplitter struct {
 	resumeAfter string // events up to this ID were forwarded before
+	continues   bool   // a stream that another endpoint began
 	lastID      string // ID of the newest complete event
 	partial     []byte // start of an incomplete event
 	hasEvent    bool   // a complete event has been received
+	hasID       bool   // a complete event had an ID
+	foreign     bool   // it continues with text that is no event with an ID
 }
 
 // memory returns how many bytes the splitter holds: the buffer of the incomplete
@@ -225,6 +240,10 @@
 		event := complete[:n]
 		complete = complete[n:]
 		id := eventID(event)
+		s.hasID = s.hasID || id != ""
+		if s.continues && !s.hasID && !isFiller(event) {
+			s.foreign = true
+		}
 		if id != "" && s.resumeAfter != "" && !isNewer(id, s.resumeAfter) {
 			continue
 		}
@@ -236,6 +255,16 @@
 	return out
 }
 
+// isFiller reports whether an event has only comments and empty lines.
+func isFiller(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the ID of an event, or "" if it has none.
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
