--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -191,6 +191,9 @@
 		Entry("too short", func(s receivedRequest) string {
 			return "HTTP/1.1 200 OK\r\nTest-Id: id-1\r\nContent-Length: 50\r\n\r\npart"
 		}, 502, ""),
+		Entry("half a head", func(s receivedRequest) string { return "HTTP/1.1 200 OK\r\nTest-Id: id-1\r\nContent-Le" }, 502, ""),
+		Entry("a head without its end", func(s receivedRequest) string { return "HTTP/1.1 200 OK\r\nTest-Id: id-1\r\n" }, 502, ""),
+		Entry("half a status line", func(s receivedRequest) string { return "HTTP/1.1 20" }, 502, ""),
 		Entry("chunked without its end", func(s receivedRequest) string { return streamHead(s) + chunk("part") }, 502, ""),
 		Entry("encoded", func(s receivedRequest) string { return response(s, 200, "zip", "Content-Encoding: gzip\r\n") }, 502, ""),
 		Entry("not an HTTP response", func(s receivedRequest) string { return "no answer\r\n\r\n" }, 502, ""),
