Don't report own delays as cold endpoints on the product's own interface

While work waits for over 5 ms for the CPU, a router reports neither; broken connections count as before. The bound moves to package overload, which both interfaces use.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -19,6 +19,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
@@ -29,6 +30,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/ledger"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/overload"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/pool"
 )
 
@@ -49,6 +51,8 @@
 	// MaxAccountRequests limits the open requests of one client account at
 	// this router, so that one account can't use up the router's memory.
 	MaxAccountRequests int
+	// Lag returns how long work of this process waits for the CPU. Nil: not at all.
+	Lag func() time.Duration
 }
 
 // API serves callers. It is safe for concurrent use.
@@ -74,6 +78,12 @@
 	return &API{opts: opts, openByAccount: map[string]int{}, retries: map[string]*retry.Budget{}}
 }
 
+// timesEndpoints reports whether this process has enough CPU time for what it
+// measures to be the time that an endpoint took.
+func (a *API) timesEndpoints() bool {
+	return a.opts.Lag == nil || a.opts.Lag() <= overload.MaxTimingLag
+}
+
 // OpenRequests returns the number of open requests.
 func (a *API) OpenRequests() int { return int(a.openRequests.Load()) }
 
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -116,7 +116,7 @@
 	c.api.recordGrant(c.call, slot.Endpoint)
 	c.slot, c.tokens, c.ttft, c.startedAt = slot, 0, 0, time.Now()
 	err = c.relay(slot.Endpoint, newConnection)
-	slot.Release(outcome(err), fair.Cost(c.tokens), c.ttft)
+	slot.Release(c.api.outcome(err), fair.Cost(c.tokens), c.ttft)
 	c.api.recordAttempt(c.call, slot.Endpoint, err, fmt.Sprintf("tokens=%d", c.tokens))
 	if err != nil {
 		c.avoid = append(c.avoid, slot.Endpoint)
@@ -204,7 +204,7 @@
 
 // outcome returns what the owner of the pool is told about an attempt that
 // ended with err.
-func outcome(err error) admission.Outcome {
+func (a *API) outcome(err error) admission.Outcome {
 	var failure *code.Error
 	if err == nil || !errors.As(err, &failure) {
 		return admission.Completed
@@ -214,7 +214,12 @@
 		return admission.Canceled
 	case code.Unreachable:
 		return admission.Unreachable
-	case code.Truncated, code.Silent, code.CrossedAnswer:
+	case code.Silent:
+		if !a.timesEndpoints() {
+			return admission.Canceled
+		}
+		return admission.Crashed
+	case code.Truncated, code.CrossedAnswer:
 		return admission.Crashed
 	}
 	return admission.Failed
--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -51,7 +51,7 @@
 		Body:          c.body,
 		NewConnection: len(avoid) > 0,
 	})
-	slot.Release(outcome(err), 1, 0)
+	slot.Release(a.outcome(err), 1, 0)
 	a.recordAttempt(c, slot.Endpoint, err, "")
 	return slot.Endpoint, resp, err
 }
--- a/internal/callerapi/relay.go
+++ b/internal/callerapi/relay.go
@@ -76,14 +76,16 @@
 	}
 }
 
-// startStream records the time to the first event and sets the headers of the
-// response. Later calls do nothing.
+// startStream records the time to the first event, unless this process delays it,
+// and sets the headers of the response. Later calls do nothing.
 func (c *chatRun) startStream() {
 	if c.started {
 		return
 	}
 	c.started = true
-	c.ttft = time.Since(c.startedAt)
+	if c.api.timesEndpoints() {
+		c.ttft = time.Since(c.startedAt)
+	}
 	c.w.Header().Set("Content-Type", "text/event-stream")
 	c.w.Header().Set("Cache-Control", "no-store")
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/internal/fleet"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/ledger"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/opsapi"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/overload"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peer"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/platform"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/pool"
@@ -38,6 +39,7 @@
 	pools     *pool.Client
 	ledger    *ledger.Ledger
 	dialer    *peer.Dialer
+	lagMeter  *overload.Meter
 	aborted   chan struct{} // closed by Abort
 	abortOnce sync.Once
 
@@ -61,6 +63,7 @@
 		creds:    creds,
 		events:   eventlog.New(s.Name, maxEvents),
 		dialer:   peer.NewDialer(creds),
+		lagMeter: overload.New(),
 		aborted:  make(chan struct{}),
 	}
 	store := platform.New(s.PlatformURL)
@@ -82,6 +85,7 @@
 		Fleet: d.fleet, Pools: d.pools, Endpoints: endpoints, Ledger: d.ledger, Events: d.events,
 		Addresses:    addresses.New(d.fleet, time.Duration(s.AddressSeconds)*time.Second),
 		MaxBodyBytes: int64(s.MaxBodyBytes), MaxAccountRequests: s.MaxAccountOpen,
+		Lag: d.lagMeter.Lag,
 	})
 	d.ops = opsapi.New(opsapi.Options{Fleet: d.fleet, Events: d.events, Token: s.OpsToken, OpenRequests: d.callers.OpenRequests, Usage: d.host.Usage, Pools: d.ownedPools, Orders: d.ledger, Quarantine: d.host})
 	d.callerWeb = newWebServer("callers", s.CallerTLS, d.callerHandler())
--- a/internal/daemon/supervise.go
+++ b/internal/daemon/supervise.go
@@ -47,6 +47,7 @@
 		FailureBackoff:   failureBackoff,
 		Timeout:          partStopTimeout,
 	})
+	root.Add(&part{name: "overload", serve: d.lagMeter.Serve})
 	root.Add(&part{name: "lease", serve: d.fleet.RunLeaseRenewal})
 	root.Add(&part{name: "heartbeats", serve: d.fleet.RunHeartbeats})
 	root.Add(&part{name: "manifest", serve: d.fleet.WatchManifest})
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -25,6 +25,10 @@
 	latencyMetric = "/sched/latencies:seconds"
 )
 
+// MaxTimingLag is the wait for the CPU above which times that this process measures
+// say more about itself than about others. A response passes several such waits.
+const MaxTimingLag = 5 * time.Millisecond
+
 // Meter measures how long runnable goroutines wait for a CPU. Late timers
 // would not show it, since the runtime runs expired timers first. A Meter is safe
 // for concurrent use.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/overload"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/upstream"
 )
 
@@ -109,13 +110,9 @@
 	return h.opts.Lag()
 }
 
-// maxTimingLag is the wait for the CPU above which times that this process measures
-// say more about itself than about endpoints. A response passes several such waits.
-const maxTimingLag = 5 * time.Millisecond
-
 // timesEndpoints reports whether this process has enough CPU time for what it
 // measures to be the time that an endpoint took.
-func (h *Relay) timesEndpoints() bool { return h.lag() <= maxTimingLag }
+func (h *Relay) timesEndpoints() bool { return h.lag() <= overload.MaxTimingLag }
 
 // ConnState counts client connections. It is meant for http.Server.ConnState.
 func (h *Relay) ConnState(_ net.Conn, state http.ConnState) {
