Report a release again that the owner of the pool has not confirmed

What callers saw: the cost of a request was not accounted to its client account when the request ended just as its pool moved to another owner.

Cause: a release was forgotten once it was queued for the owner. An owner that has lost the pool, or can't be reached, drops it; the next owner was told neither of the slot nor of its release. Class of fault: sent is taken for received.

The owner now confirms how many releases of a session it has handled, with its other messages or within 50 ms, and with its last message when it gives the pool up. A router keeps slots until then, and reports those that were not confirmed to the next owner. What an owner handled in its last 50 ms before it dies may be accounted twice; it was lost with the owner otherwise. Owners of the build before this one confirm nothing and say so; they are trusted as before.

--- a/internal/pool/export_test.go
+++ b/internal/pool/export_test.go
@@ -14,3 +14,11 @@
 
 // SimulateStall makes the host detect a stall of its process.
 func (h *Host) SimulateStall() { h.stalls.observe(time.Now().Add(time.Hour)) }
+
+// UnconfirmedReleases returns how many releases the owner has not confirmed.
+func (c *Client) UnconfirmedReleases(scope string) int {
+	sc := c.scopeClient(scope)
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	return len(sc.sent)
+}
--- a/internal/pool/host.go
+++ b/internal/pool/host.go
@@ -185,7 +185,7 @@
 		h.pastCosts[account] += cost
 	}
 	for _, s := range hp.sessions {
-		s.replies.close()
+		s.replies.closeWith(&peerpb.AdmitReply{ReleasesHandled: s.releases})
 	}
 	h.events.Add(eventlog.Event{Kind: eventlog.PoolLost, Detail: hp.scope})
 }
@@ -219,6 +219,7 @@
 	for _, hp := range h.scopes {
 		hp.markUnresponsive(now)
 		hp.step(now)
+		hp.confirmReleases()
 		if keepaliveDue {
 			hp.sendKeepalives()
 		}
--- a/internal/pool/hosted_pool.go
+++ b/internal/pool/hosted_pool.go
@@ -33,6 +33,9 @@
 	encoder      *nameEncoder // for names sent to the router
 	replies      *coalescingQueue[*peerpb.AdmitReply]
 	lastReceived time.Time
+
+	releases          uint64 // handled
+	confirmedReleases uint64 // that the router was sent a confirmation of
 }
 
 func newHostedPool(h *Host, scope string) *hostedPool {
@@ -48,6 +51,7 @@
 		old.replies.close()
 	}
 	hp.sessions[router] = s
+	s.replies.put(&peerpb.AdmitReply{ConfirmsReleases: true})
 	hp.configure(time.Now())
 	return s
 }
@@ -93,6 +97,7 @@
 	for _, r := range req.Releases {
 		p.Release(now, s.release(r))
 	}
+	s.releases += uint64(len(req.Releases))
 	for _, w := range req.Wants {
 		p.Submit(now, s.request(w))
 	}
@@ -153,7 +158,22 @@
 		hp.host.events.Add(eventlog.Event{Kind: eventlog.EndpointPaused, Endpoint: name, Detail: hp.scope})
 	}
 	for s, reply := range replies {
-		s.replies.put(reply)
+		s.put(reply)
+	}
+}
+
+// put queues a message that also confirms the releases handled so far.
+func (s *routerSession) put(m *peerpb.AdmitReply) {
+	m.ReleasesHandled, s.confirmedReleases = s.releases, s.releases
+	s.replies.put(m)
+}
+
+// confirmReleases confirms releases that no other message has confirmed.
+func (hp *hostedPool) confirmReleases() {
+	for _, s := range hp.sessions {
+		if s.confirmedReleases != s.releases {
+			s.put(&peerpb.AdmitReply{})
+		}
 	}
 }
 
--- a/internal/pool/outbox.go
+++ b/internal/pool/outbox.go
@@ -45,22 +45,37 @@
 		q.mu.Lock()
 		m, ok, closed := q.pending, q.hasPending, q.closed
 		q.hasPending = false
-		q.mu.Unlock()
-		if closed {
-			return m, false
+		if ok && closed {
+			q.notify() // for the next call
 		}
+		q.mu.Unlock()
 		if ok {
 			return m, true
 		}
+		if closed {
+			return m, false
+		}
 	}
 	var none M
 	return none, false
 }
 
+// close discards what was not taken.
 func (q *coalescingQueue[M]) close() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.closed = true
+	q.closed, q.hasPending = true, false
+	q.notify()
+}
+
+// closeWith closes the queue with a last message, in place of what was not taken.
+func (q *coalescingQueue[M]) closeWith(last M) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed {
+		return
+	}
+	q.pending, q.hasPending, q.closed = last, true, true
 	q.notify()
 }
 
--- a/internal/pool/pool_suite_test.go
+++ b/internal/pool/pool_suite_test.go
@@ -291,6 +291,36 @@
 		Eventually(r.usage, eventualTimeout).Should(Equal(fair.Cost(15)))
 	})
 
+	It("report to the next owner a release that the owner before it did not receive", func() {
+		setUp(newEndpoint("e", 6, 6))
+		slot, err := third.acquire(0)
+		Expect(err).NotTo(HaveOccurred())
+		first.proxy.block()
+		slot.Release(admission.Completed, 5, time.Millisecond)
+		again, err := third.acquire(0)
+		Expect(err).NotTo(HaveOccurred())
+		again.Release(admission.Completed, 5, time.Millisecond)
+		Eventually(r.usage, eventualTimeout).Should(Equal(fair.Cost(10)))
+		Consistently(r.usage, "300ms").Should(Equal(fair.Cost(10)))
+	})
+
+	It("do not report a release again that the owner has confirmed", func() {
+		setUp(newEndpoint("e", 6, 6))
+		for range 3 {
+			slot, err := third.acquire(0)
+			Expect(err).NotTo(HaveOccurred())
+			slot.Release(admission.Completed, 5, time.Millisecond)
+		}
+		Eventually(r.usage, eventualTimeout).Should(Equal(fair.Cost(15)))
+		Eventually(func() int { return third.client.UnconfirmedReleases(scope) }, eventualTimeout).Should(BeZero())
+		first.proxy.block()
+		slot, err := third.acquire(0)
+		Expect(err).NotTo(HaveOccurred())
+		slot.Release(admission.Completed, 5, time.Millisecond)
+		Eventually(r.usage, eventualTimeout).Should(Equal(fair.Cost(20)))
+		Consistently(r.usage, "300ms").Should(Equal(fair.Cost(20)))
+	})
+
 	It("report to the next owner that a slot was granted at a cold endpoint", func() {
 		setUp(newEndpoint("e", 6, 1))
 		slot, err := third.acquire(0)
--- a/internal/pool/scope_client.go
+++ b/internal/pool/scope_client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,8 +30,25 @@
 	pending      map[uint64]*pendingRequest
 	held         map[uint64]*heldSlot
 	warmth       map[string]warmth // by endpoint
+
+	// sent are the releases of the current session that its owner has not confirmed,
+	// in the order in which they were sent. If the session ends, they are reported to
+	// the next owner. confirmed is how many the owner has confirmed.
+	sent       []sentRelease
+	confirmed  uint64
+	unanswered bool // the owner has not replied in this session
+}
+
+// sentRelease is a release that its owner may not have received.
+type sentRelease struct {
+	seq  uint64
+	held *heldSlot // nil: the slot was never used
 }
 
+// trustedOwner stands for the number of releases that an owner has confirmed if it
+// confirms none: routers before confirmations do not.
+const trustedOwner = math.MaxUint64
+
 // ownerID identifies one process of an owner.
 type ownerID struct {
 	name        string
@@ -49,16 +68,16 @@
 	err        error
 }
 
-// heldSlot is a slot in use, or one whose release has not been sent yet.
+// heldSlot is a slot in use, or one whose release an owner may not know.
 type heldSlot struct {
-	endpoint      string
-	account       string
-	fingerprint   uint64
-	estimate      float32 // charged by the owner
-	knownCost     float32 // so far
-	provenSlots   uint32
-	grantedAt     time.Time
-	unsentRelease *peerpb.Release
+	endpoint    string
+	account     string
+	fingerprint uint64
+	estimate    float32 // charged by the owner
+	knownCost   float32 // so far
+	provenSlots uint32
+	grantedAt   time.Time
+	release     *peerpb.Release // nil while the slot is in use
 
 	ttft         time.Duration
 	progressDue  bool // there is progress to report before the request ends
@@ -216,12 +235,48 @@
 	if o == admission.Crashed {
 		r.Fingerprint = h.fingerprint
 	}
+	h.release = r
 	if sc.outbox == nil {
-		h.unsentRelease = r
 		return
 	}
 	delete(sc.held, seq)
-	sc.send(&peerpb.AdmitRequest{Releases: []*peerpb.Release{r}})
+	sc.send(sc.addRelease(&peerpb.AdmitRequest{}, r, h))
+}
+
+// addRelease adds a release to a message that is about to be queued, and returns
+// the message. The caller holds mu.
+func (sc *scopeClient) addRelease(m *peerpb.AdmitRequest, r *peerpb.Release, h *heldSlot) *peerpb.AdmitRequest {
+	m.Releases = append(m.Releases, r)
+	sc.sent = append(sc.sent, sentRelease{seq: r.Seq, held: h})
+	return m
+}
+
+// confirmReleases forgets the releases that the owner has handled. An owner that
+// confirms none is trusted to handle all. The caller holds mu.
+func (sc *scopeClient) confirmReleases(reply *peerpb.AdmitReply) {
+	if sc.unanswered && !reply.ConfirmsReleases {
+		sc.confirmed = trustedOwner
+	}
+	sc.unanswered = false
+	if sc.confirmed == trustedOwner {
+		sc.sent = nil
+		return
+	}
+	if n := reply.ReleasesHandled; n > sc.confirmed {
+		sc.sent = slices.Delete(sc.sent, 0, min(int(n-sc.confirmed), len(sc.sent)))
+		sc.confirmed = n
+	}
+}
+
+// restoreReleases holds the slots again whose releases were not confirmed, so that
+// the next session reports both. The caller holds mu.
+func (sc *scopeClient) restoreReleases() {
+	for _, s := range sc.sent {
+		if s.held != nil && sc.confirmed != trustedOwner {
+			sc.held[s.seq] = s.held
+		}
+	}
+	sc.sent = nil
 }
 
 // updateWarmth records the warmth of the endpoint, to be reported to the next
@@ -264,6 +319,7 @@
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	sc.lastReceived = time.Now()
+	sc.confirmReleases(reply)
 	for _, g := range reply.Grants {
 		sc.handleGrant(g, received.lookup(g.Endpoint))
 	}
@@ -275,7 +331,7 @@
 func (sc *scopeClient) handleGrant(g *peerpb.Grant, endpoint string) {
 	p, ok := sc.pending[g.Seq]
 	if !ok {
-		sc.send(&peerpb.AdmitRequest{Releases: []*peerpb.Release{{Seq: g.Seq, Outcome: uint32(admission.Canceled)}}})
+		sc.send(sc.addRelease(&peerpb.AdmitRequest{}, &peerpb.Release{Seq: g.Seq, Outcome: uint32(admission.Canceled)}, nil))
 		return
 	}
 	delete(sc.pending, g.Seq)
@@ -306,7 +362,7 @@
 }
 
 // syncRequest returns the first message of a session: all slots that this router
-// holds and all requests that wait. The unsent release of a slot is part of the
+// holds and all requests that wait. The release of a slot is part of the
 // message that reports the slot, and the slot is then forgotten. The caller
 // holds mu.
 func (sc *scopeClient) syncRequest(out *outbox, owner ownerID) *peerpb.AdmitRequest {
@@ -323,8 +379,8 @@
 	}
 	for seq, h := range sc.held {
 		out.addHeldSlot(first, seq, h)
-		if h.unsentRelease != nil {
-			first.Releases = append(first.Releases, h.unsentRelease)
+		if h.release != nil {
+			sc.addRelease(first, h.release, h)
 			delete(sc.held, seq)
 		}
 	}
@@ -347,7 +403,7 @@
 	defer sc.mu.Unlock()
 	req := &peerpb.AdmitRequest{}
 	for seq, h := range sc.held {
-		if h.progressDue && h.unsentRelease == nil {
+		if h.progressDue && h.release == nil {
 			h.progressDue, h.reportedCost, h.reportedAt = false, h.knownCost, time.Now()
 			req.Progress = append(req.Progress, &peerpb.Progress{Seq: seq, Known: h.knownCost, FirstTokenMicros: micros(h.ttft)})
 		}
--- a/internal/pool/session.go
+++ b/internal/pool/session.go
@@ -146,6 +146,7 @@
 func (sc *scopeClient) attach(out *outbox, owner ownerID, stallCount int) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
+	sc.confirmed, sc.unanswered = 0, true
 	out.put(sc.syncRequest(out, owner))
 	sc.outbox, sc.lastOwner, sc.stallCount, sc.lastReceived = out, owner, stallCount, time.Now()
 }
@@ -155,6 +156,7 @@
 	defer sc.mu.Unlock()
 	if sc.outbox == out {
 		sc.outbox = nil
+		sc.restoreReleases()
 	}
 }
 
