Accept some connections however overloaded the router is

It now accepts one at least every 500 ms.

TestOverloadedListenerAcceptsSomeConnections fails without the change.

--- a/internal/overload/listener.go
+++ b/internal/overload/listener.go
@@ -22,6 +22,9 @@
 	minQueueLag = 5 * time.Millisecond
 	// maxUnread limits the accepted connections that nothing was read from yet.
 	maxUnread = 16
+	// maxAcceptGap is the longest time without accepting a connection. A router that
+	// says it is ready has to serve some new clients however overloaded it is.
+	maxAcceptGap = 500 * time.Millisecond
 	// resetInterval is the time between two rounds of resets. A connection that
 	// waits so long costs less than a wake-up for each.
 	resetInterval = 10 * time.Millisecond
@@ -34,14 +37,17 @@
 // Listener accepts TCP connections and, while the process is overloaded, resets new
 // ones without reading from them. That costs a fraction of a refusal, and tells the
 // client at once that its request was not read, so that it may be sent elsewhere.
-// It is safe for concurrent use.
+// Accept is to be called by one goroutine at a time; the other methods are safe for
+// concurrent use.
 type Listener struct {
 	*net.TCPListener
 	raw    syscall.RawConn
 	lag    func() time.Duration
+	now    func() time.Time
 	unread atomic.Int64 // connections returned by Accept that nothing was read from yet
 
-	pressure pressure
+	acceptedAt time.Time // last time that Accept returned a connection; used by Accept only
+	pressure   pressure
 }
 
 // NewListener returns a Listener. lag returns how long work waits for the CPU, as
@@ -51,7 +57,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "access the listening socket")
 	}
-	return &Listener{TCPListener: l, raw: raw, lag: lag}, nil
+	return &Listener{TCPListener: l, raw: raw, lag: lag, now: time.Now}, nil
 }
 
 // Accept returns the next connection that the process has CPU time for.
@@ -67,6 +73,7 @@
 		if !l.overloaded() {
 			l.unread.Add(1)
 			l.count(1, 0)
+			l.acceptedAt = l.now()
 			return &clientConn{TCPConn: c, l: l}, nil
 		}
 		l.count(0, 1)
@@ -85,7 +92,11 @@
 // as were accepted, at least 1.
 func (l *Listener) Pressure() float64 { return l.pressure.ratio(time.Now()) }
 
+// overloaded reports whether new connections are to be reset.
 func (l *Listener) overloaded() bool {
+	if l.now().Sub(l.acceptedAt) >= maxAcceptGap {
+		return false
+	}
 	lag := l.lag()
 	return lag > maxAcceptLag || lag > minQueueLag && l.unread.Load() >= maxUnread
 }
--- a/internal/overload/listener_test.go
+++ b/internal/overload/listener_test.go
@@ -8,41 +8,48 @@
 	"time"
 )
 
-// testLag is the wait for the CPU that a test sets, in ns.
-type testLag struct {
+// testInput is a value that a test sets and a listener reads, in ns.
+type testInput struct {
 	atomic.Int64
 	seen atomic.Int64 // what the listener has read last
 }
 
-func (l *testLag) read() time.Duration {
-	lag := l.Load()
-	l.seen.Store(lag)
-	return time.Duration(lag)
+func (i *testInput) read() int64 {
+	value := i.Load()
+	i.seen.Store(value)
+	return value
 }
 
-// set sets the lag and returns when the listener, which must be overloaded, has read
-// it.
-func (l *testLag) set(t *testing.T, lag time.Duration) {
+// set sets the value and returns when the listener, which must be overloaded, has
+// read it.
+func (i *testInput) set(t *testing.T, value time.Duration) {
 	t.Helper()
-	l.Store(int64(lag))
-	for deadline := time.Now().Add(20 * time.Second); l.seen.Load() != int64(lag); time.Sleep(time.Millisecond) {
+	i.Store(int64(value))
+	for deadline := time.Now().Add(20 * time.Second); i.seen.Load() != int64(value); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatal("the listener does not read the lag")
+			t.Fatal("the listener does not read the value")
 		}
 	}
 }
 
+// testLoad is what a listener under test goes by.
+type testLoad struct {
+	lag  testInput // wait for the CPU
+	time testInput // since the start of the test
+}
+
 // echo accepts connections and echoes what is sent, once told to read.
-func echo(t *testing.T, lag *testLag, read chan struct{}) string {
+func echo(t *testing.T, load *testLoad, read chan struct{}) string {
 	t.Helper()
 	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := NewListener(tcp, lag.read)
+	l, err := NewListener(tcp, func() time.Duration { return time.Duration(load.lag.read()) })
 	if err != nil {
 		t.Fatal(err)
 	}
+	l.now = func() time.Time { return time.Unix(1_700_000_000, load.time.read()) }
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -82,32 +89,51 @@
 // TestOverloadedListenerResetsConnections guards against a process that spends its
 // CPU time on refusing requests.
 func TestOverloadedListenerResetsConnections(t *testing.T) {
-	var lag testLag
+	var load testLoad
 	read := make(chan struct{})
 	close(read)
-	address := echo(t, &lag, read)
+	address := echo(t, &load, read)
 	if !served(t, address) {
 		t.Error("a connection was reset without overload")
 	}
-	lag.Store(int64(maxAcceptLag + time.Millisecond))
+	load.lag.Store(int64(maxAcceptLag + time.Millisecond))
 	for range 3 {
 		if served(t, address) {
 			t.Error("an overloaded process served a new connection")
 		}
 	}
-	lag.set(t, 0) // a round of resets may be in progress
+	load.lag.set(t, 0) // a round of resets may be in progress
 	if !served(t, address) {
 		t.Error("a connection was reset after the overload")
 	}
 }
 
+// TestOverloadedListenerAcceptsSomeConnections guards against a router that says it
+// is ready and serves no new client.
+func TestOverloadedListenerAcceptsSomeConnections(t *testing.T) {
+	var load testLoad
+	read := make(chan struct{})
+	close(read)
+	address := echo(t, &load, read)
+	load.lag.Store(int64(maxAcceptLag + time.Millisecond))
+	for round := range 3 {
+		if !served(t, address) {
+			t.Errorf("round %d: no connection accepted for %v", round, maxAcceptGap)
+		}
+		if served(t, address) {
+			t.Errorf("round %d: served two connections at once", round)
+		}
+		load.time.set(t, time.Duration(round+1)*maxAcceptGap)
+	}
+}
+
 // TestBusyListenerBoundsUnreadConnections guards against accepting more connections
 // than can be read from soon.
 func TestBusyListenerBoundsUnreadConnections(t *testing.T) {
-	var lag testLag
-	lag.Store(int64(minQueueLag + time.Millisecond))
+	var load testLoad
+	load.lag.Store(int64(minQueueLag + time.Millisecond))
 	read := make(chan struct{})
-	address := echo(t, &lag, read)
+	address := echo(t, &load, read)
 	var open []net.Conn
 	for range maxUnread {
 		c, err := net.Dial("tcp", address)
