Quarantine a request again after its quarantine has expired

Callers would see a request that crashes endpoints refused for an hour, and crash one endpoint after the other from then on: an expired quarantine stayed on record and took no further crashes.

"is renewed by two crashes after it has expired" fails without the change.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -40,7 +40,7 @@
 // set, this router also reports them to other rows.
 func (d *Dispatcher) mergeCrashes(now time.Time, crashes []route.Crash, forward bool) {
 	for _, c := range crashes {
-		if d.quarantine.HasCrash(c) {
+		if d.quarantine.HasCrash(now, c) {
 			continue
 		}
 		if forward {
--- a/core/route/quarantine.go
+++ b/core/route/quarantine.go
@@ -54,7 +54,7 @@
 		return false
 	}
 	s, ok := q.suspects[c.Fingerprint]
-	if !ok {
+	if !ok || s.expired(now) {
 		q.evict(now)
 		s = &suspect{first: c.Endpoint, firstAt: at}
 		q.suspects[c.Fingerprint] = s
@@ -64,9 +64,9 @@
 
 // HasCrash reports whether a crash of the same endpoint by the same request
 // is on record.
-func (q *Quarantine) HasCrash(c Crash) bool {
+func (q *Quarantine) HasCrash(now time.Time, c Crash) bool {
 	s, ok := q.suspects[c.Fingerprint]
-	return ok && (s.first == c.Endpoint || s.second == c.Endpoint)
+	return ok && !s.expired(now) && (s.first == c.Endpoint || s.second == c.Endpoint)
 }
 
 // add adds a crash and reports whether it puts the request into quarantine.
--- a/core/route/route_suite_test.go
+++ b/core/route/route_suite_test.go
@@ -101,6 +101,17 @@
 		Expect(next.Crashes(later.Add(time.Minute))).To(BeEmpty())
 	})
 
+	It("is renewed by two crashes after it has expired", func() {
+		for _, endpoint := range []string{"e", "f"} {
+			q.RecordCrash(now, crash(endpoint, 0))
+		}
+		later := now.Add(route.QuarantineDuration)
+		Expect(q.HasCrash(later, crash("e", 0))).To(BeFalse())
+		Expect(q.RecordCrash(later, crash("e", 0))).To(BeFalse())
+		Expect(q.RecordCrash(later, crash("g", 0))).To(BeTrue())
+		Expect(q.Quarantined(later, 1)).To(BeTrue())
+	})
+
 	It("stays lifted when another router reports the earlier crashes", func() {
 		q.RecordCrash(now, crash("e", 0))
 		q.RecordCrash(now, crash("f", 0))
