Forget what endpoints have said that have been gone for an hour

Notices of endpoints that leave were kept for good, since a record may return after an outage of the store. IDs are mostly new at each start, so the map grew with every endpoint that left. Found by reading. "is forgotten once its record has been gone for an hour" fails without the change.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -129,7 +129,7 @@
 			delete(d.endpoints, id)
 		}
 	}
-	d.dropNotices()
+	d.dropNotices(now)
 	clear(d.preferred)
 	d.sortedEndpoints = slices.SortedFunc(maps.Values(d.endpoints), func(a, b *endpointState) int { return strings.Compare(a.ID, b.ID) })
 }
--- a/core/dispatch/notice.go
+++ b/core/dispatch/notice.go
@@ -8,12 +8,17 @@
 	Pause   time.Duration // it wants no requests of this router for so long; 0: no pause
 }
 
+// noticeRetention is how long a notice is kept while the endpoint has no record.
+// Records return within seconds of an outage of the store, which may last.
+const noticeRetention = time.Hour
+
 // notice is what one incarnation of an endpoint has said. It is kept when the
 // endpoint's record lapses, since the record may return while the notice holds.
 type notice struct {
 	startMillis int64
 	leaving     bool
 	pausedUntil time.Time
+	listedAt    time.Time // last time that the endpoint had a record
 }
 
 // RecordNotice applies what the endpoint of a ticket says about itself. It reports
@@ -23,7 +28,7 @@
 	if known && old.startMillis > t.Endpoint.StartMillis {
 		return false // of an earlier incarnation
 	}
-	next := notice{startMillis: t.Endpoint.StartMillis, leaving: n.Leaving}
+	next := notice{startMillis: t.Endpoint.StartMillis, leaving: n.Leaving, listedAt: now}
 	if n.Pause > 0 {
 		next.pausedUntil = now.Add(n.Pause)
 	}
@@ -53,11 +58,16 @@
 	return time.Time{}
 }
 
-// dropNotices drops what endpoints have said that have started again.
-func (d *Dispatcher) dropNotices() {
+// dropNotices drops what endpoints have said that have started again or are gone.
+func (d *Dispatcher) dropNotices(now time.Time) {
 	for id, n := range d.notices {
-		if ep, ok := d.endpoints[id]; ok && ep.StartMillis != n.startMillis {
+		ep, listed := d.endpoints[id]
+		switch {
+		case listed && ep.StartMillis != n.startMillis, !listed && now.Sub(n.listedAt) >= noticeRetention:
 			delete(d.notices, id)
+		case listed:
+			n.listedAt = now
+			d.notices[id] = n
 		}
 	}
 }
--- a/internal/overload/listener_test.go
+++ b/internal/overload/listener_test.go
@@ -38,7 +38,7 @@
 	time testInput // since the start of the test
 }
 
-// echo accepts connections and echoes what is sent, once told to read.
+// echo accepts connections and echoes what is sent, when read is closed.
 func echo(t *testing.T, load *testLoad, read chan struct{}) string {
 	t.Helper()
 	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
