--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -66,9 +66,8 @@
 	shareUpdatedAt time.Time
 	usageUpdatedAt time.Time
 
-	overloaded   bool    // demand exceeds capacity
-	underserved  bool    // an account gets much less than its share and asks for it
-	demandFactor float64 // of the demand seen at this router, see Dispatcher.SetDemandFactor
+	overloaded  bool // demand exceeds capacity
+	underserved bool // an account gets much less than its share and asks for it
 }
 
 // accountCost is the cost that an account recently requested and was granted, by
@@ -84,7 +83,7 @@
 }
 
 func newServiceState() *serviceState {
-	return &serviceState{accounts: map[string]*accountCost{}, fairShare: math.Inf(1), demandFactor: 1}
+	return &serviceState{accounts: map[string]*accountCost{}, fairShare: math.Inf(1)}
 }
 
 func (s *serviceState) account(name string) *accountCost {
@@ -127,7 +126,6 @@
 	}
 	if now.Sub(s.shareUpdatedAt) >= shareRefreshInterval {
 		s.shareUpdatedAt = now
-		s.demandFactor = d.demandFactor
 		s.refreshUsage(now)
 		capacity := max(perSecond*usageWindow.Seconds(), s.totalGranted())
 		s.fairShare = s.maxMinShare(now, capacity)
@@ -141,7 +139,7 @@
 
 // fleetDemand returns the recent demand of an account in the whole fleet.
 func (s *serviceState) fleetDemand(now time.Time, u *accountCost) float64 {
-	return s.demandFactor*u.demand.value(now, usageWindow) + u.peerDemand
+	return u.demand.value(now, usageWindow) + u.peerDemand
 }
 
 // leastUnderserved returns the least recent usage of an account that asks for more
