Refuse waiting requests once a part of their prompt is quarantined

What callers would see: a request with a part that crashes endpoints waited until it was granted, and was refused only then. It is known at once that it can't be served, so it is refused with the next pass over the queue.

TestWaitingRequestsAreRefusedOnceTheirPartIsQuarantined fails without the change.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -221,6 +221,8 @@
 	for _, t := range s.queue {
 		switch {
 		case t.State != Waiting:
+		case d.hasQuarantinedPart(now, &t.Request):
+			decided = append(decided, refuse(t, PartQuarantined, 0, now))
 		case !now.Before(t.waitDeadline()):
 			decided = append(decided, refuse(t, WaitExpired, 0, now))
 		case misses < maxMisses && d.place(now, s, t):
--- a/core/dispatch/parts.go
+++ b/core/dispatch/parts.go
@@ -71,6 +71,17 @@
 	return d.parts.Blocked(now, sharedPartIDs(parts))
 }
 
+// hasQuarantinedPart reports whether no request with one of the shared parts of this
+// one is sent.
+func (d *Dispatcher) hasQuarantinedPart(now time.Time, r *Request) bool {
+	for i := 0; i+1 < len(r.Parts); i++ {
+		if d.parts.Quarantined(now, r.Parts[i].ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // recentSoundParts returns the parts that this router knows to be sound and others
 // may suspect or, for a report to other rows, those that its row knows. What it
 // heard from another row is not passed on: each hop would make it seem newer.
--- a/core/dispatch/parts_test.go
+++ b/core/dispatch/parts_test.go
@@ -88,3 +88,27 @@
 		}
 	}
 }
+
+// TestWaitingRequestsAreRefusedOnceTheirPartIsQuarantined guards against requests
+// that are held although it is known that they can't be served.
+func TestWaitingRequestsAreRefusedOnceTheirPartIsQuarantined(t *testing.T) {
+	d := newRouters(1)[0]
+	d.SetEndpoints(start, []topology.Endpoint{endpoint("e", model, "a")})
+	paused := d.Submit(start, chatRequest(start, "x", 10))
+	d.RecordNotice(start, paused, dispatch.Notice{Pause: time.Second})
+	deadly, sound := d.Submit(start, tainted(start, 20)), d.Submit(start, chatRequest(start, "x", 21))
+	d.RecordBegun(start, paused)
+	for i := range route.PartQuarantineCrashes {
+		if decided := d.Poll(start); len(decided) > 0 {
+			t.Fatalf("%d requests decided after %d crashes", len(decided), i)
+		}
+		d.SetPeerReport(start, "r2", dispatch.Report{PartCrashes: []route.PartCrash{{Part: 77, Endpoint: uint64(i)}}})
+	}
+	decided := d.Poll(start)
+	if len(decided) != 1 || decided[0] != deadly || deadly.Reason != dispatch.PartQuarantined {
+		t.Errorf("decided %v, want the request with the part to be refused", decided)
+	}
+	if sound.State != dispatch.Waiting {
+		t.Errorf("a sound request is %v", sound.State)
+	}
+}
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -58,6 +58,7 @@
 	WaitTooLong                           // the expected wait in the queue is too long
 	WaitExpired                           // the request reached the longest time it may wait
 	DeadlineUnreachable                   // no endpoint could complete the response by the deadline
+	PartQuarantined                       // a part of the prompt crashes endpoints
 )
 
 // String returns the name of the reason in logs. These names are fixed; two of
@@ -72,6 +73,8 @@
 		return "waited_out"
 	case DeadlineUnreachable:
 		return "not_whole_in_time"
+	case PartQuarantined:
+		return "part_quarantined"
 	}
 	return ""
 }
--- a/core/route/parts.go
+++ b/core/route/parts.go
@@ -246,6 +246,12 @@
 	return 0, false
 }
 
+// Quarantined reports whether no request with the part is sent.
+func (q *PartQuarantine) Quarantined(now time.Time, part uint64) bool {
+	s, ok := q.suspects[part]
+	return ok && s.atLeast(PartQuarantineCrashes, now)
+}
+
 // StoppedSince reports whether a request with these parts that was allowed at a
 // time must not be sent any more.
 func (q *PartQuarantine) StoppedSince(now, allowed time.Time, parts []uint64) bool {
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -23,8 +23,11 @@
 // refusal returns the failure for a refused ticket.
 func (x *exchange) refusal(t *dispatch.Ticket) *code.Error {
 	c := code.WaitTooLong
-	if t.Reason == dispatch.NoEndpoint {
+	switch t.Reason {
+	case dispatch.NoEndpoint:
 		c = code.NoEndpoint
+	case dispatch.PartQuarantined:
+		c = code.Quarantined
 	}
 	if x.mayHaveRun {
 		return code.Fail(c, t.Reason.String())
