Quarantine messages that crash endpoints on the product's own interface

Callers would see requests that share one message, a system prompt say, crash one endpoint after the other for as long as they come, and be refused only each by itself.

All messages of a chat completion but the last, 32 at most, are its shared parts. A router reports those of a request whose endpoint crashed before the response had begun with the release of the slot. The owner takes reports within a second for the same crash, and tells crashes and sound parts to all routers with a session.

--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -22,6 +22,7 @@
 	defaultOutputTokens = 256 // expected output of a request without max_tokens
 	prefixBytes         = 256 // of the prompt, for prefix affinity
 	charsPerToken       = 4
+	maxPromptParts      = 32 // messages looked at for the quarantine; instructions come first
 )
 
 // chatRequest holds the fields of a chat completion request that the router
@@ -108,6 +109,7 @@
 		Estimate:    c.estimate(),
 		Prefix:      fingerprint(c.req.Model, c.promptPrefix()),
 		Fingerprint: bodyFingerprint,
+		Parts:       c.promptParts(),
 		Avoid:       c.avoid,
 	})
 	if err != nil {
@@ -128,8 +130,8 @@
 // request: operators need it to lift the quarantine.
 func addFingerprint(err error, fingerprint uint64) error {
 	failure := code.As(err)
-	if failure.Code != code.Quarantined {
-		return err
+	if failure.Code != code.Quarantined || failure.Detail != "" {
+		return err // not this request, but a part of its prompt is quarantined
 	}
 	detailed := *failure
 	detailed.Detail = fmt.Sprintf("fingerprint=%016x", fingerprint)
@@ -188,6 +190,15 @@
 	return fair.Cost(chars/charsPerToken + outputTokens)
 }
 
+// promptParts identifies the messages that other requests may have: all but the last.
+func (c *chatRun) promptParts() []uint64 {
+	var parts []uint64
+	for _, m := range c.req.Messages[:min(len(c.req.Messages)-1, maxPromptParts)] {
+		parts = append(parts, fingerprint(m.Role, m.Content))
+	}
+	return parts
+}
+
 func (c *chatRun) promptPrefix() string {
 	var b strings.Builder
 	for _, m := range c.req.Messages {
--- a/internal/callerapi/relay.go
+++ b/internal/callerapi/relay.go
@@ -57,14 +57,14 @@
 		data, err := s.Next()
 		c.tokens = s.Cost()
 		if err == io.EOF {
-			c.startStream()
+			c.recordBegun()
 			io.WriteString(c.w, "data: [DONE]\n\n")
 			return flush.Flush()
 		}
 		if err != nil {
 			return err
 		}
-		c.startStream()
+		c.recordBegun()
 		line = append(line[:0], "data: "...)
 		line = append(line, data...)
 		line = append(line, "\n\n"...)
@@ -76,6 +76,14 @@
 	}
 }
 
+// recordBegun records that the response has begun. Later calls do nothing.
+func (c *chatRun) recordBegun() {
+	if !c.started {
+		c.slot.RecordBegun()
+		c.startStream()
+	}
+}
+
 // startStream records the time to the first event, unless this process delays it,
 // and sets the headers of the response. Later calls do nothing.
 func (c *chatRun) startStream() {
@@ -93,6 +101,9 @@
 // relayResponse passes a response that is not streamed to the caller.
 func (c *chatRun) relayResponse(out endpoint.Call) error {
 	resp, err := c.api.opts.Endpoints.Do(c.r.Context(), out)
+	if err == nil {
+		c.slot.RecordBegun()
+	}
 	switch {
 	case err != nil:
 		return err
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,7 @@
 	Estimate    fair.Cost // hint of the expected cost
 	Prefix      uint64    // hash of the start of the prompt, for prefix affinity
 	Fingerprint uint64    // hash that identifies the request in the quarantine
+	Parts       []uint64  // hashes of the parts of the prompt that other requests may have
 	Avoid       []string  // endpoints at which earlier attempts failed
 }
 
@@ -66,7 +68,10 @@
 	if quarantined {
 		return nil, code.Refuse(code.Quarantined, "")
 	}
-	p := &pendingRequest{seq: c.seq.Add(1), req: req, suspect: suspect, result: make(chan result, 1)}
+	if part, blocked := c.host.partBlocked(req.Parts); blocked {
+		return nil, code.Refuse(code.Quarantined, fmt.Sprintf("prompt part %016x seems to crash endpoints", part))
+	}
+	p := &pendingRequest{seq: c.seq.Add(1), req: req, suspect: suspect, allowedAt: time.Now(), result: make(chan result, 1)}
 	return c.scopeClient(scope).acquire(ctx, p, c.maxWait(req.Account))
 }
 
--- a/internal/pool/host.go
+++ b/internal/pool/host.go
@@ -26,6 +26,7 @@
 	scopes          map[string]*hostedPool
 	pastCosts       map[string]fair.Cost // by account, of pools that this router no longer owns
 	quarantine      *route.Quarantine
+	parts           *route.PartQuarantine
 	lastRouters     []member.Router // of the last view
 	lastRemoval     time.Time       // when a router that had not stopped gracefully last left the view
 	lastUsageUpdate time.Time
@@ -40,6 +41,7 @@
 		scopes:     map[string]*hostedPool{},
 		pastCosts:  map[string]fair.Cost{},
 		quarantine: route.NewQuarantine(),
+		parts:      route.NewPartQuarantine(),
 	}
 	fleet.Subscribe(h.refresh)
 	return h
@@ -76,13 +78,14 @@
 	return h.quarantine.Crashes(time.Now())
 }
 
-// Lift ends the quarantine of a request at this router only; it has to be
-// called at every router. It reports whether any crash by the request was on
-// record.
+// Lift ends the quarantine of a request, or of a prompt part, at this router only;
+// it has to be called at every router. It reports whether any crash was on record.
 func (h *Host) Lift(fingerprint uint64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.quarantine.Lift(time.Now(), fingerprint)
+	now := time.Now()
+	wasSuspect := h.parts.RecordBegun(now, fingerprint)
+	return h.quarantine.Lift(now, fingerprint) || wasSuspect
 }
 
 // RecordCrashes adds crashes that another router has on record.
--- a/internal/pool/hosted_pool.go
+++ b/internal/pool/hosted_pool.go
@@ -20,6 +20,7 @@
 	scope    string
 	pool     *admission.Pool
 	sessions map[string]*routerSession // by router
+	crashes  map[string]endpointCrash  // recent ones, by endpoint
 }
 
 // routerSession is the owner's side of a session between a router and a hosted
@@ -39,7 +40,7 @@
 }
 
 func newHostedPool(h *Host, scope string) *hostedPool {
-	hp := &hostedPool{host: h, scope: scope, pool: admission.NewPool(h.quarantine), sessions: map[string]*routerSession{}}
+	hp := &hostedPool{host: h, scope: scope, pool: admission.NewPool(h.quarantine), sessions: map[string]*routerSession{}, crashes: map[string]endpointCrash{}}
 	hp.pool.MemberRemoved(h.lastRemoval)
 	hp.configure(time.Now())
 	return hp
@@ -72,7 +73,7 @@
 	s.handle(now, req)
 	s.hosted.step(now)
 	if req.Sync {
-		s.replies.put(&peerpb.AdmitReply{Crashes: crashesToProto(h.quarantine.Crashes(now))})
+		s.replies.put(&peerpb.AdmitReply{Crashes: crashesToProto(h.quarantine.Crashes(now)), PartCrashes: h.partCrashesLocked(now)})
 	}
 	return nil
 }
@@ -98,6 +99,7 @@
 		p.Release(now, s.release(r))
 	}
 	s.releases += uint64(len(req.Releases))
+	s.handleParts(now, req)
 	for _, w := range req.Wants {
 		p.Submit(now, s.request(w))
 	}
--- a/internal/pool/scope_client.go
+++ b/internal/pool/scope_client.go
@@ -44,10 +44,11 @@
 }
 
 type pendingRequest struct {
-	seq     uint64
-	req     Request
-	suspect bool        // recently crashed an endpoint
-	result  chan result // buffered
+	seq       uint64
+	req       Request
+	suspect   bool        // recently crashed an endpoint
+	allowedAt time.Time   // when no part of its prompt was held back
+	result    chan result // buffered
 }
 
 type result struct {
@@ -61,8 +62,10 @@
 	endpoint    string
 	account     string
 	fingerprint uint64
-	estimate    float32 // charged by the owner
-	knownCost   float32 // so far
+	parts       []uint64 // of the prompt, that other requests may have
+	begun       bool     // the response has begun
+	estimate    float32  // charged by the owner
+	knownCost   float32  // so far
 	provenSlots uint32
 	grantedAt   time.Time
 	release     *peerpb.Release // nil while the slot is in use
@@ -109,6 +112,11 @@
 				sc.submit(p)
 				continue
 			}
+			if r.err == nil {
+				if refusal := sc.dropQuarantined(p); refusal != nil {
+					return nil, refusal
+				}
+			}
 			return sc.slot(p.seq, r)
 		case <-ctx.Done():
 			sc.cancel(p)
@@ -221,7 +229,7 @@
 	sc.updateWarmth(h, o)
 	r := &peerpb.Release{Seq: seq, Outcome: uint32(o), Cost: float32(cost), FirstTokenMicros: micros(ttft)}
 	if o == admission.Crashed {
-		r.Fingerprint = h.fingerprint
+		h.addCrash(r)
 	}
 	h.release = r
 	if sc.outbox == nil {
@@ -268,8 +276,12 @@
 // handleReply passes the owner's decisions to the waiting requests.
 func (sc *scopeClient) handleReply(reply *peerpb.AdmitReply, received nameTable) {
 	sc.client.host.recordCrashes(crashesFromProto(reply.Crashes))
+	refuted := sc.client.host.mergeParts(reply)
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
+	if len(refuted) > 0 {
+		sc.send(&peerpb.AdmitRequest{SoundParts: refuted})
+	}
 	sc.lastReceived = time.Now()
 	sc.confirmReleases(reply)
 	for _, g := range reply.Grants {
@@ -291,6 +303,7 @@
 		endpoint:    endpoint,
 		account:     p.req.Account,
 		fingerprint: p.req.Fingerprint,
+		parts:       p.req.Parts,
 		estimate:    g.Estimate,
 		provenSlots: g.Proved,
 		grantedAt:   time.Now(),
@@ -327,6 +340,8 @@
 		Resumed: sc.lastOwner == owner,
 		Crashes: crashesToProto(sc.client.host.Crashes()),
 
+		PartCrashes: sc.client.host.partCrashes(),
+
 		RemovalAgeMillis: sc.client.host.timeSinceRemoval().Milliseconds(),
 	}
 	for seq, h := range sc.held {
