Give each listener of the test routers a port of its own

Its output was not shown; a router that can't bind a port prints that on its standard output and ends.

Ports are now drawn once each from a range below that of outgoing connections, as in ./test, and what routers printed last is shown when a spec fails.

--- a/test/prepared/harness_test.go
+++ b/test/prepared/harness_test.go
@@ -44,13 +44,29 @@
 	DeferCleanup(gexec.CleanupBuildArtifacts)
 })
 
-// freePort returns a TCP port that is free on every loopback address. The
-// routers use it for TCP and UDP.
+// Ports are below the range of outgoing connections, and apart from those of the
+// other suites.
+const (
+	firstPort = 10_000
+	lastPort  = 20_000
+)
+
+var nextPort = firstPort + (os.Getpid()*97)%(lastPort-firstPort)
+
+// freePort returns a port that, like the one after it, is free for TCP on every
+// loopback address and is returned only once. The routers use it for TCP and UDP.
 func freePort() int {
-	l, err := net.Listen("tcp", "0.0.0.0:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	for {
+		nextPort += 2
+		if nextPort >= lastPort {
+			nextPort = firstPort
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", nextPort))
+		if err == nil {
+			l.Close()
+			return nextPort
+		}
+	}
 }
 
 // router is one router process.
@@ -83,6 +99,7 @@
 		"platform": map[string]any{"address": store},
 	}
 	r.write()
+	DeferCleanup(r.printOutput)
 	return r
 }
 
@@ -101,6 +118,14 @@
 	r.session = session
 }
 
+// printOutput prints the end of what a router has printed, once the spec has failed.
+func (r *router) printOutput() {
+	if r.session != nil && CurrentSpecReport().Failed() {
+		out := r.session.Out.Contents()
+		GinkgoWriter.Printf("%s, exit code %d, ends with:\n%s\n", r.name, r.session.ExitCode(), out[max(0, len(out)-4000):])
+	}
+}
+
 // status returns the HTTP status of a GET request, or 0 if there was no
 // response.
 func status(url string) int {
