--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -18,18 +18,21 @@
 )
 
 var _ = Describe("A crash of an endpoint", func() {
-	It("is not blamed on a stream that had begun", func() {
-		breakOff := func(n int, s receivedRequest) reply {
+	It("does not count against the prompt parts of a stream that had begun", func() {
+		f := newFakeEndpoint(func(n int, s receivedRequest) reply {
 			return reply{raw: streamHead(s) + chunk(event(1)), close: true}
-		}
-		a, b := newFakeEndpoint(breakOff), newFakeEndpoint(breakOff)
-		server, _ := newServer(topology.Route{Kind: topology.Stream, Resumable: true, MaxAttempts: 2}, a, b)
-		reached := func() int { return len(a.requests()) + len(b.requests()) }
-		for range 3 {
-			before := reached()
-			_, _, err := send(server, http.MethodPost, "/p/x", "same body")
+		})
+		server, _, dispatcher := newServerWithDispatcher(relay.Options{}, topology.Route{Kind: topology.Stream, MaxAttempts: 1}, f)
+		for i := range 2 * route.PartQuarantineCrashes {
+			dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
+				started := declared(f)
+				started[0].StartMillis = int64(i)
+				d.SetEndpoints(now, started)
+			})
+			_, _, err := send(server, http.MethodPost, "/p/x", fmt.Sprint("body ", i), "Test-Parts", fmt.Sprint("1 2 ", 100+i))
 			Expect(err).To(HaveOccurred(), "the stream is incomplete")
-			Expect(reached()).To(BeNumerically(">", before))
+			Expect(f.requests()).To(HaveLen(i + 1))
+			dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) { Expect(d.Report(now).PartCrashes).To(BeEmpty()) })
 		}
 	})
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -139,7 +139,7 @@
 		result := x.attempt(ctx, ticket)
 		dispatcher.Finish(ticket, result.outcome)
 		x.recordAttempt(ticket, result)
-		if result.suspectedCrash && !x.begun && x.recordCrash(ticket) {
+		if result.suspectedCrash && x.recordCrash(ticket) {
 			return result.failure
 		}
 		if result.delivered || !x.allowRetry(ctx, ticket, result) {
@@ -179,7 +179,9 @@
 	fingerprint := x.fingerprint()
 	var suspects []uint64
 	x.h.opts.Dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
-		suspects = d.RecordPartCrash(now, t)
+		if !x.begun {
+			suspects = d.RecordPartCrash(now, t)
+		}
 		d.RecordCrash(now, fingerprint, t.Endpoint.ID)
 		quarantined = d.Quarantined(now, fingerprint)
 	})
