--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -149,14 +149,14 @@
 }
 
 // quarantined reports whether the request, or a part of its prompt, is known to
-// crash endpoints. A request that may have run already was checked after that
-// attempt.
+// crash endpoints; the detail names the part. A request that may have run already was
+// checked after that attempt.
 func (x *exchange) quarantined() (detail string, blocked bool) {
 	x.h.opts.Dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
 		if part, ok := d.PartBlocked(now, x.meta.Parts); ok {
 			detail, blocked = fmt.Sprintf("prompt part %x seems to crash endpoints", part), true
 		} else if !x.mayHaveRun && d.Quarantined(now, x.fingerprint()) {
-			detail, blocked = "the request seems to crash endpoints", true
+			blocked = true
 		}
 	})
 	return detail, blocked
