--- a/internal/pool/releases.go
+++ b/internal/pool/releases.go
@@ -1,16 +1,11 @@
 package pool
 
 import (
-	"math"
 	"slices"
 
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
 )
 
-// trustedOwner stands for the number of releases that an owner has confirmed if it
-// confirms none: routers before confirmations do not.
-const trustedOwner = math.MaxUint64
-
 // sentRelease is a release that its owner may not have received.
 type sentRelease struct {
 	seq  uint64
@@ -25,14 +20,13 @@
 	return m
 }
 
-// confirmReleases forgets the releases that the owner has handled. An owner that
-// confirms none is trusted to handle all. The caller holds mu.
+// confirmReleases forgets the releases that the owner has handled. Owners of earlier
+// builds confirm none; they are trusted to handle all. The caller holds mu.
 func (sc *scopeClient) confirmReleases(reply *peerpb.AdmitReply) {
-	if sc.unanswered && !reply.ConfirmsReleases {
-		sc.confirmed = trustedOwner
+	if sc.unanswered {
+		sc.unanswered, sc.ownerConfirms = false, reply.ConfirmsReleases
 	}
-	sc.unanswered = false
-	if sc.confirmed == trustedOwner {
+	if !sc.ownerConfirms {
 		sc.sent = nil
 		return
 	}
@@ -46,7 +40,7 @@
 // the next session reports both. The caller holds mu.
 func (sc *scopeClient) restoreReleases() {
 	for _, s := range sc.sent {
-		if s.held != nil && sc.confirmed != trustedOwner {
+		if s.held != nil && sc.ownerConfirms {
 			sc.held[s.seq] = s.held
 		}
 	}
--- a/internal/pool/scope_client.go
+++ b/internal/pool/scope_client.go
@@ -32,9 +32,10 @@
 	// sent are the releases of the current session that its owner has not confirmed,
 	// in the order in which they were sent. If the session ends, they are reported to
 	// the next owner. confirmed is how many the owner has confirmed.
-	sent       []sentRelease
-	confirmed  uint64
-	unanswered bool // the owner has not replied in this session
+	sent          []sentRelease
+	confirmed     uint64
+	unanswered    bool // the owner has not replied in this session
+	ownerConfirms bool // the owner confirms releases, as far as is known
 }
 
 // ownerID identifies one process of an owner.
--- a/internal/pool/session.go
+++ b/internal/pool/session.go
@@ -146,7 +146,7 @@
 func (sc *scopeClient) attach(out *outbox, owner ownerID, stallCount int) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	sc.confirmed, sc.unanswered = 0, true
+	sc.confirmed, sc.unanswered, sc.ownerConfirms = 0, true, true
 	out.put(sc.syncRequest(out, owner))
 	sc.outbox, sc.lastOwner, sc.stallCount, sc.lastReceived = out, owner, stallCount, time.Now()
 }
