Revert "Scale only the demand of accounts that open new connections"

By reading: clients of a flooded router keep some connections, whose requests no longer counted for those that were reset, so the account seemed to ask for less than its share and was not taken for underserved.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -93,19 +93,11 @@
 	}
 }
 
-// SetDemandFactor sets how many times as many connections clients open to this
-// router as it accepts, at least 1. The accounts of those that it has no CPU time for
-// are unknown, so the demand of all accounts that open connections is scaled.
+// SetDemandFactor sets how many times as many requests clients send to this router
+// as it accepts, at least 1. The accounts of those that it has no CPU time for are
+// unknown, so the demand of all that it accepts is scaled.
 func (d *Dispatcher) SetDemandFactor(factor float64) { d.demandFactor = max(1, factor) }
 
-// demandFactorOf returns how many requests of its account a request stands for.
-func (d *Dispatcher) demandFactorOf(r *Request) float64 {
-	if r.NewConnection {
-		return d.demandFactor
-	}
-	return 1
-}
-
 // SetZonesOut sets the availability zones that receive no new requests.
 // Endpoints of a zone that returns to service count as cold, since operators
 // may have restarted them.
@@ -172,7 +164,7 @@
 	t := &Ticket{Request: r, State: Waiting}
 	s := d.service(r.Service)
 	if !r.Retry {
-		s.addDemand(now, r.Account, r.cost()*d.demandFactorOf(&r))
+		s.addDemand(now, r.Account, r.cost())
 	}
 	if ok, after := d.hasEligibleEndpoint(now, t); !ok {
 		return refuse(t, NoEndpoint, after, now)
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -66,8 +66,9 @@
 	shareUpdatedAt time.Time
 	usageUpdatedAt time.Time
 
-	overloaded  bool // demand exceeds capacity
-	underserved bool // an account gets much less than its share and asks for it
+	overloaded   bool    // demand exceeds capacity
+	underserved  bool    // an account gets much less than its share and asks for it
+	demandFactor float64 // of the demand seen at this router, see Dispatcher.SetDemandFactor
 }
 
 // accountCost is the cost that an account recently requested and was granted, by
@@ -83,7 +84,7 @@
 }
 
 func newServiceState() *serviceState {
-	return &serviceState{accounts: map[string]*accountCost{}, fairShare: math.Inf(1)}
+	return &serviceState{accounts: map[string]*accountCost{}, fairShare: math.Inf(1), demandFactor: 1}
 }
 
 func (s *serviceState) account(name string) *accountCost {
@@ -126,6 +127,7 @@
 	}
 	if now.Sub(s.shareUpdatedAt) >= shareRefreshInterval {
 		s.shareUpdatedAt = now
+		s.demandFactor = d.demandFactor
 		s.refreshUsage(now)
 		capacity := max(perSecond*usageWindow.Seconds(), s.totalGranted())
 		s.fairShare = s.maxMinShare(now, capacity)
@@ -139,7 +141,7 @@
 
 // fleetDemand returns the recent demand of an account in the whole fleet.
 func (s *serviceState) fleetDemand(now time.Time, u *accountCost) float64 {
-	return u.demand.value(now, usageWindow) + u.peerDemand
+	return s.demandFactor*u.demand.value(now, usageWindow) + u.peerDemand
 }
 
 // leastUnderserved returns the least recent usage of an account that asks for more
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -76,7 +76,7 @@
 	const minCost = 0.5 // smallest cost worth reporting
 	for account, u := range s.accounts {
 		a := AccountReport{Service: service, Account: account,
-			Demand: u.demand.value(now, usageWindow), Granted: u.granted.value(now, usageWindow)}
+			Demand: s.demandFactor * u.demand.value(now, usageWindow), Granted: u.granted.value(now, usageWindow)}
 		if a.Demand > minCost || a.Granted > minCost {
 			out = append(out, a)
 		}
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -28,7 +28,6 @@
 	Deadline           time.Time // the response is of no use after it
 	ExcludedEndpoints  []string  // IDs of endpoints that must not receive the request again
 	Retry              bool      // an endpoint may have received it before; its cost is already charged
-	NewConnection      bool      // the first request on its client connection
 }
 
 // cost returns what a request charges against its account's share: 1 for each
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -5,7 +5,6 @@
 	"maps"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,23 +15,10 @@
 
 type connKey struct{}
 
-// clientConn is a client's connection.
-type clientConn struct {
-	net.Conn
-	requests atomic.Int64 // received on it
-}
-
 // ConnContext stores the client's connection in the context of its requests. It
 // is meant for http.Server.ConnContext.
 func (h *Relay) ConnContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, &clientConn{Conn: c})
-}
-
-// countRequest counts a request on its connection and reports whether it is the
-// first one there.
-func countRequest(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(*clientConn)
-	return ok && c.requests.Add(1) == 1
+	return context.WithValue(ctx, connKey{}, c)
 }
 
 // clientDisconnected reports whether the client has closed its connection. It
@@ -43,12 +29,8 @@
 	if x.r.Context().Err() != nil {
 		return true
 	}
-	c, ok := x.r.Context().Value(connKey{}).(*clientConn)
-	if !ok {
-		return false
-	}
-	socket, ok := c.Conn.(syscall.Conn)
-	return ok && isClosed(socket)
+	c, ok := x.r.Context().Value(connKey{}).(syscall.Conn)
+	return ok && isClosed(c)
 }
 
 // isClosed reports whether the other end has closed a connection.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -37,7 +37,6 @@
 	unsent          int               // attempts that sent nothing
 	mayHaveRun      bool              // an endpoint may have run it
 	endpointFailure *bufferedResponse // error response of an endpoint, delivered unless a retry succeeds
-	newConnection   bool              // the first request on its connection
 	streamStarted   bool              // the head of a stream has been written
 	lastEventID     string            // of the last event forwarded
 	eventCount      int               // stream events forwarded
@@ -94,7 +93,7 @@
 		ID: x.meta.ID, Account: x.account, Service: x.service, Priority: x.priority,
 		Parts: x.meta.Parts, PromptTokens: x.meta.PromptTokens, OutputTokens: output,
 		Arrived: x.arrived, Objective: x.arrived.Add(objective), FirstEventDeadline: x.firstEventDeadline(objective), Deadline: x.deadline,
-		ExcludedEndpoints: x.triedEndpoints, Retry: x.sends > 0, NewConnection: x.newConnection,
+		ExcludedEndpoints: x.triedEndpoints, Retry: x.sends > 0,
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -131,7 +131,7 @@
 	if h.noKeepAlives.Load() || h.opts.MaxConnections > 0 && h.conns.Load() > h.opts.MaxConnections {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), meta: h.opts.Protocol.ReadRequest(r.Header), newConnection: countRequest(r.Context())}
+	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), meta: h.opts.Protocol.ReadRequest(r.Header)}
 	defer x.releaseMemory()
 	clientCtx, clientLeft := context.WithCancel(r.Context())
 	defer clientLeft()
