Set no TCP keepalives on connections to endpoints

Change: no keepalives to endpoints at all, and idle connections to an endpoint are closed when an attempt at it ends in silence.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -96,7 +96,7 @@
 	if err := conn.Send(req, x.body); err != nil {
 		conn.Close()
 		if isTimeout(err) {
-			return x.silent(ctx, "the endpoint did not accept the request in time")
+			return x.silent(ctx, t, "the endpoint did not accept the request in time")
 		}
 		return x.interrupted(ctx, code.EndpointError, "the connection failed while the request was being sent")
 	}
@@ -140,7 +140,7 @@
 	for range maxStaleResponses {
 		resp, err := conn.Receive(req)
 		if err != nil {
-			return nil, x.noResponse(ctx, err)
+			return nil, x.noResponse(ctx, t, err)
 		}
 		meta := x.h.opts.Protocol.ReadResponse(resp.StatusCode, resp.Header)
 		x.applyNotice(t, meta)
@@ -149,7 +149,7 @@
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBytes+1))
 		if err != nil {
-			return nil, x.noResponse(ctx, err)
+			return nil, x.noResponse(ctx, t, err)
 		}
 		if n > maxStaleBytes {
 			break
@@ -176,14 +176,14 @@
 
 // noResponse returns the result of an attempt whose response head could not be
 // read.
-func (x *exchange) noResponse(ctx context.Context, err error) *attemptResult {
+func (x *exchange) noResponse(ctx context.Context, t *dispatch.Ticket, err error) *attemptResult {
 	if errors.Is(err, limitio.ErrTooLarge) {
 		r := x.oversized(ctx, err.Error())
 		return &r
 	}
 	r := x.interrupted(ctx, code.EndpointError, "the connection failed before the response")
 	if isTimeout(err) {
-		r = x.silent(ctx, "the endpoint did not respond in time")
+		r = x.silent(ctx, t, "the endpoint did not respond in time")
 	}
 	return &r
 }
@@ -223,8 +223,9 @@
 }
 
 // silent returns the result of an attempt whose endpoint sent nothing for too long,
-// by the clock of this router.
-func (x *exchange) silent(ctx context.Context, detail string) attemptResult {
+// by the clock of this router. Idle connections to it may be cut off as well.
+func (x *exchange) silent(ctx context.Context, t *dispatch.Ticket, detail string) attemptResult {
+	x.h.opts.Pool.CloseIdle(t.Endpoint.Address)
 	r := x.interrupted(ctx, code.Silent, detail)
 	if !x.h.timesEndpoints() && r.outcome == dispatch.Interrupted {
 		r.outcome = dispatch.Canceled
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -73,7 +73,7 @@
 			return x.finishStream(conn, resp)
 		case isTimeout(err):
 			conn.Close()
-			return x.silent(ctx, "the stream delivered nothing for too long")
+			return x.silent(ctx, t, "the stream delivered nothing for too long")
 		default:
 			conn.Close()
 			return x.interrupted(ctx, code.Truncated, "the connection failed before the end of the stream")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -75,32 +75,10 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	p := &Pool{idle: map[string][]*Conn{}, maxIdle: maxIdlePerEndpoint}
-	p.dialer = net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
-	return p
-}
-
-// idleKeepAlive finds connections to an endpoint that is lost, while they are idle
-// or deliver a response.
-var idleKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
-
-// setKeepAlive switches TCP keepalives on or off. They are off while a request may
-// not have reached the endpoint: a connection that the kernel ends can't be reset
-// by Close any more, and what the network still holds of the request would reach
-// the endpoint after a partition, when the request has been sent to another one.
-func (c *Conn) setKeepAlive(on bool) {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || on == c.keepAlive {
-		return
-	}
-	// An error means that the connection has failed, which its next use shows.
-	if on && !c.keepAliveSet {
-		_ = tcp.SetKeepAliveConfig(idleKeepAlive)
-		c.keepAliveSet = true
-	} else {
-		_ = tcp.SetKeepAlive(on)
-	}
-	c.keepAlive = on
+	// No TCP keepalives: a connection that the kernel ends can't be reset by Close
+	// any more, and what the network still holds of a request on it would reach the
+	// endpoint after a partition, when the request has been sent to another one.
+	return &Pool{idle: map[string][]*Conn{}, maxIdle: maxIdlePerEndpoint, dialer: net.Dialer{Timeout: connectTimeout, KeepAlive: -1}}
 }
 
 // Conn is a connection to an endpoint.
@@ -115,9 +93,6 @@
 	inFlight    atomic.Bool // a request was sent and its response is not complete
 	idleSince   time.Time
 	bodyResult  chan error // result of sending a large body in the background, or nil
-
-	keepAlive    bool // TCP keepalives are on
-	keepAliveSet bool // their parameters are set
 }
 
 // Get returns a connection to an address: an idle one if there is any, unless
@@ -238,6 +213,18 @@
 	p.maxIdle = min(n, maxIdlePerEndpoint)
 }
 
+// CloseIdle closes the idle connections to an address, as those to an endpoint that
+// has not responded on another one.
+func (p *Pool) CloseIdle(address string) {
+	p.mu.Lock()
+	idle := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
 // Prune closes the idle connections whose address keep rejects and those whose
 // idle timeout has passed.
 func (p *Pool) Prune(keep func(address string) bool) {
@@ -268,7 +255,6 @@
 // body is sent in the background. The caller limits the time by a deadline.
 func (c *Conn) Send(req *http.Request, body []byte) error {
 	c.inFlight.Store(true)
-	c.setKeepAlive(false)
 	req.ContentLength = int64(len(body))
 	req.Body = http.NoBody
 	if len(body) > 0 {
@@ -296,7 +282,6 @@
 		}
 		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
 			c.checkBodySent()
-			c.setKeepAlive(true)
 			return resp, nil
 		}
 	}
