Send changes of records only to routers that may lack them

Cause: when the large fleet starts, and whenever endpoints change, heartbeats carry up to 8 kB of records: to each router of the row four times, and from each of fourteen rows four times, also to routers that have long had them.

Change: a router whose last heartbeat named the sender's revisions gets none; a row's representative repeats them twice, 2 kB at most. Introductions of routers to one that sees a smaller fleet name 64 at random, as gossip does.

--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -63,14 +63,18 @@
 	return r
 }
 
-// maxRecentBytes limits the records of one collection in a heartbeat. Peers
-// fetch larger changes by gRPC.
-const maxRecentBytes = 8 << 10
+// maxRecentBytes limits the records of one collection in a heartbeat, and
+// maxRowRecentBytes those in a heartbeat to another row, of which there are many.
+// Peers fetch larger changes by gRPC.
+const (
+	maxRecentBytes    = 8 << 10
+	maxRowRecentBytes = 2 << 10
+)
 
 // recentChanges returns the record changes of the given time window.
-func recentChanges(r *replica.Replica, now time.Time, within time.Duration) (out []*peerpb.RecordNews) {
+func recentChanges(r *replica.Replica, now time.Time, within time.Duration, byteBudget int) (out []*peerpb.RecordNews) {
 	for _, kind := range replica.Kinds {
-		n, ok := r.RecentChanges(now, kind, within, maxRecentBytes)
+		n, ok := r.RecentChanges(now, kind, within, byteBudget)
 		if !ok {
 			continue
 		}
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -47,7 +47,7 @@
 	interval := m.heartbeatInterval
 	h.rowsPerZone = m.grid.RowsPerZone
 	m.mu.Unlock()
-	h.news = recentChanges(m.opts.Replica, now, changeRepeats*interval)
+	h.news = recentChanges(m.opts.Replica, now, changeRepeats*interval, maxRecentBytes)
 	return h
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -42,6 +42,9 @@
 	// changeRepeats is how many heartbeats carry a change of the platform's
 	// records. Some datagrams get lost, and a missed change costs a gRPC call.
 	changeRepeats = 4
+	// rowChangeRepeats is the same for heartbeats to other rows: each router gets
+	// one from every row.
+	rowChangeRepeats = 2
 	// placementRepeats is how many heartbeats carry a placement in a large
 	// fleet. A missed placement costs little, and placements are most of the
 	// traffic between zones.
@@ -220,9 +223,11 @@
 func (m *Mesh) SendHeartbeats() {
 	now := time.Now()
 	to, members := m.heartbeatRecipients(now)
-	m.setInterval(to.own.len() + to.row.len())
+	m.setInterval(to.own.len() + to.current.len() + to.row.len())
 	h := m.newHeartbeat(now)
 	m.sendHeartbeat(h, to.own)
+	h.news = nil
+	m.sendHeartbeat(h, to.current)
 	if to.row.len() == 0 {
 		return
 	}
@@ -232,6 +237,7 @@
 	}
 	h.wholeRow, h.members, h.describeAll = true, members, m.mustDescribeMembers(now)
 	h.report = m.opts.RowReport(names)
+	h.news = recentChanges(m.opts.Replica, now, rowChangeRepeats*m.interval(), maxRowRecentBytes)
 	m.sendHeartbeat(h, to.row)
 }
 
--- a/internal/mesh/row.go
+++ b/internal/mesh/row.go
@@ -12,6 +12,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/grid"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/replica"
 )
 
 // rowState describes the last accepted report of another row.
@@ -34,8 +35,9 @@
 
 // recipients are the peers that get a heartbeat in this round.
 type recipients struct {
-	own addresses // get this router's state
-	row addresses // get the state of its row
+	own     addresses // get this router's state and recent changes of records
+	current addresses // get its state only: they have reported the same revisions
+	row     addresses // get the state of its row
 }
 
 // heartbeatRecipients returns the peers that get a heartbeat now, and the other
@@ -46,6 +48,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out recipients
+	revisions := m.opts.Replica.Revisions()
 	members, names := m.aliveMembers(now)
 	slices.Sort(names)
 	if !slices.Equal(names, m.rowNames) {
@@ -63,15 +66,29 @@
 			continue
 		}
 		p.sentAt = now
-		if own {
-			out.own.add(p)
-		} else {
+		switch {
+		case !own:
 			out.row.add(p)
+		case p.hasReached(revisions):
+			out.current.add(p)
+		default:
+			out.own.add(p)
 		}
 	}
 	return out, members
 }
 
+// hasReached reports whether the peer's last heartbeat named these revisions or
+// higher ones.
+func (p *Router) hasReached(revisions map[replica.Kind]int64) bool {
+	for kind, revision := range revisions {
+		if theirs, ok := p.revisions[kind]; !ok || theirs < revision {
+			return false
+		}
+	}
+	return true
+}
+
 // representative returns the router of this router's row that reports the row to a
 // router outside it. The caller holds the lock.
 func (m *Mesh) representative(p *Router) string {
@@ -141,9 +158,10 @@
 	}
 }
 
-// sendMembers sends all live routers to a peer that divides the fleet into fewer
-// rows than this router does: the peer may know too few routers to learn of the
-// others by heartbeats. It does so at most every silentPeerInterval.
+// sendMembers sends live routers to a peer that divides the fleet into fewer rows
+// than this router does: the peer may know too few routers to learn of the others by
+// heartbeats. It does so at most every silentPeerInterval, and sends a random
+// selection: the peer gets a different one from each router that it has reached.
 func (m *Mesh) sendMembers(now time.Time, p *Router, b *peerpb.Beat) {
 	m.mu.Lock()
 	if int(b.Rows) >= m.grid.RowsPerZone || now.Sub(p.membersSentAt) < silentPeerInterval {
@@ -153,7 +171,7 @@
 	p.membersSentAt = now
 	others := m.aliveExcept(now, p)
 	m.mu.Unlock()
-	m.sendWithMembers(now, others, p)
+	m.sendWithMembers(now, others[:min(len(others), maxGossipMembers)], p)
 }
 
 // aliveExcept returns the descriptions of all live routers but one, in random
@@ -183,8 +201,8 @@
 const (
 	// gossipInterval is the time between two gossips about live routers.
 	gossipInterval = time.Second
-	// maxGossipMembers limits the routers in one gossip, and so its size to about
-	// 4 KB.
+	// maxGossipMembers limits the routers that are sent to one that may not know
+	// them, and so the size of the heartbeat to about 4 KB.
 	maxGossipMembers = 64
 )
 
