Count a request as late once no endpoint can begin it in time

Change: a request is late once the fastest endpoint, as predicted at the last attempt to place it, would begin it after its objective. It then waits for a slot among the first half of an endpoint's, as before.

--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -55,8 +55,7 @@
 // on the ticket.
 func (d *Dispatcher) limitsFor(now time.Time, s *serviceState, t *Ticket) occupancyLimits {
 	objective := t.Request.Objective.Sub(t.Request.Arrived)
-	left := t.Request.Objective.Sub(now)
-	t.ObjectiveMissed = left < cachedFirstToken
+	t.ObjectiveMissed = t.missesObjective(now)
 	cached := time.Duration(cachedWaitFraction * float64(objective))
 	d.updateShare(now, s, t)
 	if t.OverShare && s.underserved {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -103,6 +103,12 @@
 	unshared := unsharedTokens(t.Request.Parts, t.Request.PromptTokens)
 	t.deadlineUnreachable = t.Request.OutputTokens > 0
 	t.Blocked = BlockedEndpoints{}
+	fastest := time.Duration(math.MaxInt64)
+	defer func() {
+		if fastest < math.MaxInt64 {
+			t.fastestFirstEvent = fastest
+		}
+	}()
 	fewestSharedUncached := math.MaxInt // shared tokens that cacheHolder has to prefill
 	for _, ep := range d.sortedEndpoints {
 		if !d.eligible(ep, &t.Request) {
@@ -114,6 +120,7 @@
 			continue
 		}
 		uncached := ep.uncachedTokens(engine, t.Request.Parts, t.Request.PromptTokens)
+		fastest = min(fastest, ep.predictFirstEvent(uncached))
 		if uncached-unshared < fewestSharedUncached {
 			fewestSharedUncached, cacheHolder = uncached-unshared, ep
 		}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -226,7 +226,7 @@
 	s.refreshUsage(now)
 	for _, t := range s.queue {
 		t.accountUsage = s.account(t.Request.Account).fleetGranted
-		t.ObjectiveMissed = t.Request.Objective.Sub(now) < cachedFirstToken
+		t.ObjectiveMissed = t.missesObjective(now)
 	}
 	slices.SortStableFunc(s.queue, func(a, b *Ticket) int {
 		if a.Request.Priority != b.Request.Priority {
@@ -245,6 +245,12 @@
 	})
 }
 
+// missesObjective reports whether the first event would come too late even if the
+// request were sent now. A slot used for it makes another request late.
+func (t *Ticket) missesObjective(now time.Time) bool {
+	return t.Request.Objective.Sub(now) < max(cachedFirstToken, t.fastestFirstEvent)
+}
+
 // waitDeadline returns the time at which a request that still waits is refused.
 func (t *Ticket) waitDeadline() time.Time {
 	total := t.Request.FirstEventDeadline.Sub(t.Request.Arrived)
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -99,10 +99,11 @@
 	Blocked BlockedEndpoints // at the last attempt to place it
 
 	endpoint            *endpointState
-	unreadTokens        int     // tokens counted as not yet prefilled
-	accountUsage        float64 // recent usage of the account at the last sort of the queue
-	awaitsCache         bool    // waiting for the endpoint that has its prompt cached
-	deadlineUnreachable bool    // at the last check, no endpoint could complete the response in time
+	unreadTokens        int           // tokens counted as not yet prefilled
+	accountUsage        float64       // recent usage of the account at the last sort of the queue
+	fastestFirstEvent   time.Duration // predicted for the best endpoint at the last attempt to place it
+	awaitsCache         bool          // waiting for the endpoint that has its prompt cached
+	deadlineUnreachable bool          // at the last check, no endpoint could complete the response in time
 }
 
 // BlockedEndpoints counts the endpoints that a request could not be sent to, by
