Share what is granted where slots, not tokens, are what a service lacks

Cause: on the large deployment slots run out at a quarter of the configured token capacity (2.5 M tokens a second declared for the small twin, 0.7 M begun of 1.0 M asked).

Change: a service whose demand exceeds what is granted by a quarter is saturated; the share is then max-min of what is granted. Requests beyond it fill four fifths of an endpoint's slots, so that others find one, and wait as long as those within it, since no slot may be left idle.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -181,7 +181,7 @@
 		perSecond = max(perSecond, t.FairShare/usageWindow.Seconds()) // the account is entitled to its share
 	}
 	t.ExpectedWait = s.expectedWait(now, t, perSecond)
-	if t.ExpectedWait > t.maxWait(now) {
+	if t.ExpectedWait > t.maxWait(now, s) {
 		return refuse(t, WaitTooLong, t.ExpectedWait, now)
 	}
 	s.enqueue(t)
--- a/core/dispatch/largefleet_test.go
+++ b/core/dispatch/largefleet_test.go
@@ -70,6 +70,48 @@
 		Expect(state("other", 40_000)).To(Equal(dispatch.Granted), "within its share")
 	})
 
+	It("keeps slots free for accounts within their share when slots are what a service lacks", func() {
+		// Guards against an account that gets a third of its share although the
+		// configured capacity, in tokens, is not used up.
+		c := config()
+		c.Limits.TokensPerSec = 10_000_000
+		state := func(account string, granted float64) dispatch.State {
+			d := newLargeFleet(endpoint("e1", model, "a"))
+			d.SetTable(topology.NewTable(c))
+			d.SetPeerReport(start, "r1", dispatch.Report{
+				Endpoints: []dispatch.EndpointReport{{Endpoint: "e1", Load: dispatch.Load{Active: slots - 1}}},
+				Accounts: []dispatch.AccountReport{
+					{Service: model, Account: "rich", Demand: 400_000, Granted: granted},
+					{Service: model, Account: "poor", Demand: 100_000, Granted: 30_000},
+				},
+			})
+			return d.Submit(start, chatRequest(start, account, 100)).State
+		}
+		Expect(state("rich", 200_000)).NotTo(Equal(dispatch.Granted))
+		Expect(state("poor", 200_000)).To(Equal(dispatch.Granted))
+		Expect(state("rich", 390_000)).To(Equal(dispatch.Granted), "nearly all that is asked for is granted")
+	})
+
+	It("orders requests that can still begin in time before those that can't", func() {
+		// Guards against slots that go to requests which are late at any endpoint.
+		d := newLargeFleet(endpoint("e1", model, "a"))
+		full := func(active, pending int) {
+			d.SetPeerReport(start, "r1", dispatch.Report{Endpoints: []dispatch.EndpointReport{{Endpoint: "e1", Load: dispatch.Load{Active: active, Pending: pending}}}})
+		}
+		full(slots, 0)
+		waiting := d.Submit(start, chatRequest(start, "first", 100))
+		Expect(waiting.State).To(Equal(dispatch.Waiting))
+		d.Poll(start.Add(time.Millisecond))
+		objective := waiting.Request.Objective
+		at := objective.Add(-16 * time.Millisecond) // the endpoint needs more than that for the prompt
+		fresh := d.Submit(at, chatRequest(at, "second", 200))
+		full(slots-1, 0)
+		d.Poll(at)
+		Expect(fresh.State).To(Equal(dispatch.Granted))
+		Expect(waiting.State).To(Equal(dispatch.Waiting))
+		Expect(waiting.ObjectiveMissed).To(BeTrue())
+	})
+
 	It("grants an account with little usage room in endpoints filled by accounts beyond their shares", func() {
 		// Guards against an account at one router that gets a third of its share,
 		// since endpoints look full to that router.
--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -16,6 +16,10 @@
 	inShareSlotFraction   = 1.0
 	overShareSlotFraction = 0.5
 	cachedSlotFraction    = 0.8
+	// saturatedSlotFraction is the same for requests beyond the share in a service
+	// that is saturated below its configured capacity: slots are what it lacks, and
+	// each one left free is lost.
+	saturatedSlotFraction = 0.8
 	// yieldingSlotFraction is the same for requests beyond the share while another
 	// account is underserved, which may wait at a router that sees free slots later.
 	yieldingSlotFraction = 0.2
@@ -65,6 +69,9 @@
 		ratio := t.FairShare / t.RecentUsage // the further beyond its share, the tighter the limits
 		return occupancyLimits{slotFraction: overShareSlotFraction * ratio, maxWait: time.Duration(overShareWaitFraction * ratio * float64(objective)), maxCachedWait: time.Duration(ratio * float64(cached)), maxCachedSlots: cachedSlotFraction}
 	}
+	if t.OverShare && s.saturated && !t.ObjectiveMissed {
+		return occupancyLimits{slotFraction: saturatedSlotFraction, maxWait: time.Duration(inShareWaitFraction * float64(objective)), maxCachedWait: cached, maxCachedSlots: saturatedSlotFraction}
+	}
 	if t.ObjectiveMissed || t.OverShare {
 		return occupancyLimits{slotFraction: overShareSlotFraction, maxWait: time.Duration(overShareWaitFraction * float64(objective)), maxCachedWait: cached, maxCachedSlots: cachedSlotFraction}
 	}
@@ -80,7 +87,7 @@
 // although accounts beyond their shares fill them. Requests of such an account
 // may therefore wait longer inside an endpoint.
 func (d *Dispatcher) shareDeficit(s *serviceState, t *Ticket) float64 {
-	if !s.overloaded || math.IsInf(t.FairShare, 1) || t.FairShare <= 0 {
+	if !s.overloaded && !s.saturated || math.IsInf(t.FairShare, 1) || t.FairShare <= 0 {
 		return 0
 	}
 	return max(0, 1-t.RecentUsage/t.FairShare)
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -26,6 +26,10 @@
 	// service counts as overloaded. It exceeds 1 because requests that wait
 	// briefly are part of the demand before they are served.
 	overloadThreshold = 1.15
+	// saturationThreshold is the ratio of demand to what is granted above which a
+	// service counts as saturated, whatever its configured capacity. It exceeds
+	// overloadThreshold because a rising demand is granted a little later.
+	saturationThreshold = 1.25
 	// underservedFraction is the fraction of what an account is entitled to below
 	// which it counts as underserved.
 	underservedFraction = 0.8
@@ -67,6 +71,7 @@
 	usageUpdatedAt time.Time
 
 	overloaded   bool    // demand exceeds capacity
+	saturated    bool    // demand is within the configured capacity and still exceeds what is granted
 	underserved  bool    // an account gets much less than its share and asks for it
 	demandFactor float64 // of the demand seen at this router, see Dispatcher.SetDemandFactor
 }
@@ -129,9 +134,14 @@
 		s.shareUpdatedAt = now
 		s.demandFactor = d.demandFactor
 		s.refreshUsage(now)
-		capacity := max(perSecond*usageWindow.Seconds(), s.totalGranted())
+		granted, demand := s.totalGranted(), s.totalDemand(now)
+		capacity := max(perSecond*usageWindow.Seconds(), granted)
+		s.overloaded = demand > overloadThreshold*capacity
+		s.saturated = !s.overloaded && demand > saturationThreshold*granted
+		if s.saturated {
+			capacity = granted
+		}
 		s.fairShare = s.maxMinShare(now, capacity)
-		s.overloaded = s.totalDemand(now) > overloadThreshold*capacity
 		s.limitToUnderserved(now)
 	}
 	s.refreshUsage(now)
@@ -273,9 +283,9 @@
 
 // maxWait returns the longest expected wait with which a new request is
 // accepted.
-func (t *Ticket) maxWait(now time.Time) time.Duration {
+func (t *Ticket) maxWait(now time.Time, s *serviceState) time.Duration {
 	left := time.Duration(maxWaitFraction * float64(t.Request.FirstEventDeadline.Sub(now)))
-	if t.OverShare {
+	if t.OverShare && !s.saturated {
 		objective := t.Request.Objective.Sub(t.Request.Arrived)
 		return min(left, time.Duration(overShareMaxWaitFactor*float64(objective)))
 	}
