--- a/Makefile
+++ b/Makefile
@@ -21,4 +21,5 @@
 fuzz:
 	go test ./core/manifest -run '^$$' -fuzz FuzzManifest -fuzztime 30s -fuzzminimizetime 1x
 	go test ./internal/settings -run '^$$' -fuzz FuzzParse -fuzztime 30s -fuzzminimizetime 1x
+	go test ./internal/jsonscan -run '^$$' -fuzz FuzzSplit -fuzztime 30s -fuzzminimizetime 1x
 	go test ./internal/callerapi -run '^$$' -fuzz FuzzCallerBody -fuzztime 30s -fuzzminimizetime 1x
--- a/internal/mesh/compact_test.go
+++ b/internal/mesh/compact_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -113,6 +114,21 @@
 	}
 }
 
+// TestAbsurdFiguresOfPeers guards against one report after which every share is NaN.
+func TestAbsurdFiguresOfPeers(t *testing.T) {
+	nan, inf := float32(math.NaN()), float32(math.Inf(1))
+	r := decodeReport(&peerpb.Beat{
+		Accounts: []*peerpb.AccountUse{{Account: "a", Asked: nan}, {Account: "b", Served: inf}, {Account: "c", Asked: -1}, {Account: "d", Asked: 2, Served: 1}},
+		Cold:     []*peerpb.ColdEndpoint{{Id: "e", LeftMs: math.MaxUint32}},
+	})
+	if len(r.Accounts) != 1 || r.Accounts[0].Account != "d" {
+		t.Errorf("accounts: %+v", r.Accounts)
+	}
+	if r.Cold[0].Remaining > time.Hour {
+		t.Errorf("cold for %v", r.Cold[0].Remaining)
+	}
+}
+
 func TestRevisionsInBothEncodings(t *testing.T) {
 	want := map[replica.Kind]int64{replica.Config: 0, replica.ZonesOut: 7}
 	if got := decodeRevisions(&peerpb.Beat{Copies: encodeCopies(want)}); !reflect.DeepEqual(got, want) {
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math"
 	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
@@ -36,6 +37,12 @@
 
 func toUint32(n int) uint32 { return uint32(max(n, 0)) }
 
+// maxColdRemaining bounds how long a peer can make an endpoint count as cold.
+const maxColdRemaining = 10 * time.Minute
+
+// isCost reports whether a peer's figure can be added to a sum and subtracted again.
+func isCost(x float32) bool { return x >= 0 && x <= math.MaxUint32 }
+
 func decodeReport(b *peerpb.Beat) dispatch.Report {
 	r := dispatch.Report{Incarnation: b.Incarnation}
 	for _, c := range b.PartCrashes {
@@ -52,12 +59,16 @@
 			Load: dispatch.Load{Active: int(e.Active), Pending: int(e.Pending), Resident: int(e.Resident)}})
 	}
 	for _, c := range b.Cold {
-		r.Cold = append(r.Cold, dispatch.ColdReport{Endpoint: c.Id, StartMillis: c.Born, Remaining: time.Duration(c.LeftMs) * time.Millisecond})
+		r.Cold = append(r.Cold, dispatch.ColdReport{Endpoint: c.Id, StartMillis: c.Born, Remaining: min(time.Duration(c.LeftMs)*time.Millisecond, maxColdRemaining)})
 	}
 	for _, c := range b.Crashes {
 		r.Crashes = append(r.Crashes, route.Crash{Fingerprint: c.Fingerprint, Endpoint: c.Id, Age: time.Duration(c.AgeMs) * time.Millisecond})
 	}
 	for _, a := range b.Accounts {
+		if !isCost(a.Asked) || !isCost(a.Served) {
+			heartbeatsInvalid.Inc()
+			continue
+		}
 		r.Accounts = append(r.Accounts, dispatch.AccountReport{Service: a.Service, Account: a.Account, Demand: float64(a.Asked), Granted: float64(a.Served)})
 	}
 	return r
