Leave out pending prompts that an endpoint has read since they were reported

Cause: load reports are 160 ms and more old in the large fleet, and an engine reads 16,000 tokens in that time. What peers reported as pending had been read; endpoints looked busy that were not.

Change: of the pending tokens that peers report, those are left out that the endpoint reads in the age of a report. What this router has sent counts in full.

--- a/core/dispatch/cache.go
+++ b/core/dispatch/cache.go
@@ -83,6 +83,14 @@
 // other routers.
 func (d *Dispatcher) SetAnnounceDuration(t time.Duration) { d.announceDuration = t }
 
+// SetReportDelay sets how old the load that peers report is on average.
+func (d *Dispatcher) SetReportDelay(t time.Duration) {
+	d.readSinceReport = int(ms(t) * prefillTokensPerMs)
+	for _, ep := range d.endpoints {
+		ep.readSinceReport = d.readSinceReport
+	}
+}
+
 // recordPlacement records a placement of this router.
 func (d *Dispatcher) recordPlacement(now time.Time, t *Ticket) {
 	if t.Request.PromptTokens == 0 {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -58,6 +58,7 @@
 	parts            *route.PartQuarantine
 	soundParts       map[uint64]soundAnnouncement
 	announceDuration time.Duration // how long placements and crashes are reported
+	readSinceReport  int           // see endpointState
 }
 
 // New returns a dispatcher without endpoints.
@@ -138,6 +139,7 @@
 	ep, known := d.endpoints[e.ID]
 	if !known || ep.Incarnation() != e.Incarnation() || ep.Service != e.Service || ep.Address != e.Address {
 		ep = newEndpointState(e)
+		ep.readSinceReport = d.readSinceReport
 		d.endpoints[e.ID] = ep
 		ep.peerLoad = d.peerLoad(e.ID)
 	}
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -61,6 +61,9 @@
 	topology.Endpoint
 	ownLoad  Load
 	peerLoad Load // sum of the reports of other routers
+	// readSinceReport is the number of prompt tokens that the endpoint reads while
+	// a report is on its way.
+	readSinceReport int
 	// reservedSlots is the number of requests that wait for a slot here because
 	// their prompts are cached. Requests without a cached prompt leave these
 	// slots free.
@@ -84,10 +87,12 @@
 	return &endpointState{Endpoint: e, latencyFactor: 1, coldRank: -1, cache: promptCache{lastUse: map[uint64]int{}}}
 }
 
-// totalLoad returns the load from all routers.
+// totalLoad returns the load from all routers. Of the prompt tokens that other
+// routers report as pending, it leaves out those that the endpoint has read since.
 func (ep *endpointState) totalLoad() Load {
 	l := ep.ownLoad
 	l.add(ep.peerLoad)
+	l.Pending -= min(ep.peerLoad.Pending, ep.readSinceReport)
 	return l
 }
 
--- a/core/dispatch/largefleet_test.go
+++ b/core/dispatch/largefleet_test.go
@@ -70,6 +70,26 @@
 		Expect(state("other", 40_000)).To(Equal(dispatch.Granted), "within its share")
 	})
 
+	It("does not wait for prompts that an endpoint has read since peers reported them", func() {
+		state := func(delay time.Duration) dispatch.State {
+			d := newLargeFleet(endpoint("e1", model, "a"))
+			d.SetReportDelay(delay)
+			d.SetPeerReport(start, "r1", dispatch.Report{Endpoints: []dispatch.EndpointReport{{Endpoint: "e1", Load: dispatch.Load{Active: 2, Pending: 11_000}}}})
+			return d.Submit(start, chatRequest(start, "a", 100)).State
+		}
+		Expect(state(0)).To(Equal(dispatch.Waiting), "the endpoint needs 137 ms for these prompts")
+		Expect(state(100 * time.Millisecond)).To(Equal(dispatch.Granted))
+	})
+
+	It("counts the prompts that this router has sent itself in full", func() {
+		d := newLargeFleet(endpoint("e1", model, "a"))
+		d.SetReportDelay(160 * time.Millisecond)
+		for i := range 2 {
+			Expect(d.Submit(start, longChatRequest(start, "a", uint64(10+i), uint64(20+i))).State).To(Equal(dispatch.Granted))
+		}
+		Expect(d.Submit(start, chatRequest(start, "a", 100)).State).To(Equal(dispatch.Waiting))
+	})
+
 	It("keeps slots free for accounts within their share when slots are what a service lacks", func() {
 		// Guards against an account that gets a third of its share although the
 		// configured capacity, in tokens, is not used up.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -154,7 +154,7 @@
 	e.mesh, err = mesh.New(mesh.Options{
 		Name: s.Name, Zone: s.Zone, Incarnation: time.Now().UnixNano(), CallerAddress: s.CallerAddress,
 		Address: netip.AddrPortFrom(s.Address, s.PeerPort), Replica: e.replica, Log: log,
-		State: e.heartbeatState, RowReport: e.rowReport, OnReport: e.setPeerReport, OnRowReport: e.setRowReport, OnAnnounceDuration: e.setAnnounceDuration, OnRoutersChanged: e.setRouters,
+		State: e.heartbeatState, RowReport: e.rowReport, OnReport: e.setPeerReport, OnRowReport: e.setRowReport, OnInterval: e.setInterval, OnRoutersChanged: e.setRouters,
 	})
 	if err != nil {
 		return nil, err
@@ -190,8 +190,11 @@
 	e.dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) { d.SetRowReport(now, name, r) })
 }
 
-func (e *Edge) setAnnounceDuration(duration time.Duration) {
-	e.dispatcher.Update(func(_ time.Time, d *dispatch.Dispatcher) { d.SetAnnounceDuration(duration) })
+func (e *Edge) setInterval(interval, announce time.Duration) {
+	e.dispatcher.Update(func(_ time.Time, d *dispatch.Dispatcher) {
+		d.SetAnnounceDuration(announce)
+		d.SetReportDelay(interval)
+	})
 }
 
 func (e *Edge) setRouters(names []string) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -97,10 +97,10 @@
 	RowReport   func(peers []string) dispatch.Report
 	OnReport    func(peer string, r dispatch.Report) // from a router of the same row
 	OnRowReport func(row string, r dispatch.Report)  // sum over the routers of another row
-	// OnAnnounceDuration receives for how long reports must repeat a placement or
-	// a crash.
-	OnAnnounceDuration func(d time.Duration)
-	OnRoutersChanged   func(names []string) // all routers that may be running, sorted
+	// OnInterval receives the time between two heartbeats, and for how long reports
+	// must repeat a placement or a crash.
+	OnInterval       func(interval, announce time.Duration)
+	OnRoutersChanged func(names []string) // all routers that may be running, sorted
 }
 
 // Router is what this router knows about another one.
@@ -252,7 +252,7 @@
 	m.heartbeatInterval = interval
 	m.mu.Unlock()
 	if changed {
-		m.opts.OnAnnounceDuration(placementRepeats * interval)
+		m.opts.OnInterval(interval, placementRepeats*interval)
 	}
 }
 
--- a/internal/mesh/mesh_suite_test.go
+++ b/internal/mesh/mesh_suite_test.go
@@ -81,7 +81,7 @@
 			defer n.mu.Unlock()
 			n.reports[row] = r
 		},
-		OnAnnounceDuration: func(time.Duration) {},
+		OnInterval: func(_, _ time.Duration) {},
 		OnRoutersChanged: func(names []string) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
