Read the store less when the fleet starts

Each of 195 routers lists the entries of routers twice and, before it hears of others, reads all three collections.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,7 +66,8 @@
 
 // Registry stores the entries of routers.
 type Registry interface {
-	Routers(ctx context.Context) ([]Entry, error)
+	// Routers lists the entries; a stale list may lack changes of the last seconds.
+	Routers(ctx context.Context, stale bool) ([]Entry, error)
 	Register(ctx context.Context, e Entry) error
 	Unregister(ctx context.Context, e Entry) error
 }
@@ -150,6 +152,9 @@
 		MaxConnections: int64(clientFileFraction * float64(s.MaxFiles)), MaxOpen: s.MemoryBytes / memoryPerRequest,
 		MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), Lag: e.lagMeter.Lag, MaxLag: maxCPULag})
 	e.replica = replica.New(e.handleChange)
+	if len(s.Seeds) > 0 && !slices.Contains(s.Seeds, s.Address) {
+		e.replica.DelayReading()
+	}
 	var err error
 	e.mesh, err = mesh.New(mesh.Options{
 		Name: s.Name, Zone: s.Zone, Incarnation: time.Now().UnixNano(), CallerAddress: s.CallerAddress,
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -29,7 +29,9 @@
 // heartbeats, so the entries need no watch.
 func (e *Edge) maintainRegistration(ctx context.Context) error {
 	for failures := 0; ; {
-		err := e.register(ctx)
+		// A stale list does for the first attempt: a router that it lacks is learned of by
+		// heartbeats, and an outdated revision of the own entry fails the write.
+		err := e.register(ctx, failures == 0)
 		if err == nil {
 			break
 		}
@@ -56,12 +58,12 @@
 }
 
 // register stores this router's entry, unless it is stored already, and adds the
-// routers of all entries as peers.
-func (e *Edge) register(ctx context.Context) error {
+// routers of all entries as peers. The lists that it reads may be stale.
+func (e *Edge) register(ctx context.Context, stale bool) error {
 	limit, cancel := context.WithTimeout(ctx, 2*registryTimeout)
 	defer cancel()
 	own := Entry{Name: e.settings.Name, Address: e.settings.Address.String(), Zone: e.settings.Zone}
-	entries, err := e.platform.Registry.Routers(limit)
+	entries, err := e.platform.Registry.Routers(limit, stale)
 	if err != nil {
 		return err
 	}
@@ -76,7 +78,7 @@
 		if err := e.platform.Registry.Register(limit, own); err != nil {
 			return err
 		}
-		if entries, err = e.platform.Registry.Routers(limit); err != nil {
+		if entries, err = e.platform.Registry.Routers(limit, stale); err != nil {
 			return err
 		}
 	}
