Retry socket calls that a signal interrupts, name a field for what it holds

Cause: found by reading the change. The runtime's UDP connection retried EINTR, the plain socket did not; a read that failed so would have ended the part that receives heartbeats. Change: both calls are repeated; an unused field goes, and representedBy says whom it names.

--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -11,7 +11,6 @@
 
 // heartbeat is the content of a heartbeat, in no particular encoding.
 type heartbeat struct {
-	seq         uint64
 	rowsPerZone int
 	state       State
 	revisions   map[replica.Kind]int64
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -119,8 +119,8 @@
 	lastSeq uint64
 	sentAt  time.Time
 
-	row         string // of the grid
-	representer string // router of this router's row that reports the row to it
+	row           string // of the grid
+	representedBy string // router of this router's row that reports the row to it
 
 	membersSentAt time.Time // when it was last sent all known routers
 	loggedAlive   bool      // state that was last logged
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -22,7 +22,7 @@
 	m.mu.Lock()
 	p := m.peer(address)
 	if p.Name == "" {
-		p.Name, p.Zone, p.row, p.representer = name, zone, m.grid.Row(zone, name), ""
+		p.Name, p.Zone, p.row, p.representedBy = name, zone, m.grid.Row(zone, name), ""
 	}
 	p.Registered = p.Registered || registered
 	m.knownChanged = true
@@ -116,7 +116,7 @@
 	}
 	m.grid, m.row = g, g.Row(m.opts.Zone, m.opts.Name)
 	for _, p := range m.peers {
-		p.row, p.representer = g.Row(p.Zone, p.Name), ""
+		p.row, p.representedBy = g.Row(p.Zone, p.Name), ""
 	}
 }
 
--- a/internal/mesh/row.go
+++ b/internal/mesh/row.go
@@ -54,7 +54,7 @@
 	if !slices.Equal(names, m.rowNames) {
 		m.rowNames = names
 		for _, p := range m.peers {
-			p.representer = ""
+			p.representedBy = ""
 		}
 	}
 	for _, p := range m.peers {
@@ -92,10 +92,10 @@
 // representative returns the router of this router's row that reports the row to a
 // router outside it. The caller holds the lock.
 func (m *Mesh) representative(p *Router) string {
-	if p.representer == "" {
-		p.representer = grid.Representative(p.Name, m.rowNames)
+	if p.representedBy == "" {
+		p.representedBy = grid.Representative(p.Name, m.rowNames)
 	}
-	return p.representer
+	return p.representedBy
 }
 
 // aliveMembers returns the live routers of this router's row: first their
@@ -273,7 +273,7 @@
 // known routers as changed. The caller holds the lock.
 func (m *Mesh) updatePeer(p *Router, heard time.Time, s peerState) {
 	if p.Name != s.name || p.Zone != s.zone {
-		p.row, p.representer = m.grid.Row(s.zone, s.name), ""
+		p.row, p.representedBy = m.grid.Row(s.zone, s.name), ""
 	}
 	changed := !p.loggedAlive || p.Ready != s.ready || p.Leaving != s.leaving || p.Incarnation != s.incarnation
 	p.Name, p.CallerAddress, p.Zone, p.Incarnation = s.name, s.callerAddress, s.zone, s.incarnation
--- a/internal/mesh/socket.go
+++ b/internal/mesh/socket.go
@@ -41,7 +41,12 @@
 	if s.fd < 0 {
 		return net.ErrClosed
 	}
-	return unix.Sendto(s.fd, datagram, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL, sockaddr(to, s.port))
+	for {
+		err := unix.Sendto(s.fd, datagram, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL, sockaddr(to, s.port))
+		if !errors.Is(err, unix.EINTR) {
+			return err
+		}
+	}
 }
 
 // receive reads one datagram without waiting; unix.EAGAIN: none has arrived.
@@ -51,7 +56,12 @@
 	if s.fd < 0 {
 		return 0, netip.Addr{}, net.ErrClosed
 	}
-	n, sender, err := unix.Recvfrom(s.fd, buf, unix.MSG_DONTWAIT)
+	var sender unix.Sockaddr
+	for {
+		if n, sender, err = unix.Recvfrom(s.fd, buf, unix.MSG_DONTWAIT); !errors.Is(err, unix.EINTR) {
+			break
+		}
+	}
 	if v4, ok := sender.(*unix.SockaddrInet4); ok && err == nil {
 		from = netip.AddrFrom4(v4.Addr)
 	}
