--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,7 +14,6 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -152,9 +151,6 @@
 		MaxConnections: int64(clientFileFraction * float64(s.MaxFiles)), MaxOpen: s.MemoryBytes / memoryPerRequest,
 		MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), Lag: e.lagMeter.Lag, MaxLag: maxCPULag})
 	e.replica = replica.New(e.handleChange)
-	if len(s.Seeds) > 0 && !slices.Contains(s.Seeds, s.Address) {
-		e.replica.DelayReading()
-	}
 	var err error
 	e.mesh, err = mesh.New(mesh.Options{
 		Name: s.Name, Zone: s.Zone, Incarnation: time.Now().UnixNano(), CallerAddress: s.CallerAddress,
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -24,10 +24,6 @@
 	// startJitter spreads the first reads of routers that start at the same
 	// time. The first one to read sends the records to the others.
 	startJitter = 400 * time.Millisecond
-	// newcomerDelay is how long a router waits for others before it reads the store. A
-	// router that hears of enough readers by then never does; all routers of a large
-	// fleet would otherwise read at once when it starts.
-	newcomerDelay = 600 * time.Millisecond
 	// standbyInterval is how often a router that is not a reader checks whether
 	// it has to become one.
 	standbyInterval = 100 * time.Millisecond
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -151,10 +151,6 @@
 	return r
 }
 
-// DelayReading delays the first read of the store by newcomerDelay. It is for routers
-// that others are likely to start before, and to be called before Follow.
-func (r *Replica) DelayReading() { r.startDelay += newcomerDelay }
-
 // Revisions returns the revision of the newest known change of each collection.
 // It omits collections that were never read.
 func (r *Replica) Revisions() map[Kind]int64 {
