--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -23,6 +23,7 @@
 	names     []string                     // of services and accounts in the configuration
 	endpoints map[string]topology.Endpoint // by ID
 	revisions map[string]int64             // of the records of endpoints, by ID
+	era       int64                        // of these revisions
 	addresses map[string]bool              // of the endpoints; true: not draining
 	retained  map[string]bool              // IDs of endpoints that are used although the store has removed them
 }
@@ -74,7 +75,7 @@
 	})
 	e.relay.SetTable(table)
 	metrics.GetOrCreateGauge("cyclamenwinch_config_version", nil).Set(float64(config.Version))
-	e.log.Log(oplog.StateChange, "config.in_force", slog.Int64("version", config.Version), slog.Int64("old_version", oldVersion), slog.Int64("revision", v.Revision),
+	e.log.Log(oplog.StateChange, "config.in_force", slog.Int64("version", config.Version), slog.Int64("old_version", oldVersion), slog.Int64("era", v.Era), slog.Int64("revision", v.Revision),
 		slog.String("from", v.Origin), slog.Int("routes", len(config.Routes)), slog.Int("accounts", len(config.Accounts)))
 }
 
@@ -103,12 +104,15 @@
 // decodeEndpoints decodes the records that have changed since the last call, and
 // returns all endpoints and the revisions of their records. Records of endpoints
 // are renewed every few seconds, one by one.
-func (e *Edge) decodeEndpoints(records []replica.Record) (map[string]topology.Endpoint, map[string]int64) {
+func (e *Edge) decodeEndpoints(v replica.View) (map[string]topology.Endpoint, map[string]int64) {
 	e.decoded.mu.Lock()
 	previous, known := e.decoded.endpoints, e.decoded.revisions
+	if e.decoded.era != v.Era {
+		known = nil // revisions of another era
+	}
 	e.decoded.mu.Unlock()
-	current, revisions := make(map[string]topology.Endpoint, len(records)), make(map[string]int64, len(records))
-	for _, r := range records {
+	current, revisions := make(map[string]topology.Endpoint, len(v.Records)), make(map[string]int64, len(v.Records))
+	for _, r := range v.Records {
 		if revision, ok := known[r.Name]; ok && revision == r.Revision {
 			current[r.Name], revisions[r.Name] = previous[r.Name], revision
 			continue
@@ -120,16 +124,19 @@
 		}
 		current[r.Name], revisions[r.Name] = endpoint, r.Revision
 	}
+	for _, id := range v.Retained {
+		delete(revisions, id) // may be of an older era
+	}
 	return current, revisions
 }
 
 func (e *Edge) applyEndpoints(v replica.View) {
-	current, revisions := e.decodeEndpoints(v.Records)
+	current, revisions := e.decodeEndpoints(v)
 	list := slices.Collect(maps.Values(current))
 	e.dispatcher.Update(func(at time.Time, d *dispatch.Dispatcher) { d.SetEndpoints(at, list) })
 	e.decoded.mu.Lock()
 	previous := e.decoded.endpoints
-	e.decoded.endpoints, e.decoded.revisions = current, revisions
+	e.decoded.endpoints, e.decoded.revisions, e.decoded.era = current, revisions, v.Era
 	retainedBefore := e.decoded.retained
 	e.decoded.addresses, e.decoded.retained = map[string]bool{}, map[string]bool{}
 	for _, id := range v.Retained {
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -84,13 +84,13 @@
 	}
 }
 
-// fetchNewer fetches the collections for which a peer has a higher revision.
-func (m *Mesh) fetchNewer(ctx context.Context, p *Router, theirs map[replica.Kind]int64) {
-	ours := m.opts.Replica.Revisions()
+// fetchNewer fetches the collections for which a peer has a newer position.
+func (m *Mesh) fetchNewer(ctx context.Context, p *Router, theirs map[replica.Kind]replica.Position) {
+	ours := m.opts.Replica.Positions()
 	m.trackLag(time.Now(), ours, theirs)
 	for _, kind := range replica.Kinds {
-		revision, ok := theirs[kind]
-		if mine, known := ours[kind]; !ok || known && mine >= revision {
+		at, ok := theirs[kind]
+		if mine, known := ours[kind]; !ok || known && !mine.Before(at) {
 			continue
 		}
 		m.mu.Lock()
@@ -101,7 +101,7 @@
 		}
 		m.mu.Unlock()
 		if !busy {
-			go m.fetch(ctx, p, kind, revision)
+			go m.fetch(ctx, p, kind, at)
 		}
 	}
 }
@@ -117,14 +117,14 @@
 	fetchJitter = 3 * time.Millisecond
 )
 
-func (m *Mesh) fetch(ctx context.Context, p *Router, kind replica.Kind, revision int64) {
+func (m *Mesh) fetch(ctx context.Context, p *Router, kind replica.Kind, at replica.Position) {
 	defer func() {
 		m.mu.Lock()
 		delete(p.fetching, kind)
 		m.activeFetches[kind]--
 		m.mu.Unlock()
 	}()
-	ours, known := m.opts.Replica.Revisions()[kind]
+	ours, known := m.opts.Replica.Positions()[kind]
 	if known {
 		m.mu.Lock()
 		spread := float64(len(m.knownRouters)) * float64(fetchJitter)
@@ -134,14 +134,14 @@
 			return
 		case <-time.After(fetchDelay + time.Duration(rand.Float64()*spread)):
 		}
-		if ours = m.opts.Replica.Revisions()[kind]; ours >= revision {
+		if ours = m.opts.Replica.Positions()[kind]; !ours.Before(at) {
 			return
 		}
 	}
 	started := time.Now()
 	changed, err := m.mergeFrom(ctx, p, kind, ours)
 	if errors.Is(err, replica.ErrIncomplete) {
-		changed, err = m.mergeFrom(ctx, p, kind, 0)
+		changed, err = m.mergeFrom(ctx, p, kind, replica.Position{})
 	}
 	countFetch(kind, changed, err)
 	m.delayFetches(kind, err != nil)
@@ -153,7 +153,7 @@
 	}
 	if changed {
 		m.opts.Log.Log(oplog.StateChange, "peer.records_adopted", slog.String("peer", p.Name), slog.String("collection", string(kind)),
-			slog.Int64("from_revision", ours), slog.Int64("revision", m.opts.Replica.Revisions()[kind]))
+			slog.Int64("from_revision", ours.Revision), slog.Int64("era", at.Era), slog.Int64("revision", m.opts.Replica.Positions()[kind].Revision))
 	}
 }
 
@@ -184,8 +184,8 @@
 	metrics.GetOrCreateCounter(`cyclamenwinch_record_fetches_total{collection="` + string(kind) + `",result="` + result + `"}`).Inc()
 }
 
-// mergeFrom fetches what changed in a peer's copy after a revision and applies it.
-func (m *Mesh) mergeFrom(ctx context.Context, p *Router, kind replica.Kind, since int64) (bool, error) {
+// mergeFrom fetches what changed in a peer's copy after a position and applies it.
+func (m *Mesh) mergeFrom(ctx context.Context, p *Router, kind replica.Kind, since replica.Position) (bool, error) {
 	d, err := m.call(ctx, p.Address, kind, since)
 	if err != nil {
 		return false, err
@@ -193,21 +193,21 @@
 	return m.opts.Replica.ApplyDelta(time.Now(), kind, d, p.Name)
 }
 
-func (m *Mesh) call(ctx context.Context, to netip.Addr, kind replica.Kind, since int64) (replica.Delta, error) {
+func (m *Mesh) call(ctx context.Context, to netip.Addr, kind replica.Kind, since replica.Position) (replica.Delta, error) {
 	conn, err := m.connections.conn(netip.AddrPortFrom(to, m.opts.Address.Port()))
 	if err != nil {
 		return replica.Delta{}, err
 	}
 	limit, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	set, err := peerpb.NewRecordsClient(conn).Fetch(limit, &peerpb.FetchRequest{Kind: string(kind), Since: since})
+	set, err := peerpb.NewRecordsClient(conn).Fetch(limit, &peerpb.FetchRequest{Kind: string(kind), Since: since.Revision, Era: since.Era})
 	if err != nil {
 		return replica.Delta{}, errors.Wrap(err, "fetch records")
 	}
 	if !set.Known {
 		return replica.Delta{}, errors.New("peer has no copy of the collection")
 	}
-	return decodeDelta(since, set), nil
+	return decodeDelta(since.Revision, set), nil
 }
 
 // recordsServer implements the Records service that peers call.
@@ -217,9 +217,9 @@
 }
 
 // Fetch returns what changed in this router's copy of a collection after the
-// requested revision.
+// requested position.
 func (r recordsServer) Fetch(_ context.Context, req *peerpb.FetchRequest) (*peerpb.RecordSet, error) {
-	d, known := r.replica.DeltaSince(replica.Kind(req.Kind), req.Since)
+	d, known := r.replica.DeltaSince(replica.Kind(req.Kind), replica.Position{Era: req.Era, Revision: req.Since})
 	if !known {
 		return &peerpb.RecordSet{}, nil
 	}
--- a/internal/mesh/compact.go
+++ b/internal/mesh/compact.go
@@ -17,6 +17,10 @@
 const (
 	plainEncoding   = 0
 	compactEncoding = 1
+	// eraEncoding is the first one that names the store's era. Routers without it
+	// know revisions only, and may hold records of any era.
+	eraEncoding    = 2
+	newestEncoding = eraEncoding
 )
 
 // errMalformed means that the lists of a compact message have different lengths.
@@ -202,24 +206,42 @@
 }
 
 // encodeCopies returns the revisions of this router's copies.
-func encodeCopies(revisions map[replica.Kind]int64) []uint64 {
+func encodeCopies(positions map[replica.Kind]replica.Position) []uint64 {
 	out := make([]uint64, len(replica.Kinds))
 	for i, kind := range replica.Kinds {
-		if revision, ok := revisions[kind]; ok {
-			out[i] = uint64(revision) + 1
+		if at, ok := positions[kind]; ok {
+			out[i] = uint64(at.Revision) + 1
 		}
 	}
 	return out
 }
 
-// decodeRevisions returns the revisions of a peer's copies, in either encoding.
-func decodeRevisions(b *peerpb.Beat) map[replica.Kind]int64 {
-	out := make(map[replica.Kind]int64, len(replica.Kinds))
+// encodeEras returns the eras of this router's copies, or nothing if all are 0.
+func encodeEras(positions map[replica.Kind]replica.Position) []uint64 {
+	out := make([]uint64, len(replica.Kinds))
 	for i, kind := range replica.Kinds {
+		out[i] = uint64(positions[kind].Era)
+	}
+	if slices.Max(out) == 0 {
+		return nil
+	}
+	return out
+}
+
+// decodePositions returns the positions of a peer's copies, in any encoding.
+func decodePositions(b *peerpb.Beat) map[replica.Kind]replica.Position {
+	out := make(map[replica.Kind]replica.Position, len(replica.Kinds))
+	for i, kind := range replica.Kinds {
+		var at replica.Position
+		if i < len(b.Eras) {
+			at.Era = int64(b.Eras[i])
+		}
 		if i < len(b.Copies) && b.Copies[i] > 0 {
-			out[kind] = int64(b.Copies[i] - 1)
+			at.Revision = int64(b.Copies[i] - 1)
+			out[kind] = at
 		} else if revision, ok := b.Revisions[string(kind)]; ok {
-			out[kind] = revision
+			at.Revision = revision
+			out[kind] = at
 		}
 	}
 	return out
--- a/internal/mesh/compact_test.go
+++ b/internal/mesh/compact_test.go
@@ -129,12 +129,14 @@
 	}
 }
 
-func TestRevisionsInBothEncodings(t *testing.T) {
-	want := map[replica.Kind]int64{replica.Config: 0, replica.ZonesOut: 7}
-	if got := decodeRevisions(&peerpb.Beat{Copies: encodeCopies(want)}); !reflect.DeepEqual(got, want) {
-		t.Errorf("compact: got %v", got)
-	}
-	if got := decodeRevisions(&peerpb.Beat{Revisions: map[string]int64{"config": 0, "zones-out": 7}}); !reflect.DeepEqual(got, want) {
-		t.Errorf("plain: got %v", got)
+func TestPositionsInBothEncodings(t *testing.T) {
+	for _, era := range []int64{0, 3} {
+		want := map[replica.Kind]replica.Position{replica.Config: {Era: era}, replica.ZonesOut: {Era: era, Revision: 7}}
+		if got := decodePositions(&peerpb.Beat{Copies: encodeCopies(want), Eras: encodeEras(want)}); !reflect.DeepEqual(got, want) {
+			t.Errorf("compact: got %v", got)
+		}
+		if got := decodePositions(&peerpb.Beat{Revisions: map[string]int64{"config": 0, "zones-out": 7}, Eras: encodeEras(want)}); !reflect.DeepEqual(got, want) {
+			t.Errorf("plain: got %v", got)
+		}
 	}
 }
--- a/internal/mesh/convert.go
+++ b/internal/mesh/convert.go
@@ -90,22 +90,22 @@
 			continue
 		}
 		out = append(out, &peerpb.RecordNews{
-			Kind: string(kind), Since: n.Since, Revision: n.Revision, Records: encodeRecords(n.Records), Removed: n.Removed,
+			Kind: string(kind), Since: n.Since, Era: n.Era, Revision: n.Revision, Records: encodeRecords(n.Records), Removed: n.Removed,
 		})
 	}
 	return out
 }
 
 func decodeRecentChanges(n *peerpb.RecordNews) replica.RecentChanges {
-	return replica.RecentChanges{Since: n.Since, Revision: n.Revision, Records: decodeRecords(n.Records), Removed: n.Removed}
+	return replica.RecentChanges{Since: n.Since, Position: replica.Position{Era: n.Era, Revision: n.Revision}, Records: decodeRecords(n.Records), Removed: n.Removed}
 }
 
 func encodeDelta(d replica.Delta) *peerpb.RecordSet {
-	return &peerpb.RecordSet{Known: true, Revision: d.Revision, Names: d.Names, Records: encodeRecords(d.Records)}
+	return &peerpb.RecordSet{Known: true, Era: d.Era, Revision: d.Revision, Names: d.Names, Records: encodeRecords(d.Records)}
 }
 
 func decodeDelta(since int64, set *peerpb.RecordSet) replica.Delta {
-	return replica.Delta{Since: since, Revision: set.Revision, Names: set.Names, Records: decodeRecords(set.Records)}
+	return replica.Delta{Since: since, Position: replica.Position{Era: set.Era, Revision: set.Revision}, Names: set.Names, Records: decodeRecords(set.Records)}
 }
 
 func encodeRecords(records []replica.Record) (out []*peerpb.PlatformRecord) {
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -13,7 +13,7 @@
 type heartbeat struct {
 	rowsPerZone int
 	state       State
-	revisions   map[replica.Kind]int64
+	positions   map[replica.Kind]replica.Position
 	news        []*peerpb.RecordNews
 	parts       []*peerpb.RecordSetPart
 	wholeRow    bool
@@ -40,7 +40,7 @@
 
 // newHeartbeat returns a heartbeat with this router's own state.
 func (m *Mesh) newHeartbeat(now time.Time) heartbeat {
-	h := heartbeat{state: m.opts.State(), revisions: m.opts.Replica.Revisions()}
+	h := heartbeat{state: m.opts.State(), positions: m.opts.Replica.Positions()}
 	h.report = h.state.Report
 	m.mu.Lock()
 	interval := m.heartbeatInterval
@@ -58,19 +58,19 @@
 	m.mu.Unlock()
 	b := &peerpb.Beat{
 		Name: m.opts.Name, Incarnation: m.opts.Incarnation, Number: seq, Front: m.opts.CallerAddress, Zone: m.opts.Zone,
-		Ready: h.state.Ready, Leaving: h.state.Leaving, Reading: h.state.ReadsStore, Encoding: compactEncoding,
-		Rows: toUint32(h.rowsPerZone), WholeRow: h.wholeRow, News: h.news, Parts: h.parts,
+		Ready: h.state.Ready, Leaving: h.state.Leaving, Reading: h.state.ReadsStore, Encoding: newestEncoding,
+		Rows: toUint32(h.rowsPerZone), WholeRow: h.wholeRow, News: h.news, Parts: h.parts, Eras: encodeEras(h.positions),
 	}
 	if encoding < compactEncoding {
 		b.Revisions = map[string]int64{}
-		for kind, revision := range h.revisions {
-			b.Revisions[string(kind)] = revision
+		for kind, at := range h.positions {
+			b.Revisions[string(kind)] = at.Revision
 		}
 		b.Members = describe(h.members, func(member) bool { return true })
 		encodeReport(b, h.report)
 		return b
 	}
-	b.Copies = encodeCopies(h.revisions)
+	b.Copies = encodeCopies(h.positions)
 	b.Members = describe(h.members, func(o member) bool { return h.describeAll || o.changed })
 	b.MemberStates = encodeMemberStates(h.members)
 	m.encodeCompactReport(b, h.report)
--- a/internal/mesh/lag.go
+++ b/internal/mesh/lag.go
@@ -16,21 +16,23 @@
 // copyLag tells since when this router's copy of a collection is older than that of
 // some peer.
 type copyLag struct {
-	newest int64     // highest revision that a peer has reported
-	since  time.Time // zero: the copy is not older
+	newest replica.Position // newest one that a peer has reported
+	since  time.Time        // zero: the copy is not older
 	logged bool
 }
 
-// trackLag compares this router's revisions with those of a peer. It logs a copy
+// trackLag compares this router's positions with those of a peer. It logs a copy
 // that stays older for logLagAfter, and again when it has caught up.
-func (m *Mesh) trackLag(now time.Time, ours map[replica.Kind]int64, theirs map[replica.Kind]int64) {
+func (m *Mesh) trackLag(now time.Time, ours, theirs map[replica.Kind]replica.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, kind := range replica.Kinds {
 		l := m.lags[kind]
-		l.newest = max(l.newest, theirs[kind])
+		if l.newest.Before(theirs[kind]) {
+			l.newest = theirs[kind]
+		}
 		switch {
-		case ours[kind] >= l.newest:
+		case !ours[kind].Before(l.newest):
 			m.logCaughtUp(now, kind, l)
 			l.since, l.logged = time.Time{}, false
 		case l.since.IsZero():
@@ -52,9 +54,9 @@
 	}
 }
 
-func (l *copyLag) attrs(now time.Time, kind replica.Kind, revision int64) []slog.Attr {
-	return []slog.Attr{slog.String("collection", string(kind)), slog.Int64("revision", revision),
-		slog.Int64("newest", l.newest), slog.Duration("age", now.Sub(l.since))}
+func (l *copyLag) attrs(now time.Time, kind replica.Kind, at replica.Position) []slog.Attr {
+	return []slog.Attr{slog.String("collection", string(kind)), slog.Int64("era", at.Era), slog.Int64("revision", at.Revision),
+		slog.Int64("newest_era", l.newest.Era), slog.Int64("newest", l.newest.Revision), slog.Duration("age", now.Sub(l.since))}
 }
 
 func newLags() map[replica.Kind]*copyLag {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -126,9 +126,9 @@
 	loggedAlive   bool      // state that was last logged
 	fetching      map[replica.Kind]bool
 
-	revisions map[replica.Kind]int64 // of its copies, from its last heartbeat; nil: unknown
-	encoding  uint32                 // newest that it reads
-	changedAt time.Time              // when its incarnation, readiness or leaving flag last changed
+	positions map[replica.Kind]replica.Position // of its copies, from its last heartbeat; nil: unknown
+	encoding  uint32                            // newest that it reads
+	changedAt time.Time                         // when its incarnation, readiness or leaving flag last changed
 	outgoing  map[replica.Kind]*outgoingPush
 	incoming  map[replica.Kind]*incomingPush
 }
@@ -333,8 +333,8 @@
 		return // older than one already received: datagrams can be reordered
 	}
 	p.lastSeq = b.Number
-	p.revisions, p.encoding = decodeRevisions(b), b.Encoding
-	revisions := p.revisions
+	p.positions, p.encoding = decodePositions(b), b.Encoding
+	positions := p.positions
 	m.updatePeer(p, now, peerState{b.Name, b.Front, b.Zone, b.Incarnation, b.Ready, b.Leaving, b.Reading})
 	m.mergeMembers(now, b.Members)
 	err := m.mergeMemberStates(now, b.MemberStates)
@@ -347,7 +347,7 @@
 		m.opts.Log.Log(oplog.StateChange, "mesh.beat_malformed", slog.String("peer", b.Name), slog.Any("error", errors.CombineErrors(err, reportErr)))
 	}
 	m.sendMembers(now, p, b)
-	m.fetchNewer(ctx, p, revisions)
+	m.fetchNewer(ctx, p, positions)
 }
 
 // applyReport passes on the report of a heartbeat if it is of a router of this row
--- a/internal/mesh/overload_test.go
+++ b/internal/mesh/overload_test.go
@@ -24,11 +24,11 @@
 }
 
 func setConfig(n *node, revision int64, data []byte) {
-	n.replica.ApplySnapshot(time.Now(), replica.Config, replica.Snapshot{Revision: revision, Records: []replica.Record{{Name: "main", Revision: revision, Data: data}}}, "store")
+	n.replica.ApplySnapshot(time.Now(), replica.Config, replica.Snapshot{Position: replica.Position{Revision: revision}, Records: []replica.Record{{Name: "main", Revision: revision, Data: data}}}, "store")
 }
 
 func configRevision(n *node) func() int64 {
-	return func() int64 { return n.replica.Revisions()[replica.Config] }
+	return func() int64 { return n.replica.Positions()[replica.Config].Revision }
 }
 
 var _ = Describe("A router without spare CPU time", func() {
@@ -62,7 +62,7 @@
 			}()
 		}
 		time.Sleep(100 * time.Millisecond)
-		a.replica.ApplyChanges(time.Now(), replica.Config, replica.Changes{Revision: 6, Changes: []replica.Change{{Record: replica.Record{Name: "main", Revision: 6, Data: []byte("new")}}}}, "store")
+		a.replica.ApplyChanges(time.Now(), replica.Config, replica.Changes{Position: replica.Position{Revision: 6}, Changes: []replica.Change{{Record: replica.Record{Name: "main", Revision: 6, Data: []byte("new")}}}}, "store")
 		turnsAtChange.Store(turns.Load())
 		a.mesh.TriggerSend()
 		Eventually(turnsUntilKnown.Load).ShouldNot(BeZero())
--- a/internal/mesh/push.go
+++ b/internal/mesh/push.go
@@ -39,60 +39,62 @@
 	maxParts = 64
 )
 
-// revisionTime is when this router's copy of a collection reached a revision.
-type revisionTime struct {
-	revision int64
+// positionTime is when this router's copy of a collection reached a position.
+type positionTime struct {
+	position replica.Position
 	at       time.Time
 }
 
-// maxRevisionTimes is how many revisions of a collection are remembered. Older
+// maxPositionTimes is how many positions of a collection are remembered. Older
 // ones are more than pushDelay ago unless the collection changes in each round of
 // heartbeats.
-const maxRevisionTimes = 64
+const maxPositionTimes = 64
 
-// encodedPush is a collection's changes after a revision, ready to be sent.
+// encodedPush is a collection's changes after a position, ready to be sent.
 type encodedPush struct {
-	since, revision int64
-	parts           []*peerpb.RecordSetPart
+	since, at replica.Position
+	parts     []*peerpb.RecordSetPart
 }
 
 // incomingPush collects the parts of a push.
 type incomingPush struct {
-	since, revision int64
-	parts           [][]byte
-	missing         int
+	since   int64
+	at      replica.Position
+	parts   [][]byte
+	missing int
 }
 
 // pushes is the state of pushing to peers that are behind. The mesh's lock guards
 // reached only; the rest is used by Send alone.
 type pushes struct {
-	reached map[replica.Kind][]revisionTime
+	reached map[replica.Kind][]positionTime
 	encoded map[replica.Kind]encodedPush
 }
 
 func newPushes() pushes {
-	return pushes{reached: map[replica.Kind][]revisionTime{}, encoded: map[replica.Kind]encodedPush{}}
+	return pushes{reached: map[replica.Kind][]positionTime{}, encoded: map[replica.Kind]encodedPush{}}
 }
 
-// recordRevisions remembers when this router's copies reached their revisions.
-func (m *Mesh) recordRevisions(now time.Time, ours map[replica.Kind]int64) {
+// recordPositions remembers when this router's copies reached their positions.
+func (m *Mesh) recordPositions(now time.Time, ours map[replica.Kind]replica.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for kind, revision := range ours {
+	for kind, at := range ours {
 		times := m.pushes.reached[kind]
-		if len(times) > 0 && times[len(times)-1].revision >= revision {
+		if len(times) > 0 && !times[len(times)-1].position.Before(at) {
 			continue
 		}
-		if len(times) >= maxRevisionTimes {
+		if len(times) >= maxPositionTimes {
 			times = slices.Delete(times, 0, 1)
 		}
-		m.pushes.reached[kind] = append(times, revisionTime{revision, now})
+		m.pushes.reached[kind] = append(times, positionTime{at, now})
 	}
 }
 
 // outgoingPush is a collection that is being sent to a peer.
 type outgoingPush struct {
-	since, revision int64
+	since, revision int64 // of the parts
+	era             int64
 	next            int       // index of the next part
 	startedAt       time.Time // of the first part
 }
@@ -101,14 +103,14 @@
 type push struct {
 	to    addresses
 	kind  replica.Kind
-	since int64
+	since replica.Position
 	state *outgoingPush
 }
 
 // pushToLaggards sends records to those routers of this row whose copies have been
 // older than this router's for pushDelay.
 func (m *Mesh) pushToLaggards(now time.Time) {
-	m.recordRevisions(now, m.opts.Replica.Revisions())
+	m.recordPositions(now, m.opts.Replica.Positions())
 	for _, p := range m.duePushes(now) {
 		parts, err := m.encodePush(p.kind, p.since)
 		if err != nil {
@@ -126,8 +128,8 @@
 // nextParts returns the parts to be sent in this round. After the last one it starts
 // again, at most every pushInterval, since datagrams get lost.
 func (o *outgoingPush) nextParts(now time.Time, parts []*peerpb.RecordSetPart) []*peerpb.RecordSetPart {
-	if since, revision := parts[0].Since, parts[0].Revision; o.since != since || o.revision != revision {
-		*o = outgoingPush{since: since, revision: revision}
+	if p := parts[0]; o.since != p.Since || o.revision != p.Revision || o.era != p.Era {
+		*o = outgoingPush{since: p.Since, revision: p.Revision, era: p.Era}
 	}
 	if o.next >= len(parts) {
 		if now.Sub(o.startedAt) < pushInterval {
@@ -148,14 +150,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
-		if p.Name == "" || p.revisions == nil || !m.inRow(p) || now.Sub(p.LastHeard) >= aliveTimeout {
+		if p.Name == "" || p.positions == nil || !m.inRow(p) || now.Sub(p.LastHeard) >= aliveTimeout {
 			continue
 		}
 		for _, kind := range replica.Kinds {
-			if m.isBehind(now, kind, p.revisions[kind]) && m.isPusherFor(now, p) {
+			if m.isBehind(now, kind, p) && m.isPusherFor(now, p) {
 				var to addresses
 				to.add(p)
-				due = append(due, push{to: to, kind: kind, since: p.revisions[kind], state: p.outgoingPush(kind)})
+				due = append(due, push{to: to, kind: kind, since: p.positions[kind], state: p.outgoingPush(kind)})
 			}
 		}
 	}
@@ -171,11 +173,11 @@
 	return p.outgoing[kind]
 }
 
-// isBehind reports whether this router's copy has been beyond a revision for
+// isBehind reports whether this router's copy has been beyond that of a peer for
 // pushDelay. The caller holds the lock.
-func (m *Mesh) isBehind(now time.Time, kind replica.Kind, theirs int64) bool {
+func (m *Mesh) isBehind(now time.Time, kind replica.Kind, p *Router) bool {
 	for _, reached := range m.pushes.reached[kind] {
-		if reached.revision > theirs {
+		if p.lacks(p.positions[kind], reached.position) {
 			return now.Sub(reached.at) >= pushDelay
 		}
 	}
@@ -201,13 +203,13 @@
 	return false
 }
 
-// encodePush returns what changed in a collection after a revision, in parts.
-func (m *Mesh) encodePush(kind replica.Kind, since int64) ([]*peerpb.RecordSetPart, error) {
+// encodePush returns what changed in a collection after a position, in parts.
+func (m *Mesh) encodePush(kind replica.Kind, since replica.Position) ([]*peerpb.RecordSetPart, error) {
 	d, ok := m.opts.Replica.DeltaSince(kind, since)
 	if !ok {
 		return nil, errors.New("no copy of the collection")
 	}
-	if e := m.pushes.encoded[kind]; e.since == since && e.revision == d.Revision {
+	if e := m.pushes.encoded[kind]; e.since == since && e.at == d.Position {
 		return e.parts, nil
 	}
 	data, err := proto.Marshal(encodeDelta(d))
@@ -221,10 +223,10 @@
 	if len(compressed) > maxParts*maxPartBytes {
 		return nil, errors.Newf("%d bytes are too many for datagrams", len(compressed))
 	}
-	e := encodedPush{since: since, revision: d.Revision}
+	e := encodedPush{since: since, at: d.Position}
 	chunks := slices.Collect(slices.Chunk(compressed, maxPartBytes))
 	for i, chunk := range chunks {
-		e.parts = append(e.parts, &peerpb.RecordSetPart{Kind: string(kind), Since: since, Revision: d.Revision,
+		e.parts = append(e.parts, &peerpb.RecordSetPart{Kind: string(kind), Since: d.Since, Era: d.Era, Revision: d.Revision,
 			Index: toUint32(i), Count: toUint32(len(chunks)), Data: chunk})
 	}
 	m.pushes.encoded[kind] = e
@@ -273,14 +275,15 @@
 		return nil
 	}
 	kind := replica.Kind(part.Kind)
-	if part.Revision <= m.opts.Replica.Revisions()[kind] {
+	at := replica.Position{Era: part.Era, Revision: part.Revision}
+	if !m.opts.Replica.Positions()[kind].Before(at) {
 		return nil
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	in := p.incoming[kind]
-	if in == nil || in.since != part.Since || in.revision != part.Revision || len(in.parts) != int(part.Count) {
-		in = &incomingPush{since: part.Since, revision: part.Revision, parts: make([][]byte, part.Count), missing: int(part.Count)}
+	if in == nil || in.since != part.Since || in.at != at || len(in.parts) != int(part.Count) {
+		in = &incomingPush{since: part.Since, at: at, parts: make([][]byte, part.Count), missing: int(part.Count)}
 		p.incoming[kind] = in
 	}
 	if in.parts[part.Index] == nil {
--- a/internal/mesh/reader.go
+++ b/internal/mesh/reader.go
@@ -24,14 +24,19 @@
 
 // ShouldReadStore reports whether this router is one of the readers of the store:
 // fewer than maxReaders live routers rank above it, and fewer than targetReaders
-// of those read the store successfully.
+// of those read the store successfully. Once the store has an era, routers that don't
+// know eras are left out, since this router does not take records from them.
 func (m *Mesh) ShouldReadStore() bool {
+	hasEra := encodeEras(m.opts.Replica.Positions()) != nil
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	own := grid.Weight(readersKey, m.opts.Name)
 	now := time.Now()
 	higher, reading := 0, 0
 	for _, p := range m.peers {
+		if hasEra && p.positions != nil && p.encoding < eraEncoding {
+			continue
+		}
 		if p.Name == "" || p.Leaving || now.Sub(p.LastHeard) >= aliveTimeout || grid.Weight(readersKey, p.Name) < own {
 			continue
 		}
--- a/internal/mesh/row.go
+++ b/internal/mesh/row.go
@@ -48,7 +48,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out recipients
-	revisions := m.opts.Replica.Revisions()
+	positions := m.opts.Replica.Positions()
 	members, names := m.aliveMembers(now)
 	slices.Sort(names)
 	if !slices.Equal(names, m.rowNames) {
@@ -69,7 +69,7 @@
 		switch {
 		case !own:
 			out.row.add(p)
-		case p.hasReached(revisions):
+		case p.hasReached(positions):
 			out.current.add(p)
 		default:
 			out.own.add(p)
@@ -78,17 +78,26 @@
 	return out, members
 }
 
-// hasReached reports whether the peer's last heartbeat named these revisions or
-// higher ones.
-func (p *Router) hasReached(revisions map[replica.Kind]int64) bool {
-	for kind, revision := range revisions {
-		if theirs, ok := p.revisions[kind]; !ok || theirs < revision {
+// hasReached reports whether the peer's last heartbeat named these positions or
+// newer ones.
+func (p *Router) hasReached(positions map[replica.Kind]replica.Position) bool {
+	for kind, at := range positions {
+		if theirs, ok := p.positions[kind]; !ok || p.lacks(theirs, at) {
 			return false
 		}
 	}
 	return true
 }
 
+// lacks reports whether a position of the peer is older than another one. A peer
+// that does not know eras compares revisions, and so would accept no other records.
+func (p *Router) lacks(theirs, at replica.Position) bool {
+	if p.encoding < eraEncoding {
+		return theirs.Revision < at.Revision
+	}
+	return theirs.Before(at)
+}
+
 // representative returns the router of this router's row that reports the row to a
 // router outside it. The caller holds the lock.
 func (m *Mesh) representative(p *Router) string {
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -58,14 +58,14 @@
 	if reads != f.isReader {
 		f.isReader = reads
 		f.log.Log(oplog.StateChange, "store.reader", slog.String("collection", string(f.kind)), slog.Bool("reads", reads),
-			slog.Int64("revision", f.replica.Revisions()[f.kind]))
+			slog.Int64("revision", f.replica.Positions()[f.kind].Revision))
 	}
 	return reads
 }
 
 // standby leaves reading to other routers for standbyInterval.
 func (f *follower) standby(ctx context.Context) {
-	f.since, f.failures = 0, 0
+	f.since, f.failures = Position{}, 0
 	f.replica.setReading(f.kind, false)
 	f.pause(ctx, wake.Until(time.Now(), standbyInterval))
 }
@@ -76,8 +76,8 @@
 	source    Source
 	kind      Kind
 	log       *oplog.Logger
-	since     int64 // revision from which the next watch continues; 0: not read yet
-	needsList bool  // the store has compacted the history after the known revision
+	since     Position // from which the next watch continues; revision 0: not read yet
+	needsList bool     // the store lacks the history after the known position
 	failures  int
 	isReader  bool // whether this router reads the store, as last logged
 }
@@ -89,32 +89,44 @@
 		f.readSucceeded()
 	case ctx.Err() != nil:
 	case errors.Is(err, ErrCompacted):
-		f.log.Log(oplog.StateChange, "store.history_dropped", slog.String("collection", string(f.kind)), slog.Int64("revision", f.since))
-		f.since, f.needsList = 0, true
+		f.log.Log(oplog.StateChange, "store.history_dropped", f.attrs()...)
+		f.since, f.needsList = Position{}, true
 	case errors.Is(err, ErrWatchInterrupted):
-		f.log.Log(oplog.StateChange, "store.watch_cut", slog.String("collection", string(f.kind)), slog.Int64("revision", f.since))
+		f.log.Log(oplog.StateChange, "store.watch_cut", f.attrs()...)
 		f.pause(ctx, storeBackoff.Delay(1, rand.Float64()))
 	default:
 		f.readFailed(ctx, err)
 	}
 }
 
+// attrs returns the log attributes that all events of a collection have.
+func (f *follower) attrs(more ...slog.Attr) []slog.Attr {
+	return append([]slog.Attr{slog.String("collection", string(f.kind)), slog.Int64("era", f.since.Era), slog.Int64("revision", f.since.Revision)}, more...)
+}
+
 // read makes one call: a list if the whole collection has to be read, otherwise a
 // watch.
 func (f *follower) read(ctx context.Context) error {
-	if f.since == 0 && !f.needsList {
-		f.since = f.replica.Revisions()[f.kind] // received from other routers
+	if own := f.replica.Positions()[f.kind]; !f.needsList && (f.since.Revision == 0 || f.since.Era < own.Era) {
+		f.since = own // received from other routers
 	}
-	if f.since == 0 {
+	if f.since.Revision == 0 {
 		return f.list(ctx)
 	}
 	limit, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
 	defer cancel()
-	changes, err := f.source.Watch(limit, f.kind, f.since, watchWait)
+	changes, err := f.source.Watch(limit, f.kind, f.since.Revision, watchWait)
 	if err != nil {
 		return err
 	}
-	f.since = changes.Revision
+	if err := f.checkEra(changes.Era); err != nil {
+		return err
+	}
+	if changes.Era > f.since.Era { // the revision that was asked for is another one in this era
+		f.since, f.needsList = Position{}, true
+		return nil
+	}
+	f.since = changes.Position
 	f.replica.ApplyChanges(time.Now(), f.kind, changes, OriginStore)
 	return nil
 }
@@ -126,17 +138,38 @@
 	if err != nil {
 		return err
 	}
-	f.since, f.needsList = s.Revision, false
+	if err := f.checkEra(s.Era); err != nil {
+		return err
+	}
+	own, known := f.replica.Positions()[f.kind]
+	switch {
+	case known && own.Era < s.Era:
+		f.log.Log(oplog.StateChange, "store.restored", slog.String("collection", string(f.kind)), slog.Int64("era", s.Era), slog.Int64("revision", s.Revision),
+			slog.Int64("known_era", own.Era), slog.Int64("known_revision", own.Revision))
+	case known && s.Position.Before(own): // a peer had newer records, or the store has lost some without a new era
+		f.log.Log(oplog.StateChange, "store.list_outdated", slog.String("collection", string(f.kind)), slog.Int64("era", s.Era), slog.Int64("revision", s.Revision),
+			slog.Int64("known_revision", own.Revision))
+	}
+	f.since, f.needsList = s.Position, false
 	f.replica.ApplySnapshot(time.Now(), f.kind, s, OriginStore)
 	return nil
 }
 
+// checkEra returns an error if a response is of an older era than the copy: it was
+// delayed, or another store uses the address.
+func (f *follower) checkEra(era int64) error {
+	if own := f.replica.Positions()[f.kind]; era < own.Era {
+		return errors.Newf("the store's response is of era %d, and the records that this router has are of era %d", era, own.Era)
+	}
+	return nil
+}
+
 func (f *follower) readFailed(ctx context.Context, err error) {
 	f.replica.setReading(f.kind, false)
 	f.failures++
 	metrics.GetOrCreateCounter(`cyclamenwinch_store_failures_total{collection="` + string(f.kind) + `"}`).Inc()
 	if f.failures == 1 {
-		f.log.Log(oplog.StateChange, "store.lost", slog.String("collection", string(f.kind)), slog.Int64("revision", f.since), slog.String("error", err.Error()))
+		f.log.Log(oplog.StateChange, "store.lost", f.attrs(slog.String("error", err.Error()))...)
 	}
 	f.pause(ctx, storeBackoff.Delay(f.failures, rand.Float64()))
 }
--- a/internal/replica/recent.go
+++ b/internal/replica/recent.go
@@ -8,9 +8,10 @@
 // RecentChanges holds what changed in a router's copy between two revisions, for
 // routers whose copy has reached the first one.
 type RecentChanges struct {
-	Since, Revision int64
-	Records         []Record
-	Removed         []string
+	Position
+	Since   int64 // revision of the same era
+	Records []Record
+	Removed []string
 }
 
 // recentWindow is how long changes are kept for RecentChanges.
@@ -42,7 +43,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.collections[kind]
-	n := RecentChanges{Revision: c.revision}
+	n := RecentChanges{Position: c.position}
 	seen := map[string]bool{}
 	for _, change := range c.recent {
 		if now.Sub(change.at) > within {
@@ -69,15 +70,15 @@
 }
 
 // ApplyRecent applies another router's recent changes if they continue from the
-// copy's revision and reach beyond it. It reports whether it applied them.
+// copy's position and reach beyond it. It reports whether it applied them.
 func (r *Replica) ApplyRecent(now time.Time, kind Kind, n RecentChanges, from string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c, ok := r.collections[kind]
-	if !ok || !c.loaded || c.revision < n.Since || c.revision >= n.Revision {
+	if !ok || !c.loaded || c.position.Era != n.Era || c.position.Revision < n.Since || c.position.Revision >= n.Revision {
 		return false
 	}
-	changes := Changes{Revision: n.Revision}
+	changes := Changes{Position: n.Position}
 	for _, rec := range n.Records {
 		changes.Changes = append(changes.Changes, Change{Record: rec})
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -4,90 +4,26 @@
 // that have newer ones, so that a router that can't reach the store also learns
 // of changes.
 //
-// Every collection carries the revision of its newest change. A copy only moves
-// to higher revisions, so a router never returns to an older state.
+// Every collection carries its position: the store's era and the revision of its
+// newest change. A copy only moves to higher positions, so a router never returns
+// to an older state.
+//
+// A store that has been restored from an older copy begins a new era. Its first
+// list of that era replaces the copy, but what this router knows beyond it is not
+// dropped at once: see View.
 //
 // The caller runs Follow for each collection and RunExpiry, and learns of changes
 // from the function that it passes to New.
 package replica
 
 import (
-	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
-// Kind identifies a collection of records.
-type Kind string
-
-// The collections.
-const (
-	Config    Kind = "config"
-	Endpoints Kind = "endpoints"
-	ZonesOut  Kind = "zones-out"
-)
-
-// Kinds lists all collections.
-var Kinds = []Kind{Config, Endpoints, ZonesOut}
-
-// Record is one object of the platform's store, not decoded.
-type Record struct {
-	Name     string
-	Revision int64 // of its last change
-	Data     []byte
-}
-
-// Snapshot is a collection as of a revision of the store.
-type Snapshot struct {
-	Revision int64
-	Records  []Record
-}
-
-// Delta holds what changed in a router's copy of a collection after a revision.
-type Delta struct {
-	Since    int64 // revision after which it starts; 0: everything
-	Revision int64
-	Records  []Record // that changed after Since
-	Names    []string // of all records in the collection
-}
-
-// ErrIncomplete means that a delta omits unchanged records that this router's
-// copy does not have.
-var ErrIncomplete = errors.New("delta omits records that the local copy lacks")
-
-// Change is the change of one record.
-type Change struct {
-	Record
-	Deleted bool
-}
-
-// Changes are the changes of a collection after a revision.
-type Changes struct {
-	Changes  []Change
-	Revision int64 // from which the next watch continues
-}
-
-// ErrCompacted means that the store no longer keeps the history after the
-// requested revision, so the collection has to be listed again.
-var ErrCompacted = errors.New("store has compacted the history after this revision")
-
-// ErrWatchInterrupted means that the store ended a pending watch. The store
-// itself may be healthy.
-var ErrWatchInterrupted = errors.New("store interrupted the watch")
-
-// Source reads the platform's store.
-type Source interface {
-	// List returns the current state of a collection.
-	List(ctx context.Context, kind Kind) (Snapshot, error)
-	// Watch returns what changed after a revision. It waits for a change, and
-	// returns without one when the wait is over. The error may be ErrCompacted
-	// or ErrWatchInterrupted.
-	Watch(ctx context.Context, kind Kind, since int64, wait time.Duration) (Changes, error)
-}
-
 const (
 	// renewalGrace is how long after the end of an outage of the store an endpoint
 	// whose record expired is retained. An endpoint that has not renewed its record
@@ -97,22 +33,30 @@
 	// as an outage. It covers the time in which routers replace readers that the
 	// store refuses.
 	minOutage = 500 * time.Millisecond
+	// rewriteGrace is how long after the start of an era a zone that is out of
+	// service is retained if the restored copy lacks its record. An operator needs
+	// seconds to write again what the store has lost.
+	rewriteGrace = 30 * time.Second
+	// entryLifetime exceeds the time for which the store keeps the record of an
+	// endpoint that has stopped writing: three intervals of 1.2 s.
+	entryLifetime = 5 * time.Second
 )
 
 // collection is the copy of one kind.
 type collection struct {
 	records     map[string]Record
 	retained    map[string]retainedRecord
-	revision    int64            // revision of the newest known change
-	loaded      bool             // has been read at least once
-	reading     bool             // this router's reads of the store succeed
-	recent      []revisionChange // changes within recentWindow
+	unconfirmed map[string]time.Time // records of a restored copy, until when they count as such
+	position    Position             // of the newest known change
+	loaded      bool                 // has been read at least once
+	reading     bool                 // this router's reads of the store succeed
+	recent      []revisionChange     // changes within recentWindow
 	origin      string
 	publishedAt time.Time
 }
 
 // retainedRecord is a record that was removed during or shortly after an outage
-// of the store.
+// of the store, or that a restored copy lacks.
 type retainedRecord struct {
 	record Record
 	until  time.Time
@@ -124,10 +68,13 @@
 // View is the state of a collection that the router acts on: its records and the
 // retained ones.
 type View struct {
+	Position
 	Records  []Record
 	Retained []string // names of those records that the store has removed
-	Revision int64
-	Origin   string // source of the newest change: OriginStore or the name of a router
+	// Unconfirmed holds the names of records that come from a restored copy and
+	// have not changed since: they may be older than what this router knew before.
+	Unconfirmed []string
+	Origin      string // source of the newest change: OriginStore or the name of a router
 }
 
 // Replica holds the copies of all collections. It is safe for concurrent use.
@@ -146,39 +93,42 @@
 func New(onChange func(Kind, View)) *Replica {
 	r := &Replica{collections: map[Kind]*collection{}, onChange: onChange, startDelay: time.Duration(rand.Float64() * float64(startJitter))}
 	for _, k := range Kinds {
-		r.collections[k] = &collection{records: map[string]Record{}, retained: map[string]retainedRecord{}}
+		r.collections[k] = &collection{records: map[string]Record{}, retained: map[string]retainedRecord{}, unconfirmed: map[string]time.Time{}}
 	}
 	return r
 }
 
-// Revisions returns the revision of the newest known change of each collection.
+// Positions returns the position of the newest known change of each collection.
 // It omits collections that were never read.
-func (r *Replica) Revisions() map[Kind]int64 {
+func (r *Replica) Positions() map[Kind]Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := map[Kind]int64{}
+	out := map[Kind]Position{}
 	for k, c := range r.collections {
 		if c.loaded {
-			out[k] = c.revision
+			out[k] = c.position
 		}
 	}
 	return out
 }
 
-// DeltaSince returns what changed in a collection after a revision, for a router
-// whose copy is at that revision. It returns false if this router has never read
-// the collection.
-func (r *Replica) DeltaSince(kind Kind, since int64) (Delta, bool) {
+// DeltaSince returns what changed in a collection after a position, for a router
+// whose copy is there: everything if that is of another era. It returns false if
+// this router has never read the collection.
+func (r *Replica) DeltaSince(kind Kind, after Position) (Delta, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c, ok := r.collections[kind]
 	if !ok || !c.loaded {
 		return Delta{}, false
 	}
-	d := Delta{Since: since, Revision: c.revision}
+	d := Delta{Position: c.position}
+	if after.Era == c.position.Era {
+		d.Since = after.Revision
+	}
 	for name, rec := range c.records {
 		d.Names = append(d.Names, name)
-		if rec.Revision > since {
+		if rec.Revision > d.Since {
 			d.Records = append(d.Records, rec)
 		}
 	}
@@ -194,7 +144,7 @@
 }
 
 // Complete reports whether every collection has been read.
-func (r *Replica) Complete() bool { return len(r.Revisions()) == len(Kinds) }
+func (r *Replica) Complete() bool { return len(r.Positions()) == len(Kinds) }
 
 // ReadsStore reports whether this router's reads of the store succeed for all
 // collections.
@@ -239,7 +189,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.replaceRecords(now, kind, s.Revision, next, from)
+	return r.replaceRecords(now, kind, s.Position, next, from)
 }
 
 // ApplyDelta applies the changes of another router's copy unless this one is
@@ -248,7 +198,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c, ok := r.collections[kind]
-	if !ok || c.loaded && d.Revision < c.revision {
+	if !ok || c.loaded && d.Position.Before(c.position) {
 		return false, nil
 	}
 	next := make(map[string]Record, len(d.Names))
@@ -260,66 +210,90 @@
 			continue
 		}
 		own, known := c.records[name]
-		if !known {
+		if !known || d.Era != c.position.Era {
 			return false, ErrIncomplete
 		}
 		next[name] = own
 	}
-	return r.replaceRecords(now, kind, d.Revision, next, from), nil
+	return r.replaceRecords(now, kind, d.Position, next, from), nil
 }
 
 // replaceRecords replaces the records of a collection unless the copy is newer.
 // The caller holds the lock.
-func (r *Replica) replaceRecords(now time.Time, kind Kind, revision int64, next map[string]Record, from string) bool {
+func (r *Replica) replaceRecords(now time.Time, kind Kind, at Position, next map[string]Record, from string) bool {
 	c, ok := r.collections[kind]
-	if !ok || c.loaded && revision < c.revision {
+	if !ok || c.loaded && at.Before(c.position) {
 		return false
 	}
-	changed := !c.loaded
+	restored := c.loaded && at.Era > c.position.Era
+	changed := !c.loaded || restored
 	for name, old := range c.records {
 		if _, ok := next[name]; !ok {
 			changed = true
-			r.removeRecord(now, kind, c, old)
+			r.removeRecord(now, kind, c, old, restored)
 		}
 	}
 	for name, rec := range next {
 		changed = changed || c.records[name].Revision != rec.Revision
 		delete(c.retained, name)
+		if restored {
+			c.unconfirmed[name] = now.Add(entryLifetime)
+		} else if c.records[name].Revision != rec.Revision {
+			delete(c.unconfirmed, name)
+		}
 	}
 	if !changed {
-		if revision > c.revision {
+		if c.position.Before(at) {
 			c.resetRecent()
-			c.revision = revision
+			c.position = at
 		}
 		return false
 	}
 	c.resetRecent()
-	c.records, c.revision, c.loaded = next, max(c.revision, revision), true
+	c.records, c.position, c.loaded = next, at, true
 	r.publish(now, kind, c, from)
 	return true
 }
 
-// removeRecord removes a record. An endpoint's record that is removed during or
-// soon after an outage of the store may have expired only because the endpoint
-// could not renew it, so it is retained until renewalGrace is over.
-func (r *Replica) removeRecord(now time.Time, kind Kind, c *collection, old Record) {
+// removeRecord removes a record, and retains it where its absence may not be meant.
+func (r *Replica) removeRecord(now time.Time, kind Kind, c *collection, old Record, restored bool) {
 	delete(c.records, old.Name)
-	if until := r.lastOutage.Add(renewalGrace); kind == Endpoints && now.Before(until) {
+	delete(c.unconfirmed, old.Name)
+	if until := r.retainUntil(now, kind, restored); now.Before(until) {
 		c.retained[old.Name] = retainedRecord{record: old, until: until}
 	}
 }
 
-// ApplyChanges applies changes that continue from the copy's revision.
+// retainUntil returns until when a record that the store lacks now is retained. An
+// endpoint's record that is removed during or soon after an outage of the store may
+// have expired only because the endpoint could not renew it. What a restored copy
+// lacks is written again by those who wrote it.
+func (r *Replica) retainUntil(now time.Time, kind Kind, restored bool) time.Time {
+	switch {
+	case kind == Endpoints && restored:
+		return now.Add(renewalGrace)
+	case kind == Endpoints:
+		return r.lastOutage.Add(renewalGrace)
+	case kind == ZonesOut && restored:
+		return now.Add(rewriteGrace)
+	}
+	return time.Time{}
+}
+
+// ApplyChanges applies changes that continue from the copy's position, unless they
+// are of another era.
 func (r *Replica) ApplyChanges(now time.Time, kind Kind, changes Changes, from string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.applyChanges(now, kind, r.collections[kind], changes, 0, from)
+	if c := r.collections[kind]; changes.Era == c.position.Era {
+		r.applyChanges(now, kind, c, changes, 0, from)
+	}
 }
 
 // applyChanges applies changes to a collection, whose revision is at least atLeast
 // afterwards. The caller holds the lock.
 func (r *Replica) applyChanges(now time.Time, kind Kind, c *collection, changes Changes, atLeast int64, from string) {
-	before, newest := c.revision, max(c.revision, atLeast)
+	before, newest := c.position.Revision, max(c.position.Revision, atLeast)
 	var names []string
 	changed := false
 	for _, ch := range changes.Changes {
@@ -329,7 +303,7 @@
 			changed = true
 		}
 	}
-	c.revision = newest
+	c.position.Revision = newest
 	if newest > before || changed {
 		c.recordRecent(now, before, names)
 	}
@@ -349,30 +323,28 @@
 		if !known || old.Revision > ch.Revision {
 			return 0
 		}
-		r.removeRecord(now, kind, c, old)
+		r.removeRecord(now, kind, c, old, false)
 		return max(ch.Revision, upTo)
 	}
-	if known && old.Revision >= ch.Revision || !known && ch.Revision <= c.revision {
+	if known && old.Revision >= ch.Revision || !known && ch.Revision <= c.position.Revision {
 		return 0
 	}
 	c.records[ch.Name] = ch.Record
 	delete(c.retained, ch.Name)
+	delete(c.unconfirmed, ch.Name)
 	return ch.Revision
 }
 
-// Expire removes retained endpoints whose grace period is over.
+// Expire drops retained records whose grace period is over, and confirms records of
+// a restored copy that the store has kept for entryLifetime.
 func (r *Replica) Expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for kind, c := range r.collections {
-		dropped := false
-		for name, kept := range c.retained {
-			if !now.Before(kept.until) {
-				delete(c.retained, name)
-				dropped = true
-			}
-		}
-		if dropped {
+		before := len(c.retained) + len(c.unconfirmed)
+		maps.DeleteFunc(c.retained, func(_ string, kept retainedRecord) bool { return !now.Before(kept.until) })
+		maps.DeleteFunc(c.unconfirmed, func(_ string, until time.Time) bool { return !now.Before(until) })
+		if len(c.retained)+len(c.unconfirmed) < before {
 			r.publish(now, kind, c, c.origin)
 		}
 	}
@@ -380,7 +352,7 @@
 
 func (r *Replica) publish(now time.Time, kind Kind, c *collection, from string) {
 	c.origin, c.publishedAt = from, now
-	v := View{Records: c.list(), Revision: c.revision, Origin: from}
+	v := View{Position: c.position, Records: c.list(), Unconfirmed: slices.Collect(maps.Keys(c.unconfirmed)), Origin: from}
 	for _, l := range c.retained {
 		v.Records = append(v.Records, l.record)
 		v.Retained = append(v.Retained, l.record.Name)
--- a/internal/replica/replica_suite_test.go
+++ b/internal/replica/replica_suite_test.go
@@ -31,8 +31,10 @@
 	return replica.Record{Name: name, Revision: revision, Data: []byte("{}")}
 }
 
+func at(revision int64) replica.Position { return replica.Position{Revision: revision} }
+
 func snapshot(revision int64, records ...replica.Record) replica.Snapshot {
-	return replica.Snapshot{Revision: revision, Records: records}
+	return replica.Snapshot{Position: at(revision), Records: records}
 }
 
 func names(v replica.View) []string {
@@ -54,7 +56,7 @@
 		r.ApplySnapshot(start, replica.Endpoints, snapshot(10, record("a", 3), record("b", 5)), "store")
 	})
 	apply := func(revision int64, changes ...replica.Change) {
-		r.ApplyChanges(start, replica.Endpoints, replica.Changes{Changes: changes, Revision: revision}, "store")
+		r.ApplyChanges(start, replica.Endpoints, replica.Changes{Changes: changes, Position: at(revision)}, "store")
 	}
 
 	It("applies changes", func() {
@@ -120,7 +122,7 @@
 		other.ApplySnapshot(start, replica.Endpoints, snapshot(10, record("a", 3), record("b", 5)), "store")
 		_, ok := r.RecentChanges(start.Add(3*time.Second), replica.Endpoints, time.Second, 1000)
 		Expect(ok).To(BeFalse(), "nothing changed recently")
-		r.ApplyChanges(start.Add(4*time.Second), replica.Endpoints, replica.Changes{Revision: 14, Changes: []replica.Change{{Record: record("c", 12)}, {Record: record("b", 5), Deleted: true}}}, "store")
+		r.ApplyChanges(start.Add(4*time.Second), replica.Endpoints, replica.Changes{Position: at(14), Changes: []replica.Change{{Record: record("c", 12)}, {Record: record("b", 5), Deleted: true}}}, "store")
 		n, ok := r.RecentChanges(start.Add(4*time.Second), replica.Endpoints, time.Second, 1000)
 		Expect(ok).To(BeTrue())
 		Expect(n.Since).To(Equal(int64(10)))
@@ -128,7 +130,7 @@
 		Expect(n.Removed).To(Equal([]string{"b"}))
 		Expect(other.ApplyRecent(start.Add(4*time.Second), replica.Endpoints, n, "peer")).To(BeTrue())
 		Expect(other.ApplyRecent(start.Add(4*time.Second), replica.Endpoints, n, "peer")).To(BeFalse(), "already applied")
-		Expect(other.Revisions()[replica.Endpoints]).To(Equal(int64(14)))
+		Expect(other.Positions()[replica.Endpoints]).To(Equal(at(14)))
 		behind := replica.New(func(replica.Kind, replica.View) {})
 		behind.ApplySnapshot(start, replica.Endpoints, snapshot(8, record("a", 3)), "store")
 		Expect(behind.ApplyRecent(start, replica.Endpoints, n, "peer")).To(BeFalse(), "gap between the copy and the changes")
@@ -139,14 +141,14 @@
 	It("takes over the revision of an equal copy, so that it is not fetched again and again", func() {
 		other := replica.New(func(replica.Kind, replica.View) {})
 		other.ApplySnapshot(start, replica.Endpoints, snapshot(14, record("a", 3), record("b", 5)), "store")
-		d, ok := other.DeltaSince(replica.Endpoints, r.Revisions()[replica.Endpoints])
+		d, ok := other.DeltaSince(replica.Endpoints, r.Positions()[replica.Endpoints])
 		Expect(ok).To(BeTrue())
 		changed, err := r.ApplyDelta(start, replica.Endpoints, d, "peer")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(changed).To(BeFalse())
-		Expect(r.Revisions()).To(HaveKeyWithValue(replica.Endpoints, int64(14)))
+		Expect(r.Positions()).To(HaveKeyWithValue(replica.Endpoints, at(14)))
 		By("passing the revision on with the next change")
-		other.ApplyChanges(start, replica.Endpoints, replica.Changes{Revision: 15, Changes: []replica.Change{{Record: record("c", 15)}}}, "store")
+		other.ApplyChanges(start, replica.Endpoints, replica.Changes{Position: at(15), Changes: []replica.Change{{Record: record("c", 15)}}}, "store")
 		n, ok := other.RecentChanges(start, replica.Endpoints, time.Second, 1000)
 		Expect(ok).To(BeTrue())
 		Expect(r.ApplyRecent(start, replica.Endpoints, n, "peer")).To(BeTrue())
@@ -161,7 +163,7 @@
 		if n, ok := other.RecentChanges(start, replica.Endpoints, time.Second, 1000); ok {
 			r.ApplyRecent(start, replica.Endpoints, n, "peer")
 		}
-		if known := r.Revisions()[replica.Endpoints]; known < 14 { // a router fetches from a peer with a higher revision only
+		if known := r.Positions()[replica.Endpoints]; known.Revision < 14 { // a router fetches from a peer with a higher revision only
 			d, _ := other.DeltaSince(replica.Endpoints, known)
 			_, err := r.ApplyDelta(start, replica.Endpoints, d, "peer")
 			Expect(err).NotTo(HaveOccurred())
@@ -180,13 +182,13 @@
 	})
 
 	It("returns deltas only of collections that it has read", func() {
-		_, known := r.DeltaSince(replica.Config, 0)
+		_, known := r.DeltaSince(replica.Config, replica.Position{})
 		Expect(known).To(BeFalse())
-		d, known := r.DeltaSince(replica.Endpoints, 0)
+		d, known := r.DeltaSince(replica.Endpoints, replica.Position{})
 		Expect(known).To(BeTrue())
 		Expect(d.Revision).To(Equal(int64(10)))
 		Expect(d.Records).To(HaveLen(2))
-		Expect(r.Revisions()).To(Equal(map[replica.Kind]int64{replica.Endpoints: 10}))
+		Expect(r.Positions()).To(Equal(map[replica.Kind]replica.Position{replica.Endpoints: at(10)}))
 	})
 })
 
@@ -217,8 +219,8 @@
 			}
 			history = append(history, state)
 		}
-		at := func(rev int64) replica.Snapshot {
-			s := replica.Snapshot{Revision: rev}
+		stateAt := func(rev int64) replica.Snapshot {
+			s := replica.Snapshot{Position: at(rev)}
 			for name, r := range history[rev] {
 				s.Records = append(s.Records, record(name, r))
 			}
@@ -229,20 +231,20 @@
 		since := make([]int64, 3)
 		for range 3 {
 			r := replica.New(func(replica.Kind, replica.View) {})
-			r.ApplySnapshot(start, replica.Config, at(0), "store")
+			r.ApplySnapshot(start, replica.Config, stateAt(0), "store")
 			copies = append(copies, r)
 		}
 		for range rapid.IntRange(0, 40).Draw(t, "steps") {
 			i := rapid.IntRange(0, 2).Draw(t, "copy")
-			before := copies[i].Revisions()[replica.Config]
+			before := copies[i].Positions()[replica.Config]
 			switch rapid.IntRange(0, 2).Draw(t, "operation") {
 			case 0:
 				to := rapid.Int64Range(since[i], newest).Draw(t, "to")
-				copies[i].ApplyChanges(start, replica.Config, replica.Changes{Changes: events[since[i]:to], Revision: to}, "store")
+				copies[i].ApplyChanges(start, replica.Config, replica.Changes{Changes: events[since[i]:to], Position: at(to)}, "store")
 				since[i] = to
 			case 1:
 				since[i] = rapid.Int64Range(since[i], newest).Draw(t, "to")
-				copies[i].ApplySnapshot(start, replica.Config, at(since[i]), "store")
+				copies[i].ApplySnapshot(start, replica.Config, stateAt(since[i]), "store")
 			case 2:
 				if rapid.Bool().Draw(t, "recent changes") {
 					if n, ok := copies[rapid.IntRange(0, 2).Draw(t, "peer")].RecentChanges(start, replica.Config, time.Hour, 1<<20); ok {
@@ -252,7 +254,7 @@
 				}
 				known := before
 				if rapid.Bool().Draw(t, "full delta") {
-					known = 0
+					known = replica.Position{}
 				}
 				if d, ok := copies[rapid.IntRange(0, 2).Draw(t, "peer")].DeltaSince(replica.Config, known); ok {
 					if _, err := copies[i].ApplyDelta(start, replica.Config, d, "peer"); err != nil {
@@ -260,13 +262,13 @@
 					}
 				}
 			}
-			if after := copies[i].Revisions()[replica.Config]; after < before {
-				t.Fatalf("copy went back from revision %d to %d", before, after)
+			if after := copies[i].Positions()[replica.Config]; after.Before(before) {
+				t.Fatalf("copy went back from %v to %v", before, after)
 			}
 		}
 		for i, r := range copies {
-			r.ApplyChanges(start, replica.Config, replica.Changes{Changes: events[since[i]:], Revision: newest}, "store")
-			d, _ := r.DeltaSince(replica.Config, 0)
+			r.ApplyChanges(start, replica.Config, replica.Changes{Changes: events[since[i]:], Position: at(newest)}, "store")
+			d, _ := r.DeltaSince(replica.Config, replica.Position{})
 			got := map[string]int64{}
 			for _, rec := range d.Records {
 				got[rec.Name] = rec.Revision
@@ -312,7 +314,7 @@
 	}{
 		"quiet": {func(_ int, since int64) (replica.Changes, error) {
 			time.Sleep(time.Second)
-			return replica.Changes{Revision: since}, nil
+			return replica.Changes{Position: at(since)}, nil
 		}, 1, 11},
 		"compacted": {func(n int, since int64) (replica.Changes, error) {
 			time.Sleep(4 * time.Second)
