Register again after a restoration of the store

Cause: a router wrote its entry when it started and never again. A restored copy that is older than the entry lacks it, so routers that start later don't find this one, and entries that were listed keep revisions of the older era, under which an entry of a dead router is not removed, or another one's might be.

Change: a collection of a newer era makes the router register again within two seconds (spread over the fleet), and the entries as listed then replace those known before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -135,15 +135,20 @@
 	decoded   decodedRecords
 	entriesMu sync.Mutex
 	entries   map[string]Entry // by router name, as listed at registration
+	newestEra int64            // of the store, as a collection of records has shown
+	restored  chan struct{}    // the store has been restored, so this router has to register again
 }
 
+// noEra is the newest era before any collection has been read.
+const noEra = -1
+
 // New returns a router with its parts connected. It opens the UDP socket for
 // heartbeats.
 func New(s Settings, p Platform, log *oplog.Logger) (*Edge, error) {
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(gcMemoryFraction * float64(s.MemoryBytes)))
 	}
-	e := &Edge{settings: s, platform: p, log: log, pool: upstream.NewPool(), lagMeter: overload.New(), entries: map[string]Entry{}}
+	e := &Edge{settings: s, platform: p, log: log, pool: upstream.NewPool(), lagMeter: overload.New(), entries: map[string]Entry{}, newestEra: noEra, restored: make(chan struct{}, 1)}
 	e.dispatcher = relay.NewSharedDispatcher(dispatch.New(dispatch.Options{
 		Self: s.Name, Zone: s.Zone, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 	}))
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -41,6 +41,7 @@
 	if v.Origin == replica.OriginStore {
 		e.mesh.TriggerSend() // changes learned from a router are announced by that router
 	}
+	e.registerAfterRestoration(v.Era)
 	switch kind {
 	case replica.Config:
 		e.applyConfig(v)
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -19,32 +19,67 @@
 	deadRouterTimeout = 2 * time.Minute
 	// cleanupInterval is the time between two searches for entries of dead routers.
 	cleanupInterval = time.Minute
+	// registrationJitter spreads the registrations of all routers after the store has
+	// been restored.
+	registrationJitter = 2 * time.Second
 )
 
 var registryBackoff = retry.Backoff{Initial: 200 * time.Millisecond, Max: 2 * time.Second}
 
 // maintainRegistration stores the router's entry and reads those of the other
-// routers, then removes entries of dead routers from time to time. A router finds
-// those that registered before it in the registry, and they learn of it from its
-// heartbeats, so the entries need no watch.
+// routers, again after each restoration of the store, and removes entries of dead
+// routers from time to time. A router finds those that registered before it in the
+// registry, and they learn of it from its heartbeats, so the entries need no watch.
 func (e *Edge) maintainRegistration(ctx context.Context) error {
-	for failures := 0; ; {
-		// A stale list does for the first attempt: a router that it lacks is learned of by
-		// heartbeats, and an outdated revision of the own entry fails the write.
-		err := e.register(ctx, failures == 0)
+	// A stale list does for the first attempt: a router that it lacks is learned of by
+	// heartbeats, and an outdated revision of the own entry fails the write.
+	e.keepRegistering(ctx, true)
+	cleanup := time.NewTicker(cleanupInterval)
+	defer cleanup.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-cleanup.C:
+			e.removeDeadEntries(ctx)
+		case <-e.restored:
+			if sleep(ctx, time.Duration(rand.Float64()*float64(registrationJitter))) {
+				e.keepRegistering(ctx, false)
+			}
+		}
+	}
+}
+
+// keepRegistering calls register until it succeeds or the context ends. The first
+// list may be stale.
+func (e *Edge) keepRegistering(ctx context.Context, stale bool) {
+	for failures := 0; ctx.Err() == nil; {
+		err := e.register(ctx, stale && failures == 0)
 		if err == nil {
-			break
+			return
 		}
 		failures++
 		e.log.Log(oplog.StateChange, "registration.failed", slog.Int("failures", failures), slog.String("error", err.Error()))
-		if !sleep(ctx, registryBackoff.Delay(failures, rand.Float64())) {
-			return ctx.Err()
-		}
+		sleep(ctx, registryBackoff.Delay(failures, rand.Float64()))
 	}
-	for sleep(ctx, cleanupInterval) {
-		e.removeDeadEntries(ctx)
+}
+
+// registerAfterRestoration has this router register again once a collection is of a
+// newer era of the store: the restored copy may lack its entry. It is called for each
+// change of a collection, one at a time.
+func (e *Edge) registerAfterRestoration(era int64) {
+	if era <= e.newestEra {
+		return
+	}
+	first := e.newestEra == noEra
+	e.newestEra = era
+	if first {
+		return
+	}
+	select {
+	case e.restored <- struct{}{}:
+	default: // already requested
 	}
-	return ctx.Err()
 }
 
 // sleep waits for the duration; false: the context ended first.
@@ -87,9 +122,12 @@
 	return nil
 }
 
+// addPeers adds the routers of all entries, which replace those that were listed
+// before: their revisions may be of an older era of the store.
 func (e *Edge) addPeers(entries []Entry) {
 	e.entriesMu.Lock()
 	defer e.entriesMu.Unlock()
+	clear(e.entries)
 	for _, entry := range entries {
 		address, err := netip.ParseAddr(entry.Address)
 		if err != nil {
