Put a configuration in force whose version a restored store gives out again

Cause: a configuration came into force only if its version was higher than the highest one seen. After a restoration the operator may write other content under a version that the store has lost; it was acknowledged and never in force. An older version in the restored copy stays out of force, as before, but left no trace in the log.

Change: the same version replaces the one in force if its content differs; an older one is logged as config.outdated.

--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -6,6 +6,7 @@
 package topology
 
 import (
+	"reflect"
 	"time"
 )
 
@@ -120,6 +121,18 @@
 	Limits      Limits
 }
 
+// Replaces reports whether a configuration that the store holds replaces the one in
+// force. A lower version does not: the store has lost newer ones, and what clients
+// have seen in force stays until the operator writes it again. The same version does
+// if its content differs, since a version that the store has lost may be given out
+// again.
+func (c Config) Replaces(inForce Config) bool {
+	if c.Version != inForce.Version {
+		return c.Version > inForce.Version
+	}
+	return !reflect.DeepEqual(c, inForce)
+}
+
 // Endpoint is the state that an endpoint last published.
 type Endpoint struct {
 	ID            string
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -19,7 +19,7 @@
 // it.
 type decodedRecords struct {
 	mu        sync.Mutex
-	version   int64                        // of the configuration
+	config    topology.Config              // in force
 	names     []string                     // of services and accounts in the configuration
 	endpoints map[string]topology.Endpoint // by ID
 	revisions map[string]int64             // of the records of endpoints, by ID
@@ -62,10 +62,17 @@
 		return
 	}
 	e.decoded.mu.Lock()
-	oldVersion := e.decoded.version
-	e.decoded.version = max(oldVersion, config.Version)
+	inForce := e.decoded.config
+	accepted := config.Replaces(inForce)
+	if accepted {
+		e.decoded.config = config
+	}
 	e.decoded.mu.Unlock()
-	if config.Version <= oldVersion {
+	if !accepted {
+		if config.Version < inForce.Version {
+			e.log.Log(oplog.StateChange, "config.outdated", slog.Int64("version", config.Version), slog.Int64("in_force", inForce.Version),
+				slog.Int64("era", v.Era), slog.Int64("revision", v.Revision), slog.String("from", v.Origin))
+		}
 		return
 	}
 	e.setConfigNames(config)
@@ -76,7 +83,7 @@
 	})
 	e.relay.SetTable(table)
 	metrics.GetOrCreateGauge("cyclamenwinch_config_version", nil).Set(float64(config.Version))
-	e.log.Log(oplog.StateChange, "config.in_force", slog.Int64("version", config.Version), slog.Int64("old_version", oldVersion), slog.Int64("era", v.Era), slog.Int64("revision", v.Revision),
+	e.log.Log(oplog.StateChange, "config.in_force", slog.Int64("version", config.Version), slog.Int64("old_version", inForce.Version), slog.Int64("era", v.Era), slog.Int64("revision", v.Revision),
 		slog.String("from", v.Origin), slog.Int("routes", len(config.Routes)), slog.Int("accounts", len(config.Accounts)))
 }
 
