Keep endpoints that have left out of use when a restored store lists them

Cause: an entry of the restored copy was taken as it is. It may be from before its endpoint began to drain, was removed, or started again: such an endpoint was used again although this router had acted on its leaving, and a cold one taken for warm.

Change: records of the first list of an era count as unconfirmed until they change or the store has kept them for longer than the entry of an endpoint that no longer writes. For these, what the router knows of the endpoint binds (topology.Departures).

--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -21,11 +21,12 @@
 	mu        sync.Mutex
 	config    topology.Config              // in force
 	names     []string                     // of services and accounts in the configuration
-	endpoints map[string]topology.Endpoint // by ID
-	revisions map[string]int64             // of the records of endpoints, by ID
-	era       int64                        // of these revisions
-	addresses map[string]bool              // of the endpoints; true: not draining
-	retained  map[string]bool              // IDs of endpoints that are used although the store has removed them
+	endpoints map[string]topology.Endpoint // in use, by ID
+	listed    listedEndpoints
+	departed  topology.Departures // endpoints that were seen to leave
+	withheld  map[string]bool     // IDs of endpoints that a restored copy lists although they have left
+	addresses map[string]bool     // of the endpoints; true: not draining
+	retained  map[string]bool     // IDs of endpoints that are used although the store has removed them
 }
 
 // usesAddress reports whether the address belongs to an endpoint that may
@@ -109,20 +110,24 @@
 	e.mesh.SetNames(names)
 }
 
+// listedEndpoints are the endpoints as their records describe them.
+type listedEndpoints struct {
+	era       int64
+	byID      map[string]topology.Endpoint
+	revisions map[string]int64 // of the records, by ID
+}
+
 // decodeEndpoints decodes the records that have changed since the last call, and
-// returns all endpoints and the revisions of their records. Records of endpoints
-// are renewed every few seconds, one by one.
-func (e *Edge) decodeEndpoints(v replica.View) (map[string]topology.Endpoint, map[string]int64) {
+// returns all endpoints. Records of endpoints are renewed every few seconds, one by
+// one.
+func (e *Edge) decodeEndpoints(v replica.View) listedEndpoints {
 	e.decoded.mu.Lock()
-	previous, known := e.decoded.endpoints, e.decoded.revisions
-	if e.decoded.era != v.Era {
-		known = nil // revisions of another era
-	}
+	known := e.decoded.listed
 	e.decoded.mu.Unlock()
-	current, revisions := make(map[string]topology.Endpoint, len(v.Records)), make(map[string]int64, len(v.Records))
+	out := listedEndpoints{era: v.Era, byID: make(map[string]topology.Endpoint, len(v.Records)), revisions: make(map[string]int64, len(v.Records))}
 	for _, r := range v.Records {
-		if revision, ok := known[r.Name]; ok && revision == r.Revision {
-			current[r.Name], revisions[r.Name] = previous[r.Name], revision
+		if revision, ok := known.revisions[r.Name]; ok && revision == r.Revision && known.era == v.Era {
+			out.byID[r.Name], out.revisions[r.Name] = known.byID[r.Name], revision
 			continue
 		}
 		endpoint, err := e.platform.Decoder.Endpoint(r)
@@ -130,39 +135,67 @@
 			e.log.Log(oplog.StateChange, "endpoint.unreadable", slog.String("endpoint", r.Name), slog.Int64("revision", r.Revision), slog.String("error", err.Error()))
 			continue
 		}
-		current[r.Name], revisions[r.Name] = endpoint, r.Revision
+		out.byID[r.Name], out.revisions[r.Name] = endpoint, r.Revision
 	}
 	for _, id := range v.Retained {
-		delete(revisions, id) // may be of an older era
+		delete(out.revisions, id) // may be of an older era
 	}
-	return current, revisions
+	return out
 }
 
 func (e *Edge) applyEndpoints(v replica.View) {
-	current, revisions := e.decodeEndpoints(v)
-	list := slices.Collect(maps.Values(current))
+	c := e.decoded.setEndpoints(time.Now(), v, e.decodeEndpoints(v))
+	list := slices.Collect(maps.Values(c.current))
 	e.dispatcher.Update(func(at time.Time, d *dispatch.Dispatcher) { d.SetEndpoints(at, list) })
-	e.decoded.mu.Lock()
-	previous := e.decoded.endpoints
-	e.decoded.endpoints, e.decoded.revisions, e.decoded.era = current, revisions, v.Era
-	retainedBefore := e.decoded.retained
-	e.decoded.addresses, e.decoded.retained = map[string]bool{}, map[string]bool{}
-	for _, id := range v.Retained {
-		e.decoded.retained[id] = true
+	if !maps.EqualFunc(c.previous, c.current, func(_, _ topology.Endpoint) bool { return true }) {
+		e.setNames()
 	}
-	for _, endpoint := range current {
-		e.decoded.addresses[endpoint.Address] = !endpoint.Draining
+	e.logEndpoints(c.previous, c.current, v)
+	for _, id := range c.withheld {
+		e.log.Log(oplog.StateChange, "endpoint.withheld", slog.String("endpoint", id), slog.Int64("era", v.Era), slog.Int64("revision", v.Revision), slog.String("from", v.Origin))
 	}
-	e.decoded.mu.Unlock()
-	if !maps.EqualFunc(previous, current, func(_, _ topology.Endpoint) bool { return true }) {
-		e.setNames()
+	for _, id := range c.retained {
+		e.log.Log(oplog.StateChange, "endpoint.retained", slog.String("endpoint", id), slog.Int64("revision", v.Revision), slog.String("from", v.Origin))
+	}
+}
+
+// endpointsChange is a change of the endpoints in use.
+type endpointsChange struct {
+	previous, current  map[string]topology.Endpoint // in use, by ID
+	withheld, retained []string                     // IDs that were not so before
+}
+
+// setEndpoints determines which of the listed endpoints are used.
+func (r *decodedRecords) setEndpoints(now time.Time, v replica.View, listed listedEndpoints) endpointsChange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := endpointsChange{previous: r.endpoints, current: r.departed.Reconcile(now, r.endpoints, listed.byID, v.Unconfirmed)}
+	withheld, retained := map[string]bool{}, map[string]bool{}
+	for id := range listed.byID {
+		if _, used := c.current[id]; !used {
+			withheld[id] = true
+		}
 	}
-	e.logEndpoints(previous, current, v)
 	for _, id := range v.Retained {
-		if !retainedBefore[id] {
-			e.log.Log(oplog.StateChange, "endpoint.retained", slog.String("endpoint", id), slog.Int64("revision", v.Revision), slog.String("from", v.Origin))
+		retained[id] = true
+	}
+	c.withheld, c.retained = added(r.withheld, withheld), added(r.retained, retained)
+	r.endpoints, r.listed, r.withheld, r.retained = c.current, listed, withheld, retained
+	r.addresses = map[string]bool{}
+	for _, endpoint := range c.current {
+		r.addresses[endpoint.Address] = !endpoint.Draining
+	}
+	return c
+}
+
+// added returns the members of a set that an earlier one lacks.
+func added(before, after map[string]bool) (out []string) {
+	for id := range after {
+		if !before[id] {
+			out = append(out, id)
 		}
 	}
+	return out
 }
 
 // logEndpoints logs each endpoint that was added, changed or removed.
