List the entries of routers regularly, and forget those that are gone

Cause: entries were listed when a router started and never again. A dead router whose entry was removed by another router counted for divided limits (retries, cold endpoints) until the process ended; one that was never heard, as after a restored store brings its entry back, was never removed; a removal that failed was not tried again; a router whose entry others had removed while they could not hear it stayed without one.

Change: each router lists the entries once a minute, at the price of a stale read, and registers again if its own is missing. Peers without an entry count only while they are heard.

--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/retry"
@@ -17,7 +18,7 @@
 	// deadRouterTimeout is the time without a heartbeat after which the entry of a
 	// registered router is removed.
 	deadRouterTimeout = 2 * time.Minute
-	// cleanupInterval is the time between two searches for entries of dead routers.
+	// cleanupInterval is the time between two lists of the entries.
 	cleanupInterval = time.Minute
 	// registrationJitter spreads the registrations of all routers after the store has
 	// been restored.
@@ -41,7 +42,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-cleanup.C:
-			e.removeDeadEntries(ctx)
+			e.refreshEntries(ctx)
 		case <-e.restored:
 			if sleep(ctx, time.Duration(rand.Float64()*float64(registrationJitter))) {
 				e.keepRegistering(ctx, false)
@@ -117,17 +118,19 @@
 			return err
 		}
 	}
-	e.addPeers(entries)
+	e.setEntries(entries)
 	e.log.Log(oplog.StateChange, "registration.done", slog.Int("routers", len(entries)))
 	return nil
 }
 
-// addPeers adds the routers of all entries, which replace those that were listed
-// before: their revisions may be of an older era of the store.
-func (e *Edge) addPeers(entries []Entry) {
+// setEntries adds the routers of all entries as peers. The entries replace those that
+// were listed before: some may have been removed since, and revisions may be of an
+// older era of the store.
+func (e *Edge) setEntries(entries []Entry) {
 	e.entriesMu.Lock()
 	defer e.entriesMu.Unlock()
 	clear(e.entries)
+	registered := map[netip.Addr]bool{}
 	for _, entry := range entries {
 		address, err := netip.ParseAddr(entry.Address)
 		if err != nil {
@@ -135,8 +138,29 @@
 			continue
 		}
 		e.entries[entry.Name] = entry
+		registered[address] = true
 		e.mesh.AddPeer(entry.Name, entry.Zone, address, true)
 	}
+	e.mesh.SetRegistered(registered)
+}
+
+// refreshEntries lists the entries again, of which some may have been stored or
+// removed since the last time, and removes those of dead routers. Others may have
+// removed this router's entry while they could not hear it.
+func (e *Edge) refreshEntries(ctx context.Context) {
+	limit, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	entries, err := e.platform.Registry.Routers(limit, true)
+	if err != nil {
+		e.log.Log(oplog.StateChange, "registration.failed", slog.Int("failures", 1), slog.String("error", err.Error()))
+		return
+	}
+	if !slices.ContainsFunc(entries, func(entry Entry) bool { return entry.Name == e.settings.Name }) {
+		e.keepRegistering(ctx, false)
+		return
+	}
+	e.setEntries(entries)
+	e.removeDeadEntries(ctx)
 }
 
 // removeDeadEntries removes the entries of routers that have been unresponsive
@@ -149,7 +173,6 @@
 	for _, r := range e.mesh.Unresponsive(deadRouterTimeout) {
 		e.entriesMu.Lock()
 		entry, ok := e.entries[r.Name]
-		delete(e.entries, r.Name)
 		e.entriesMu.Unlock()
 		if !ok {
 			continue
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -114,6 +114,7 @@
 	Leaving       bool
 	ReadsStore    bool // its reads of the platform's store succeed
 	Registered    bool // has an entry in the platform's store
+	AddedAt       time.Time
 	LastHeard     time.Time
 
 	lastSeq uint64
--- a/internal/mesh/peers.go
+++ b/internal/mesh/peers.go
@@ -30,12 +30,25 @@
 	m.updateKnownRouters(time.Now())
 }
 
+// SetRegistered sets which peers have an entry in the platform's store: those at the
+// given addresses. The others count only while they are heard.
+func (m *Mesh) SetRegistered(addresses map[netip.Addr]bool) {
+	m.mu.Lock()
+	for address, p := range m.peers {
+		if p.Registered != addresses[address] {
+			p.Registered, m.knownChanged = addresses[address], true
+		}
+	}
+	m.mu.Unlock()
+	m.updateKnownRouters(time.Now())
+}
+
 // peer returns the peer at an address and creates it if necessary. The caller
 // holds the lock.
 func (m *Mesh) peer(address netip.Addr) *Router {
 	p, ok := m.peers[address]
 	if !ok {
-		p = &Router{Address: address, fetching: map[replica.Kind]bool{}, outgoing: map[replica.Kind]*outgoingPush{}, incoming: map[replica.Kind]*incomingPush{}}
+		p = &Router{Address: address, AddedAt: time.Now(), fetching: map[replica.Kind]bool{}, outgoing: map[replica.Kind]*outgoingPush{}, incoming: map[replica.Kind]*incomingPush{}}
 		m.peers[address] = p
 	}
 	return p
@@ -71,7 +84,7 @@
 			p.loggedAlive, m.knownChanged = false, true
 			silent = append(silent, *p)
 		}
-		if !p.loggedAlive && !p.Registered && !p.LastHeard.IsZero() && now.Sub(p.LastHeard) >= unregisteredTimeout {
+		if !p.loggedAlive && !p.Registered && p.Name != "" && now.Sub(p.LastHeard) >= unregisteredTimeout && now.Sub(p.AddedAt) >= unregisteredTimeout {
 			delete(m.peers, address)
 			m.knownChanged = true
 		}
@@ -120,14 +133,14 @@
 	}
 }
 
-// Unresponsive returns the registered routers that were heard at least once, but
-// not within the threshold.
+// Unresponsive returns the registered routers that were not heard within the
+// threshold, nor added within it.
 func (m *Mesh) Unresponsive(threshold time.Duration) []Router {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []Router
 	for _, p := range m.peers {
-		if p.Registered && !p.LastHeard.IsZero() && time.Since(p.LastHeard) > threshold {
+		if p.Registered && time.Since(p.LastHeard) > threshold && time.Since(p.AddedAt) > threshold {
 			out = append(out, *p)
 		}
 	}
