--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,6 @@
 	go test ./internal/settings -run '^$$' -fuzz FuzzParse -fuzztime 30s -fuzzminimizetime 1x
 	go test ./internal/jsonscan -run '^$$' -fuzz FuzzSplit -fuzztime 30s -fuzzminimizetime 1x
 	go test ./internal/callerapi -run '^$$' -fuzz FuzzCallerBody -fuzztime 30s -fuzzminimizetime 1x
+	go test ./platform -run '^$$' -fuzz FuzzStoreResponses -fuzztime 30s -fuzzminimizetime 1x
+	go test ./platform -run '^$$' -fuzz FuzzEntries -fuzztime 30s -fuzzminimizetime 1x
+	go test ./internal/mesh -run '^$$' -fuzz FuzzHeartbeat -fuzztime 30s -fuzzminimizetime 1x
