Don't count routers of older builds as readers of the store

Cause, by a review with failing tests: routers that don't know eras were left out of the count only if this router's own copy had an era and it heard them directly. In other rows they counted, and a router whose records came from them never read the store, so it never learned of a restoration. They were also pushed collections again and again that they refuse, since revisions of two eras were compared. An era that no store can have was taken from a heartbeat, after which each heartbeat caused a fetch.

Change: only routers known to read eras count; descriptions of members name their encoding; pushes to older builds compare revisions of the newest era only; a copy whose era is out of range is ignored.

--- a/internal/mesh/compact.go
+++ b/internal/mesh/compact.go
@@ -234,6 +234,10 @@
 	for i, kind := range replica.Kinds {
 		var at replica.Position
 		if i < len(b.Eras) {
+			if b.Eras[i] > replica.MaxEra {
+				heartbeatsInvalid.Inc()
+				continue
+			}
 			at.Era = int64(b.Eras[i])
 		}
 		if i < len(b.Copies) && b.Copies[i] > 0 {
--- a/internal/mesh/push.go
+++ b/internal/mesh/push.go
@@ -176,7 +176,11 @@
 // isBehind reports whether this router's copy has been beyond that of a peer for
 // pushDelay. The caller holds the lock.
 func (m *Mesh) isBehind(now time.Time, kind replica.Kind, p *Router) bool {
-	for _, reached := range m.pushes.reached[kind] {
+	times := m.pushes.reached[kind]
+	for _, reached := range times {
+		if p.encoding < eraEncoding && reached.position.Era < times[len(times)-1].position.Era {
+			continue // the peer would compare revisions of two eras
+		}
 		if p.lacks(p.positions[kind], reached.position) {
 			return now.Sub(reached.at) >= pushDelay
 		}
--- a/internal/mesh/reader.go
+++ b/internal/mesh/reader.go
@@ -24,20 +24,16 @@
 
 // ShouldReadStore reports whether this router is one of the readers of the store:
 // fewer than maxReaders live routers rank above it, and fewer than targetReaders
-// of those read the store successfully. Once the store has an era, routers that don't
-// know eras are left out, since this router does not take records from them.
+// of those read the store successfully. Routers that don't know eras are left out:
+// they do not follow a store that is restored.
 func (m *Mesh) ShouldReadStore() bool {
-	hasEra := encodeEras(m.opts.Replica.Positions()) != nil
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	own := grid.Weight(readersKey, m.opts.Name)
 	now := time.Now()
 	higher, reading := 0, 0
 	for _, p := range m.peers {
-		if hasEra && p.positions != nil && p.encoding < eraEncoding {
-			continue
-		}
-		if p.Name == "" || p.Leaving || now.Sub(p.LastHeard) >= aliveTimeout || grid.Weight(readersKey, p.Name) < own {
+		if p.Name == "" || p.Leaving || p.encoding < eraEncoding || now.Sub(p.LastHeard) >= aliveTimeout || grid.Weight(readersKey, p.Name) < own {
 			continue
 		}
 		higher++
--- a/internal/mesh/row.go
+++ b/internal/mesh/row.go
@@ -131,7 +131,7 @@
 func (p *Router) toMember(now time.Time) *peerpb.Other {
 	return &peerpb.Other{
 		Name: p.Name, Address: packIPv4(p.Address), Front: p.CallerAddress, Zone: p.Zone, Incarnation: p.Incarnation,
-		Ready: p.Ready, Leaving: p.Leaving, Reading: p.ReadsStore, AgeMs: toUint32(int(now.Sub(p.LastHeard) / time.Millisecond)),
+		Ready: p.Ready, Leaving: p.Leaving, Reading: p.ReadsStore, AgeMs: toUint32(int(now.Sub(p.LastHeard) / time.Millisecond)), Encoding: p.encoding,
 	}
 }
 
@@ -265,8 +265,9 @@
 		return
 	}
 	if member.Incarnation > p.Incarnation {
-		p.lastSeq = 0
+		p.lastSeq, p.encoding = 0, plainEncoding
 	}
+	p.encoding = max(p.encoding, member.Encoding)
 	m.updatePeer(p, heard, peerState{member.Name, member.Front, member.Zone, member.Incarnation, member.Ready, member.Leaving, member.Reading})
 }
 
