Remember the era in which a router has registered

Cause, by a review with a failing test: a router registers before it has read its first records. If the store was restored in between, the first records were taken for the era of its entry, and it did not register again. After a restoration, routers that had not written again yet lost their part of divided limits at once.

Change: the list of entries returns the store's era, which is compared with that of the records. Only the regular list drops registrations.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -65,8 +65,9 @@
 
 // Registry stores the entries of routers.
 type Registry interface {
-	// Routers lists the entries; a stale list may lack changes of the last seconds.
-	Routers(ctx context.Context, stale bool) ([]Entry, error)
+	// Routers lists the entries and returns the store's era; a stale list may lack
+	// changes of the last seconds.
+	Routers(ctx context.Context, stale bool) ([]Entry, int64, error)
 	Register(ctx context.Context, e Entry) error
 	Unregister(ctx context.Context, e Entry) error
 }
@@ -135,12 +136,13 @@
 	decoded   decodedRecords
 	entriesMu sync.Mutex
 	entries   map[string]Entry // by router name, as listed at registration
-	newestEra int64            // of the store, as a collection of records has shown
-	restored  chan struct{}    // the store has been restored, so this router has to register again
+
+	registeredEra atomic.Int64  // of the store in which this router has stored its entry
+	restored      chan struct{} // the store has been restored, so this router has to register again
 }
 
-// noEra is the newest era before any collection has been read.
-const noEra = -1
+// notRegistered is the era of a router that has not stored its entry yet.
+const notRegistered = -1
 
 // New returns a router with its parts connected. It opens the UDP socket for
 // heartbeats.
@@ -148,7 +150,8 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(gcMemoryFraction * float64(s.MemoryBytes)))
 	}
-	e := &Edge{settings: s, platform: p, log: log, pool: upstream.NewPool(), lagMeter: overload.New(), entries: map[string]Entry{}, newestEra: noEra, restored: make(chan struct{}, 1)}
+	e := &Edge{settings: s, platform: p, log: log, pool: upstream.NewPool(), lagMeter: overload.New(), entries: map[string]Entry{}, restored: make(chan struct{}, 1)}
+	e.registeredEra.Store(notRegistered)
 	e.dispatcher = relay.NewSharedDispatcher(dispatch.New(dispatch.Options{
 		Self: s.Name, Zone: s.Zone, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 	}))
--- a/internal/edge/register.go
+++ b/internal/edge/register.go
@@ -44,7 +44,7 @@
 		case <-cleanup.C:
 			e.refreshEntries(ctx)
 		case <-e.restored:
-			if sleep(ctx, time.Duration(rand.Float64()*float64(registrationJitter))) {
+			if e.newestEra() > e.registeredEra.Load() && sleep(ctx, time.Duration(rand.Float64()*float64(registrationJitter))) {
 				e.keepRegistering(ctx, false)
 			}
 		}
@@ -65,16 +65,11 @@
 	}
 }
 
-// registerAfterRestoration has this router register again once a collection is of a
-// newer era of the store: the restored copy may lack its entry. It is called for each
-// change of a collection, one at a time.
+// registerAfterRestoration has this router register again if a collection is of a newer
+// era of the store than its entry: the restored copy may lack it.
 func (e *Edge) registerAfterRestoration(era int64) {
-	if era <= e.newestEra {
-		return
-	}
-	first := e.newestEra == noEra
-	e.newestEra = era
-	if first {
+	registered := e.registeredEra.Load()
+	if registered == notRegistered || era <= registered {
 		return
 	}
 	select {
@@ -99,7 +94,7 @@
 	limit, cancel := context.WithTimeout(ctx, 2*registryTimeout)
 	defer cancel()
 	own := Entry{Name: e.settings.Name, Address: e.settings.Address.String(), Zone: e.settings.Zone}
-	entries, err := e.platform.Registry.Routers(limit, stale)
+	entries, era, err := e.platform.Registry.Routers(limit, stale)
 	if err != nil {
 		return err
 	}
@@ -114,10 +109,11 @@
 		if err := e.platform.Registry.Register(limit, own); err != nil {
 			return err
 		}
-		if entries, err = e.platform.Registry.Routers(limit, stale); err != nil {
+		if entries, _, err = e.platform.Registry.Routers(limit, stale); err != nil {
 			return err
 		}
 	}
+	e.registeredEra.Store(era)
 	e.setEntries(entries)
 	e.log.Log(oplog.StateChange, "registration.done", slog.Int("routers", len(entries)))
 	return nil
@@ -125,8 +121,8 @@
 
 // setEntries adds the routers of all entries as peers. The entries replace those that
 // were listed before: some may have been removed since, and revisions may be of an
-// older era of the store.
-func (e *Edge) setEntries(entries []Entry) {
+// older era of the store. It returns the addresses of the routers.
+func (e *Edge) setEntries(entries []Entry) map[netip.Addr]bool {
 	e.entriesMu.Lock()
 	defer e.entriesMu.Unlock()
 	clear(e.entries)
@@ -141,7 +137,15 @@
 		registered[address] = true
 		e.mesh.AddPeer(entry.Name, entry.Zone, address, true)
 	}
-	e.mesh.SetRegistered(registered)
+	return registered
+}
+
+// newestEra returns the newest era of the store that a collection of records is of.
+func (e *Edge) newestEra() (era int64) {
+	for _, at := range e.replica.Positions() {
+		era = max(era, at.Era)
+	}
+	return era
 }
 
 // refreshEntries lists the entries again, of which some may have been stored or
@@ -150,7 +154,7 @@
 func (e *Edge) refreshEntries(ctx context.Context) {
 	limit, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
-	entries, err := e.platform.Registry.Routers(limit, true)
+	entries, _, err := e.platform.Registry.Routers(limit, true)
 	if err != nil {
 		e.log.Log(oplog.StateChange, "registration.failed", slog.Int("failures", 1), slog.String("error", err.Error()))
 		return
@@ -159,7 +163,7 @@
 		e.keepRegistering(ctx, false)
 		return
 	}
-	e.setEntries(entries)
+	e.mesh.SetRegistered(e.setEntries(entries))
 	e.removeDeadEntries(ctx)
 }
 
