Count and log every request whose client gets no complete response

Aborted handlers, responses that could not be written and panics ended a request with neither a reason in the metrics nor one line to search for.

Connections that an overloaded router resets are logged once a second with the longest time for which their bytes had been unread (TCP_INFO), and counted when that is 200 ms or more; connections that are closed with unread bytes are counted too. No change of what is decided.

--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -67,6 +67,9 @@
 			ErrorLog: log.New(errorLogWriter{e.log, l.name}, "", 0),
 		}})
 	}
+	e.front.OnReset(func(count int, waited time.Duration) {
+		e.log.Log(oplog.Failure, "connections.reset", slog.Int("count", count), slog.Duration("waited", waited))
+	})
 	out[0].server.ConnState, out[0].server.ConnContext = e.relay.ConnState, e.relay.ConnContext
 	return out, nil
 }
--- a/internal/overload/listener.go
+++ b/internal/overload/listener.go
@@ -32,7 +32,14 @@
 	maxResets = 256
 )
 
-var resets = exported.NewCounter("cyclamenwinch_client_connections_reset_total")
+// longWait separates resets that tell the client at once from those that tell it late.
+const longWait = 200 * time.Millisecond
+
+var (
+	resets       = exported.NewCounter("cyclamenwinch_client_connections_reset_total")
+	lateResets   = exported.NewCounter("cyclamenwinch_client_connections_reset_late_total") // with bytes that had waited for longWait
+	closedUnread = exported.NewCounter("cyclamenwinch_client_connections_closed_unread_total")
+)
 
 // Listener accepts TCP connections and, while the process is overloaded, resets new
 // ones without reading from them. That costs a fraction of a refusal, and tells the
@@ -48,6 +55,7 @@
 
 	acceptedAt time.Time // last time that Accept returned a connection; used by Accept only
 	pressure   pressure
+	report     resetReport // used by Accept only
 }
 
 // NewListener returns a Listener. lag returns how long work waits for the CPU, as
@@ -74,9 +82,14 @@
 			l.unread.Add(1)
 			l.count(1, 0)
 			l.acceptedAt = l.now()
+			l.report.send(l.acceptedAt)
 			return &clientConn{TCPConn: c, l: l}, nil
 		}
 		l.count(0, 1)
+		if raw, err := c.SyscallConn(); err == nil {
+			// An error means that the connection is already closed.
+			_ = raw.Control(func(fd uintptr) { l.report.add(unreadFor(int(fd))) })
+		}
 		// An error means that the client has closed the connection.
 		_ = c.Close()
 	}
@@ -113,14 +126,69 @@
 				return // none is waiting
 			}
 			n++
+			l.report.add(unreadFor(c))
 			// With the request unread, or on its way, closing resets the connection.
 			_ = unix.Close(c)
 		}
 	})
 	l.count(0, n)
+	l.report.send(l.now())
 	return err == nil
 }
 
+// OnReset sets a function that is called at most once a second with the number of
+// connections that were reset and the longest time for which a request on one of them
+// had waited. It is to be called before Accept.
+func (l *Listener) OnReset(report func(count int, waited time.Duration)) { l.report.to = report }
+
+// resetReport sums up resets for the log.
+type resetReport struct {
+	to     func(count int, waited time.Duration) // nil: none
+	sentAt time.Time
+	count  int
+	waited time.Duration // the longest
+}
+
+// add adds the reset of a connection whose last bytes had been unread for a time.
+func (r *resetReport) add(unread time.Duration) {
+	r.count++
+	r.waited = max(r.waited, unread)
+	if unread >= longWait {
+		lateResets.Inc()
+	}
+}
+
+// reportInterval is the time between two reports of resets.
+const reportInterval = time.Second
+
+func (r *resetReport) send(now time.Time) {
+	if r.to == nil || r.count == 0 || now.Sub(r.sentAt) < reportInterval {
+		return
+	}
+	r.to(r.count, r.waited)
+	r.sentAt, r.count, r.waited = now, 0, 0
+}
+
+// unreadFor returns how long the last bytes of a socket have been unread, or 0 if
+// there are none.
+func unreadFor(fd int) time.Duration {
+	if !hasUnread(fd) {
+		return 0
+	}
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0 // the connection has been reset by the client
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
+// hasUnread reports whether a socket has bytes that have not been read.
+func hasUnread(fd int) bool {
+	var b [1]byte
+	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == nil && n > 0
+}
+
 // clientConn is an accepted connection. It embeds the TCP connection for its other
 // interfaces.
 type clientConn struct {
@@ -139,6 +207,14 @@
 // Close closes the connection.
 func (c *clientConn) Close() error {
 	c.once.Do(c.countRead)
+	if raw, err := c.SyscallConn(); err == nil {
+		// An error means that the connection is already closed.
+		_ = raw.Control(func(fd uintptr) {
+			if hasUnread(int(fd)) {
+				closedUnread.Inc() // the client sees a reset, which may destroy a response on its way
+			}
+		})
+	}
 	return c.TCPConn.Close()
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -324,7 +324,7 @@
 	if x.streamStarted {
 		return failedAttempt(dispatch.Failed, true, code.EndpointError, "the endpoint did not resume the stream")
 	}
-	w.writeTo(x.w)
+	x.writeResponse(w)
 	return attemptResult{outcome: dispatch.Completed, delivered: true, mayHaveRun: true}
 }
 
@@ -335,24 +335,3 @@
 	}
 	x.h.opts.Dispatcher.RecordFirstEvent(t, x.h.timesEndpoints())
 }
-
-// bufferedResponse is a complete response held in memory.
-type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-// writeTo writes the response. Write errors are ignored: the HTTP server detects
-// that the client has disconnected.
-func (b *bufferedResponse) writeTo(w http.ResponseWriter) {
-	copyHeader(w.Header(), b.header)
-	w.WriteHeader(b.status)
-	w.Write(b.body)
-}
-
-func copyHeader(dst, src http.Header) {
-	for name, values := range src {
-		dst[name] = values
-	}
-}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -28,6 +28,7 @@
 	account  string
 	priority int // 0 is the highest
 	body     []byte
+	bodyRead bool // the request was read to its end
 
 	arrived  time.Time
 	deadline time.Time
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -89,12 +90,16 @@
 	if x.streamStarted {
 		x.logFailure(failure, "cut")
 		x.count("cut", "cut")
-		panic(http.ErrAbortHandler)
+		reason := streamCut
+		if failure.Code == code.CallerLeft {
+			reason = clientLeft
+		}
+		x.abortResponse(reason)
 	}
 	if x.endpointFailure != nil && failure.Code != code.CallerLeft {
 		x.logFailure(failure, "endpoint_failure")
 		x.count("endpoint_failure", "endpoint_failure")
-		x.endpointFailure.writeTo(x.w)
+		x.writeResponse(x.endpointFailure)
 		return
 	}
 	x.writeFailure(failure)
@@ -109,22 +114,22 @@
 	x.logFailure(failure, outcome)
 	x.count(outcome, outcome+" "+failure.Code.Info().Name)
 	if failure.Code == code.CallerLeft {
-		panic(http.ErrAbortHandler)
+		x.abortResponse(callerLeftReason(x.bodyRead))
 	}
 	problem := code.NewProblem(failure, x.meta.ID)
 	problem.Status = httpStatus(failure)
-	header := x.w.Header()
-	header.Set("Content-Type", code.ProblemType)
+	header := http.Header{"Content-Type": {code.ProblemType}}
 	if problem.Status == http.StatusServiceUnavailable || problem.Status == http.StatusTooManyRequests {
 		header.Set("Connection", "close") // makes the client retry on a new connection
 	}
 	if failure.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	x.w.WriteHeader(problem.Status)
-	if err := json.NewEncoder(x.w).Encode(problem); err != nil {
+	var body bytes.Buffer
+	if err := json.NewEncoder(&body).Encode(problem); err != nil {
 		x.h.opts.Log.Log(oplog.Failure, "request.answer_not_written", x.attrs(slog.String("error", err.Error()))...)
 	}
+	x.writeResponse(&bufferedResponse{status: problem.Status, header: header, body: body.Bytes()})
 }
 
 // httpStatus returns the HTTP status of a failure that the router reports. 503 and
--- a/internal/relay/prepare.go
+++ b/internal/relay/prepare.go
@@ -88,7 +88,7 @@
 	case err != nil:
 		return code.Refuse(code.CallerLeft, "the request body is incomplete")
 	}
-	x.body = body
+	x.body, x.bodyRead = body, true
 	return nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -132,6 +132,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), meta: h.opts.Protocol.ReadRequest(r.Header)}
+	defer x.recordPanic()
 	defer x.releaseMemory()
 	clientCtx, clientLeft := context.WithCancel(r.Context())
 	defer clientLeft()
