Keep a silent attempt until its retry has a place and a budget

Callers saw: a resumable stream, or an idempotent request, whose endpoint fell silent for 1.5 s (four objectives) and would have gone on, ended with a closed connection or a 502.

Cause: the attempt was given up first, its connection closed, and only then did the router ask for a place and for the retry budget. If either was refused, nothing was left to wait for. Class: releasing what one has before what replaces it is secured.

Now the request is queued for another endpoint while the read goes on. The attempt is given up once the place is granted and the retry taken; if the endpoint speaks first, the place is given back. Neither a head nor a chunked body can be read further after a failed read, so the connection asks at each read deadline whether to wait on.

All attempts' bounds are kept: one connection at a time, max-attempts, the budget, and the request's deadline.

Not covered: a place that is granted and whose endpoint then refuses the connection leaves the request with the search as before; a request whose own bytes an endpoint does not accept within that time is still given up first.

--- a/core/dispatch/retry.go
+++ b/core/dispatch/retry.go
@@ -49,16 +49,22 @@
 // this budget is declared in the settings for the whole fleet, as a ratio of all
 // requests in a window plus the slack.
 func (d *Dispatcher) TakeRetry(now time.Time, service string) bool {
-	w := &d.service(service).retries
-	w.advance(now, d.opts.RetryWindow)
-	allowed := retryBudgetFraction * (d.opts.RetryRatio*sumBuckets(w.requests) + d.opts.RetrySlack/float64(len(d.routers)))
-	if sumBuckets(w.retries)+1 > allowed {
+	if !d.RetryAllowed(now, service) {
 		return false
 	}
+	w := &d.service(service).retries
 	w.retries[w.at%retryBuckets]++
 	return true
 }
 
+// RetryAllowed reports whether TakeRetry would allow a retry.
+func (d *Dispatcher) RetryAllowed(now time.Time, service string) bool {
+	w := &d.service(service).retries
+	w.advance(now, d.opts.RetryWindow)
+	allowed := retryBudgetFraction * (d.opts.RetryRatio*sumBuckets(w.requests) + d.opts.RetrySlack/float64(len(d.routers)))
+	return sumBuckets(w.retries)+1 <= allowed
+}
+
 // SetRetryBudget changes the retry budget of all routers together: a ratio of
 // the requests, plus a fixed slack in each window.
 func (d *Dispatcher) SetRetryBudget(ratio, slack float64, window time.Duration) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -21,12 +21,12 @@
 
 const (
 	// responseWaitObjectives is how long an idempotent request waits for a
-	// response before another endpoint is tried, as a multiple of the
+	// response before another endpoint is sought, as a multiple of the
 	// route's latency objective.
 	responseWaitObjectives = 4
 	// streamSilence is how long a resumable stream may deliver nothing, beyond
-	// the predicted time to its first event, before another endpoint resumes
-	// it. Clients abandon a stream after two seconds at the earliest.
+	// the predicted time to its first event, before another endpoint is sought
+	// that resumes it. Clients abandon a stream after two seconds at the earliest.
 	streamSilence = 1500 * time.Millisecond
 	// deadlineGrace is how long after the deadline the router still reads, so
 	// that a response which the endpoint sends at the deadline arrives.
@@ -92,6 +92,8 @@
 	defer stopAbort()
 	x.h.open.add(x, x.attemptConn)
 	defer x.h.open.remove(x)
+	conn.WaitOn = func() bool { return x.waitOn(ctx, conn, t) }
+	defer x.stopSeeking()
 	conn.SetDeadline(x.responseDeadline(t))
 	if err := conn.Send(req, x.body); err != nil {
 		conn.Close()
@@ -100,11 +102,13 @@
 		}
 		return x.interrupted(ctx, code.EndpointError, "the connection failed while the request was being sent")
 	}
+	conn.SetWriteDeadline(x.deadline.Add(deadlineGrace)) // of a large body that is still being sent
 	resp, failure := x.receiveHead(ctx, conn, req, t)
 	if failure != nil {
 		conn.Close()
 		return *failure
 	}
+	x.stopSeeking()
 	return x.deliver(ctx, conn, resp, t)
 }
 
@@ -194,11 +198,11 @@
 }
 
 // responseDeadline returns the time until which to wait for the head of the
-// response. It is earlier than the request's deadline if another endpoint may
-// still be tried.
+// response before a standby is sought. It is the request's deadline if no other
+// endpoint may be tried.
 func (x *exchange) responseDeadline(t *dispatch.Ticket) time.Time {
 	end := x.deadline.Add(deadlineGrace)
-	if !x.route.Repeatable() || x.sends >= x.route.MaxAttempts {
+	if !x.mayRetrySilent() {
 		return end
 	}
 	wait := streamSilence + t.PredictedFirstEvent
@@ -252,7 +256,6 @@
 
 // deliver forwards a response to the client, or returns why it can't.
 func (x *exchange) deliver(ctx context.Context, conn *upstream.Conn, resp *http.Response, t *dispatch.Ticket) attemptResult {
-	conn.SetWriteDeadline(x.deadline.Add(deadlineGrace)) // of a large body that is still being sent
 	meta := x.h.opts.Protocol.ReadResponse(resp.StatusCode, resp.Header)
 	if resp.StatusCode == http.StatusOK && x.route.Kind == topology.Stream && resp.Header.Get("Content-Encoding") == "" {
 		if x.streamStarted && declaresOtherType(resp) {
--- a/internal/relay/dispatcher.go
+++ b/internal/relay/dispatcher.go
@@ -46,31 +46,50 @@
 // Acquire submits a request and waits until its ticket is granted or refused. If
 // the context ends first, it cancels the ticket and returns the context's error.
 func (d *SharedDispatcher) Acquire(ctx context.Context, r dispatch.Request) (*dispatch.Ticket, error) {
+	t, decided := d.Submit(r)
+	select {
+	case <-decided:
+		return t, nil
+	case <-ctx.Done():
+		d.Cancel(t)
+		return nil, ctx.Err()
+	}
+}
+
+// Submit submits a request without waiting. The channel is closed once the ticket is
+// granted or refused; until then, the ticket must not be read.
+func (d *SharedDispatcher) Submit(r dispatch.Request) (*dispatch.Ticket, <-chan struct{}) {
+	decided := make(chan struct{})
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	now := time.Now()
 	t := d.dispatcher.Submit(now, r)
 	if t.State != dispatch.Waiting {
-		d.mu.Unlock()
-		return t, nil
+		close(decided)
+		return t, decided
 	}
-	decided := make(chan struct{})
 	d.waiting[t] = decided
 	select {
 	case d.queued <- struct{}{}:
 	default: // Serve has not yet seen an earlier request
 	}
 	d.poll(now)
-	d.mu.Unlock()
-	select {
-	case <-decided:
-		return t, nil
-	case <-ctx.Done():
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		delete(d.waiting, t)
-		d.dispatcher.Cancel(time.Now(), t)
-		return nil, ctx.Err()
-	}
+	return t, decided
+}
+
+// Cancel withdraws a ticket that may still be waiting.
+func (d *SharedDispatcher) Cancel(t *dispatch.Ticket) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.waiting, t)
+	d.dispatcher.Cancel(time.Now(), t)
+}
+
+// RetryAllowed reports whether the budget of a service allows a retry.
+func (d *SharedDispatcher) RetryAllowed(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dispatcher.RetryAllowed(time.Now(), service)
 }
 
 // Confirm reports whether the endpoint of a granted ticket may still receive the
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -48,6 +48,7 @@
 	memory          []*reservation    // of the responses of all attempts
 	attemptConn     *attemptConn      // of the latest attempt
 	begun           bool              // the response of the latest attempt has begun
+	standby         standby           // place at another endpoint while the latest is silent
 	clientLeft      func()            // ends the request's context, as the HTTP server does when the client disconnects
 }
 
@@ -123,13 +124,17 @@
 func (x *exchange) run(ctx context.Context) *code.Error {
 	dispatcher := x.h.opts.Dispatcher
 	dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) { d.RecordRequest(now, x.service) })
+	defer x.releaseStandby()
 	for {
 		if detail, blocked := x.quarantined(); blocked {
 			return x.quarantineFailure(detail)
 		}
-		ticket, err := dispatcher.Acquire(ctx, x.dispatchRequest())
-		if err != nil {
-			return x.contextFailure(ctx)
+		ticket := x.takeStandby()
+		if ticket == nil {
+			var err error
+			if ticket, err = dispatcher.Acquire(ctx, x.dispatchRequest()); err != nil {
+				return x.contextFailure(ctx)
+			}
 		}
 		x.lastTicket = ticket
 		if ticket.State == dispatch.Refused {
@@ -208,14 +213,14 @@
 		return x.unsent < maxUnsent
 	}
 	x.triedEndpoints = append(x.triedEndpoints, t.Endpoint.ID)
+	if x.standby.granted != nil {
+		return true // its retry has been taken
+	}
 	if x.sends >= max(x.route.MaxAttempts, 1) {
 		return false
 	}
 	if result.mayHaveRun && !x.route.Repeatable() {
 		return false
 	}
-	allowed := false
-	x.h.opts.Dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) { allowed = d.TakeRetry(now, x.service) })
-	x.h.opts.Log.Log(oplog.Failure, "request.retry", x.attrs(slog.Bool("allowed", allowed), slog.Int("sends", x.sends))...)
-	return allowed
+	return x.takeRetry()
 }
--- a/internal/relay/relay_suite_test.go
+++ b/internal/relay/relay_suite_test.go
@@ -82,11 +82,13 @@
 
 // reply is what a fakeEndpoint writes. close ends the connection afterwards; hang
 // keeps it open, without writing more, until the router closes it. repeat is
-// written again and again, each time after pause, until the router closes it.
+// written again and again, each time after pause, until the router closes it. rest is
+// written once, after pause.
 type reply struct {
 	raw         string
 	close, hang bool
 	repeat      string
+	rest        string
 	pause       time.Duration
 }
 
@@ -124,6 +126,10 @@
 		f.mu.Unlock()
 		rep := script(n, s)
 		io.WriteString(c, rep.raw)
+		if rep.rest != "" {
+			time.Sleep(rep.pause)
+			io.WriteString(c, rep.rest)
+		}
 		for rep.repeat != "" {
 			if _, err := io.WriteString(c, rep.repeat); err != nil {
 				f.disconnected <- req.Header.Get("Test-Id")
--- /dev/null
+++ b/internal/relay/standby.go
@@ -0,0 +1,116 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/upstream"
+)
+
+const (
+	// standbyPollInterval is the time between two checks whether a queued standby has
+	// been granted.
+	standbyPollInterval = 25 * time.Millisecond
+	// standbyRetryInterval is the time until a standby is sought again after a refusal.
+	standbyRetryInterval = 200 * time.Millisecond
+)
+
+// standby is the place of a request at another endpoint while the endpoint that it was
+// sent to is silent. That one may be sound and go on, so the attempt there is given up
+// only for a place that is granted and a retry that the budget allows.
+type standby struct {
+	queued  *dispatch.Ticket // waiting, or decided since the last check
+	decided <-chan struct{}  // closed once queued is decided
+	granted *dispatch.Ticket // with a retry taken from the budget
+}
+
+// waitOn decides what follows when an endpoint has been silent until the read deadline
+// of its connection. It sets a later deadline and returns true, or returns false if
+// the attempt is to be given up.
+func (x *exchange) waitOn(ctx context.Context, conn *upstream.Conn, t *dispatch.Ticket) bool {
+	now, end := time.Now(), x.deadline.Add(deadlineGrace)
+	if !now.Before(end) || x.seekStandby(ctx, t) {
+		return false
+	}
+	next := now.Add(standbyRetryInterval)
+	if x.standby.queued != nil {
+		next = now.Add(standbyPollInterval)
+	}
+	if next.After(end) {
+		next = end
+	}
+	return conn.SetReadDeadline(next) == nil
+}
+
+// seekStandby queues the request for another endpoint, unless it is queued already,
+// and reports whether it has been granted one together with a retry.
+func (x *exchange) seekStandby(ctx context.Context, t *dispatch.Ticket) bool {
+	if ctx.Err() != nil || !x.mayRetrySilent() || time.Until(x.deadline) < minTimeForRetry {
+		return false
+	}
+	dispatcher, s := x.h.opts.Dispatcher, &x.standby
+	if s.queued == nil {
+		if !dispatcher.RetryAllowed(x.service) {
+			return false
+		}
+		r := x.dispatchRequest()
+		r.ExcludedEndpoints = append(slices.Clone(r.ExcludedEndpoints), t.Endpoint.ID)
+		s.queued, s.decided = dispatcher.Submit(r)
+	}
+	select {
+	case <-s.decided:
+	default:
+		return false
+	}
+	decided := s.queued
+	s.queued = nil
+	if decided.State != dispatch.Granted {
+		return false
+	}
+	if !x.takeRetry() {
+		dispatcher.Finish(decided, dispatch.Withdrawn)
+		return false
+	}
+	s.granted = decided
+	return true
+}
+
+// mayRetrySilent reports whether a request whose endpoint is silent may be sent to
+// another one.
+func (x *exchange) mayRetrySilent() bool {
+	return x.route.Repeatable() && x.sends < x.route.MaxAttempts
+}
+
+// takeRetry takes a retry from the budget of the service.
+func (x *exchange) takeRetry() (allowed bool) {
+	x.h.opts.Dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) { allowed = d.TakeRetry(now, x.service) })
+	x.h.opts.Log.Log(oplog.Failure, "request.retry", x.attrs(slog.Bool("allowed", allowed), slog.Int("sends", x.sends))...)
+	return allowed
+}
+
+// stopSeeking takes the request out of the queue when its endpoint is no longer silent
+// or the attempt has ended.
+func (x *exchange) stopSeeking() {
+	if x.standby.queued != nil {
+		x.h.opts.Dispatcher.Cancel(x.standby.queued)
+		x.standby.queued = nil
+	}
+}
+
+// takeStandby returns the ticket of the place at another endpoint, or nil.
+func (x *exchange) takeStandby() *dispatch.Ticket {
+	t := x.standby.granted
+	x.standby.granted = nil
+	return t
+}
+
+// releaseStandby gives back a place that is not used.
+func (x *exchange) releaseStandby() {
+	if t := x.takeStandby(); t != nil {
+		x.h.opts.Dispatcher.Finish(t, dispatch.Withdrawn)
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -59,6 +59,7 @@
 					return failedAttempt(dispatch.Canceled, true, code.CallerLeft, "the client closed its connection")
 				}
 				progress = time.Now()
+				x.stopSeeking()
 				x.awaitMoreEvents(ctx, err)
 			}
 			if tokens, took := rate.observe(x.eventCount, time.Now()); tokens > 0 && x.h.timesEndpoints() {
@@ -144,12 +145,12 @@
 }
 
 // nextReadDeadline returns the time until which to wait for the next complete
-// event of a stream. The newest event, or the head before any event, arrived at
-// progress. The time is earlier than the request's deadline if another endpoint
-// may still resume the stream.
+// event of a stream before a standby is sought. The newest event, or the head before
+// any event, arrived at progress. The time is the request's deadline if no other
+// endpoint may resume the stream.
 func (x *exchange) nextReadDeadline(t *dispatch.Ticket, hasEvent bool, progress time.Time) time.Time {
 	end := x.deadline.Add(deadlineGrace)
-	if !x.route.Repeatable() || x.sends >= x.route.MaxAttempts {
+	if !x.mayRetrySilent() {
 		return end
 	}
 	wait := streamSilence
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -85,6 +86,9 @@
 type Conn struct {
 	net.Conn
 	Reused bool
+	// WaitOn, if set, is called when a read deadline has passed. It sets a later one
+	// and returns true if reading is to go on.
+	WaitOn func() bool
 
 	address     string
 	limit       *limitio.Reader // limits the response head; http.ReadResponse does not
@@ -118,8 +122,21 @@
 		return nil, errors.Mark(err, ErrUnreachable)
 	}
 	connects.Inc()
-	limit := &limitio.Reader{R: nc, Remaining: math.MaxInt}
-	return &Conn{Conn: nc, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	c := &Conn{Conn: nc, address: address, idleTimeout: defaultIdleTimeout}
+	c.limit = &limitio.Reader{R: c, Remaining: math.MaxInt}
+	c.reader = bufio.NewReaderSize(c.limit, readBufferBytes)
+	return c, nil
+}
+
+// Read reads from the connection. It asks WaitOn at a read deadline, since neither a
+// head nor a chunked body can be read further once a read of it has failed.
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.WaitOn == nil || !c.WaitOn() {
+			return n, err
+		}
+	}
 }
 
 // takeIdle removes the most recently used idle connection to an address from
@@ -160,6 +177,7 @@
 // end. It closes a connection that can't be reused.
 func (p *Pool) Put(c *Conn, resp *http.Response) {
 	c.inFlight.Store(false)
+	c.WaitOn = nil
 	if resp.Close || c.bodyResult != nil || c.reader.Buffered() > 0 || !c.applyKeepAlive(resp) {
 		c.Close()
 		return
