Read the rest of a refused request before its connection is closed

Callers saw: a request with "Connection: close" that is refused before its body has been read (no configuration, too many open, stopping, overloaded, unknown path or key) got a connection reset while it was still sending.

Cause: net/http reads the rest of a body after the response, or lingers, except when the request itself asks for the connection to be closed; it then closes the socket with unread bytes, which resets it. Class: a close that destroys what was sent before it.

The rest is now read, up to 256 KB and half a second, on both client interfaces and on the operators'.

--- /dev/null
+++ b/internal/closing/closing.go
@@ -0,0 +1,35 @@
+// Package closing ends HTTP/1.1 connections without destroying the last response.
+package closing
+
+import (
+	"io"
+	"net/http"
+	"time"
+)
+
+const (
+	// maxRestBytes limits how much of a request body is read after the response, as
+	// net/http does on connections that are kept.
+	maxRestBytes = 256 << 10
+	// maxRestTime limits how long the rest of a body is waited for.
+	maxRestTime = 500 * time.Millisecond
+)
+
+// ReadRest returns a handler that reads the rest of the body of a request with
+// "Connection: close" after next has responded. net/http closes the connection with
+// these bytes unread, which resets it: a client that is still sending fails before it
+// reads the response.
+func ReadRest(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r)
+		if !r.Close || r.Body == nil || r.Body == http.NoBody {
+			return
+		}
+		control := http.NewResponseController(w)
+		if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(maxRestTime)) != nil {
+			return
+		}
+		// An error means that the client has closed the connection or is too slow.
+		_, _ = io.CopyN(io.Discard, r.Body, maxRestBytes)
+	})
+}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bufio"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -8,11 +9,14 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
+	"fmt"
+	"io"
 	"math/big"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -107,6 +111,28 @@
 		Expect(w.serve(context.Background(), reusable(l))).To(MatchError(suture.ErrDoNotRestart))
 	})
 
+	It("does not reset the connection of a client that still sends when it is refused", func() {
+		w := newWebServer("test", plain, http.NotFoundHandler())
+		l := listenLoopback()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go w.serve(ctx, reusable(l))
+		client, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer client.Close()
+		half := strings.Repeat("x", 32<<10)
+		_, err = fmt.Fprintf(client, "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", 2*len(half), half)
+		Expect(err).NotTo(HaveOccurred())
+		r := bufio.NewReader(client)
+		resp, err := http.ReadResponse(r, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusNotFound))
+		_, err = io.WriteString(client, half)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, r)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("stops when its context is canceled and can be started again", func() {
 		w := newWebServer("test", plain, http.NotFoundHandler())
 		l := listenLoopback()
--- a/internal/daemon/web.go
+++ b/internal/daemon/web.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/cyclamenwinch/cyclamenwinch/internal/closing"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/settings"
 )
 
@@ -70,7 +71,7 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	w.server = &http.Server{
-		Handler:           w.handler,
+		Handler:           closing.ReadRest(w.handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/cyclamenwinch/cyclamenwinch/internal/closing"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/overload"
 )
@@ -63,7 +64,7 @@
 			return nil, errors.Wrap(err, "listen for "+l.name)
 		}
 		out = append(out, webServer{name: l.name, listener: listener, server: &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Handler: closing.ReadRest(l.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: log.New(errorLogWriter{e.log, l.name}, "", 0),
 		}})
 	}
