Count the wait of a stream that goes on from its newest event

Cause: the dispatcher bounds a wait by the time by which the client needs an event, counted from the arrival of the request also when the stream had begun long ago. That time had passed, so nothing could wait. Class: a deadline of one phase applied to the next.

A stream that goes on now counts as waiting since its newest event, which is how its client counts. Seen failing before: the new spec ended with "unexpected EOF" after 2.4 s.

--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -22,12 +22,12 @@
 	Parts              []PromptPart // shared parts, then one that only this request has; empty: not a model request
 	PromptTokens       int          // in all parts together
 	OutputTokens       int          // expected tokens in the response
-	Arrived            time.Time
-	Objective          time.Time // a first event by then meets the latency objective in full
-	FirstEventDeadline time.Time // the caller gives up if there is no event by then
-	Deadline           time.Time // the response is of no use after it
-	ExcludedEndpoints  []string  // IDs of endpoints that must not receive the request again
-	Retry              bool      // an endpoint may have received it before; its cost is already charged
+	Arrived            time.Time    // the caller has been waiting for an event since then
+	Objective          time.Time    // a first event by then meets the latency objective in full
+	FirstEventDeadline time.Time    // the caller gives up if there is no event by then
+	Deadline           time.Time    // the response is of no use after it
+	ExcludedEndpoints  []string     // IDs of endpoints that must not receive the request again
+	Retry              bool         // an endpoint may have received it before; its cost is already charged
 }
 
 // cost returns what a request charges against its account's share: 1 for each
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -40,6 +40,7 @@
 	endpointFailure *bufferedResponse // error response of an endpoint, delivered unless a retry succeeds
 	streamStarted   bool              // the head of a stream has been written
 	lastEventID     string            // of the last event forwarded
+	lastEventAt     time.Time         // when it was forwarded
 	eventCount      int               // stream events forwarded
 	attempts        []string          // one entry per attempt, for the log
 	lastTicket      *dispatch.Ticket  // of the latest decision
@@ -91,15 +92,25 @@
 	if output <= 0 && x.meta.PromptTokens > 0 {
 		output = min(x.meta.MaxOutput, defaultOutputTokens)
 	}
+	since := x.waitingSince()
 	return dispatch.Request{
 		ID: x.meta.ID, Account: x.account, Service: x.service, Priority: x.priority,
 		Parts: x.meta.Parts, PromptTokens: x.meta.PromptTokens, OutputTokens: output,
-		Arrived: x.arrived, Objective: x.arrived.Add(objective), FirstEventDeadline: x.firstEventDeadline(objective), Deadline: x.deadline,
+		Arrived: since, Objective: since.Add(objective), FirstEventDeadline: x.firstEventDeadline(since, objective), Deadline: x.deadline,
 		ExcludedEndpoints: x.triedEndpoints, Retry: x.sends > 0,
 	}
 }
 
-// A client abandons a stream without a first event after the longest of:
+// waitingSince returns the time since which the client has been waiting: for the
+// response or, once a stream has begun, for its next event.
+func (x *exchange) waitingSince() time.Time {
+	if x.streamStarted {
+		return x.lastEventAt
+	}
+	return x.arrived
+}
+
+// A client abandons a stream if it has waited for an event for the longest of:
 // minAbandonTime, abandonObjectives times the objective of the route, and
 // abandonGaps times its target for the time between two events.
 const (
@@ -108,12 +119,13 @@
 	abandonGaps       = 8
 )
 
-// firstEventDeadline returns the time by which the client needs the first event.
-func (x *exchange) firstEventDeadline(objective time.Duration) time.Time {
+// firstEventDeadline returns the time by which a client that has been waiting since a
+// time needs the next event.
+func (x *exchange) firstEventDeadline(since time.Time, objective time.Duration) time.Time {
 	if x.route.Kind != topology.Stream {
 		return x.deadline
 	}
-	deadline := x.arrived.Add(max(minAbandonTime, abandonObjectives*objective, abandonGaps*x.route.MaxEventGap))
+	deadline := since.Add(max(minAbandonTime, abandonObjectives*objective, abandonGaps*x.route.MaxEventGap))
 	if deadline.After(x.deadline) {
 		return x.deadline
 	}
--- a/internal/relay/relay_suite_test.go
+++ b/internal/relay/relay_suite_test.go
@@ -82,12 +82,13 @@
 
 // reply is what a fakeEndpoint writes. close ends the connection afterwards; hang
 // keeps it open, without writing more, until the router closes it. repeat is
-// written again and again, each time after pause, until the router closes it. rest is
-// written once, after pause.
+// written again and again, each time after pause, until the router closes it or, if
+// times is set, that often. rest is written once, after pause.
 type reply struct {
 	raw         string
 	close, hang bool
 	repeat      string
+	times       int
 	rest        string
 	pause       time.Duration
 }
@@ -130,7 +131,7 @@
 			time.Sleep(rep.pause)
 			io.WriteString(c, rep.rest)
 		}
-		for rep.repeat != "" {
+		for i := 0; rep.repeat != "" && (rep.times == 0 || i < rep.times); i++ {
 			if _, err := io.WriteString(c, rep.repeat); err != nil {
 				f.disconnected <- req.Header.Get("Test-Id")
 				return
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -70,3 +71,60 @@
 		Expect(len(f.requests()) + len(g.requests())).To(Equal(2))
 	})
 })
+
+var _ = Describe("A long stream whose endpoint breaks off while all others are full", func() {
+	It("waits for a place as long as its client waits for the next event", func() {
+		const lasts, gap = 2400 * time.Millisecond, 200 * time.Millisecond // longer than clients wait for a first event
+		release := make(chan struct{})
+		var g *fakeEndpoint
+		f := newFakeEndpoint(func(_ int, s receivedRequest) reply {
+			Eventually(func() int { return len(g.requests()) }).WithTimeout(20 * time.Second).Should(Equal(2))
+			return reply{raw: streamHead(s) + chunk(event(1)), repeat: chunk(": \n\n"), times: int(lasts / gap), pause: gap, close: true}
+		})
+		g = newFakeEndpoint(func(_ int, s receivedRequest) reply {
+			if s.header.Get("Test-Resume") == "" {
+				<-release
+			}
+			return reply{raw: streamHead(s) + chunk(event(2)) + "0\r\n\r\n"}
+		})
+		route := resumable
+		route.Timeout = 30 * time.Second
+		server, _, dispatcher := newServerWithDispatcher(relay.Options{}, route, f)
+		var clients sync.WaitGroup
+		defer clients.Wait()
+		var body string
+		var err error
+		ended := make(chan struct{})
+		clients.Go(func() {
+			defer GinkgoRecover()
+			defer close(ended)
+			_, body, err = send(server, "POST", "/p/", "x")
+		})
+		Eventually(f.requests).WithTimeout(20 * time.Second).Should(HaveLen(1))
+		dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
+			both := declared(f, g)
+			both[0].Draining, both[1].Slots = true, 1
+			d.SetEndpoints(now, both)
+		})
+		for range 2 { // as many as fit
+			clients.Go(func() {
+				defer GinkgoRecover()
+				send(server, "POST", "/p/", "y", "Test-Id", "filler")
+			})
+		}
+		Eventually(func() (n int) {
+			select {
+			case <-ended:
+				return -1
+			default:
+			}
+			dispatcher.Update(func(_ time.Time, d *dispatch.Dispatcher) { n = d.QueueLength() })
+			return n
+		}).WithTimeout(20 * time.Second).WithPolling(time.Millisecond).ShouldNot(BeZero())
+		close(release)
+		Eventually(ended).WithTimeout(20 * time.Second).Should(BeClosed())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(HavePrefix(event(1)))
+		Expect(body).To(HaveSuffix(event(2)))
+	})
+})
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -122,7 +122,7 @@
 	header.Del("Content-Length")
 	copyHeader(x.w.Header(), header)
 	x.w.WriteHeader(resp.StatusCode)
-	x.streamStarted = true
+	x.streamStarted, x.lastEventAt = true, time.Now()
 }
 
 // forwardEvents writes complete events to the client. last is the ID of the
@@ -137,6 +137,7 @@
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return false
 	}
+	x.lastEventAt = time.Now()
 	if last != "" {
 		x.lastEventID = last
 	}
