Count a silent endpoint as failing before its requests end

Since silent attempts are kept, an endpoint that has stopped responding counted as failing only when a retry was secured, and not at all when its requests were canceled. New requests went on to it. Silence is now recorded when it is noticed, once for each request, as a failed attempt is. Seen failing without it: the request after the silence went to the silent endpoint.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -294,6 +294,24 @@
 	}
 }
 
+// RecordSilence records that the endpoint has sent nothing for too long, before it is
+// known how the request ends.
+func (d *Dispatcher) RecordSilence(now time.Time, t *Ticket) {
+	if t.State == Granted && t.endpoint != nil {
+		d.recordTrouble(now, t)
+	}
+}
+
+// recordTrouble counts a failure of the endpoint, once for each ticket.
+func (d *Dispatcher) recordTrouble(now time.Time, t *Ticket) {
+	if t.troubled {
+		return
+	}
+	t.troubled = true
+	t.endpoint.recordFailure(now)
+	d.service(t.Request.Service).errors.record(now, true)
+}
+
 // Finish ends a granted ticket and updates what is known of its endpoint.
 func (d *Dispatcher) Finish(now time.Time, t *Ticket, outcome Outcome) {
 	if t.State != Granted {
@@ -311,8 +329,7 @@
 		ep.recordSuccess(now)
 		s.errors.record(now, false)
 	case Failed, Interrupted:
-		ep.recordFailure(now)
-		s.errors.record(now, true)
+		d.recordTrouble(now, t)
 	case Unreachable:
 		d.pauseUnreachable(now, ep)
 		d.markCold(ep, now, d.coldDuration(ep)+ep.pausedUntil.Sub(now))
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -99,6 +99,7 @@
 	Blocked BlockedEndpoints // at the last attempt to place it
 
 	endpoint            *endpointState
+	troubled            bool          // counted as a failure of the endpoint
 	unreadTokens        int           // tokens counted as not yet prefilled
 	accountUsage        float64       // recent usage of the account at the last sort of the queue
 	fastestFirstEvent   time.Duration // predicted for the best endpoint at the last attempt to place it
--- a/internal/relay/dispatcher.go
+++ b/internal/relay/dispatcher.go
@@ -113,6 +113,13 @@
 	d.dispatcher.RecordBegun(time.Now(), t)
 }
 
+// RecordSilence records that the endpoint has sent nothing for too long.
+func (d *SharedDispatcher) RecordSilence(t *dispatch.Ticket) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dispatcher.RecordSilence(time.Now(), t)
+}
+
 // RecordTokens records how long a stream took to produce a number of tokens.
 func (d *SharedDispatcher) RecordTokens(t *dispatch.Ticket, tokens int, took time.Duration) {
 	d.mu.Lock()
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -53,6 +53,9 @@
 		return false
 	}
 	dispatcher, s := x.h.opts.Dispatcher, &x.standby
+	if x.h.timesEndpoints() {
+		dispatcher.RecordSilence(t)
+	}
 	if s.queued == nil {
 		if !dispatcher.RetryAllowed(x.service) {
 			return false
