Do not wait for a body that the client may not send

A client that sent Expect gets its refusal before it decides whether to send the body; waiting for the rest would only keep its connection open for half a second.

--- a/internal/closing/closing.go
+++ b/internal/closing/closing.go
@@ -22,8 +22,8 @@
 func ReadRest(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		next.ServeHTTP(w, r)
-		if !r.Close || r.Body == nil || r.Body == http.NoBody {
-			return
+		if !r.Close || r.Body == nil || r.Body == http.NoBody || r.Header.Get("Expect") != "" {
+			return // nothing is to be read, or the client may not send it
 		}
 		control := http.NewResponseController(w)
 		if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(maxRestTime)) != nil {
