Refuse a request whose body is malformed instead of dropping its connection

Callers saw: a request with a malformed chunk ended with a closed connection, neither answered nor refused, and counted as a client that left.

Cause: every error of reading a body was taken for the client's disconnect. Seen failing before: "unexpected EOF" in place of the response.

--- /dev/null
+++ b/internal/relay/body_test.go
@@ -0,0 +1,29 @@
+package relay_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("A request body that can't be read", func() {
+	It("is refused rather than left without a response", func() {
+		f := newFakeEndpoint(func(_ int, s receivedRequest) reply { return reply{raw: response(s, 200, "")} })
+		server, _ := newServer(atMostOnce, f)
+		client, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer client.Close()
+		_, err = fmt.Fprintf(client, "POST /p/ HTTP/1.1\r\nHost: 127.0.0.1\r\nTest-Id: id\r\nTest-Key: key\r\nTransfer-Encoding: chunked\r\n\r\nnot a chunk\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusBadRequest))
+		Expect(resp.Close).To(BeTrue())
+		Expect(f.requests()).To(BeEmpty())
+	})
+})
--- a/internal/relay/prepare.go
+++ b/internal/relay/prepare.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -85,6 +86,9 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return code.Refuse(code.BodyTooLarge, "")
+	case err != nil && x.r.Context().Err() == nil && !isConnError(err):
+		x.w.Header().Set("Connection", "close") // where the next request begins is unknown
+		return code.Refuse(code.BadRequest, err.Error())
 	case err != nil:
 		return code.Refuse(code.CallerLeft, "the request body is incomplete")
 	}
@@ -92,6 +96,12 @@
 	return nil
 }
 
+// isConnError reports whether reading from a client failed with its connection.
+func isConnError(err error) bool {
+	var network net.Error
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.As(err, &network)
+}
+
 // readAll reads a body. If its length is known and within the limit, it
 // allocates the buffer only once.
 func readAll(r io.Reader, length, limit int64) ([]byte, error) {
