Connect to the next endpoint before a silent attempt is given up

A granted place is worth nothing if its endpoint refuses the connection: the silent attempt was closed by then, and the stream was cut unless a third endpoint had room at once. The connection is now opened, and the retry taken from the budget, before the silent attempt is closed.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -64,16 +64,12 @@
 	if x.clientDisconnected() {
 		return failedAttempt(dispatch.Canceled, false, code.CallerLeft, "the client closed its connection")
 	}
-	conn, err := x.h.opts.Pool.Get(ctx, t.Endpoint.Address, newConn)
-	if err != nil {
-		if ctx.Err() != nil {
-			return x.canceled(ctx, false)
-		}
-		outcome := dispatch.Unreachable
-		if isTimeout(err) && !x.h.timesEndpoints() {
-			outcome = dispatch.ConnectTimeout
+	conn := x.standby.takeConn()
+	if conn == nil {
+		var failure *attemptResult
+		if conn, failure = x.connect(ctx, t, newConn); failure != nil {
+			return *failure
 		}
-		return failedAttempt(outcome, false, code.Unreachable, "failed to connect to the endpoint")
 	}
 	if ctx.Err() != nil {
 		conn.Close()
@@ -112,6 +108,24 @@
 	return x.deliver(ctx, conn, resp, t)
 }
 
+// connect returns a connection to the endpoint of a ticket.
+func (x *exchange) connect(ctx context.Context, t *dispatch.Ticket, newConn bool) (*upstream.Conn, *attemptResult) {
+	conn, err := x.h.opts.Pool.Get(ctx, t.Endpoint.Address, newConn)
+	if err == nil {
+		return conn, nil
+	}
+	if ctx.Err() != nil {
+		r := x.canceled(ctx, false)
+		return nil, &r
+	}
+	outcome := dispatch.Unreachable
+	if isTimeout(err) && !x.h.timesEndpoints() {
+		outcome = dispatch.ConnectTimeout
+	}
+	r := failedAttempt(outcome, false, code.Unreachable, "failed to connect to the endpoint")
+	return nil, &r
+}
+
 // abort ends the connection of a canceled attempt: at once if the client has
 // disconnected, and after deadlineGrace at the deadline, since the endpoint may
 // be reporting the timeout itself.
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -56,6 +56,23 @@
 		Expect(len(f.requests()) + len(g.requests())).To(Equal(1))
 	})
 
+	It("is delivered if the other endpoint refuses connections", func() {
+		f, g := newFakeEndpoint(scripts(streamed)), newFakeEndpoint(scripts(streamed))
+		server, _, dispatcher := newServerWithDispatcher(relay.Options{}, resumable, f)
+		ended := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(ended)
+			_, body, err := send(server, "POST", "/p/", "x")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(event(1) + event(2)))
+		}()
+		Eventually(f.requests).Should(HaveLen(1))
+		g.listener.Close()
+		dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) { d.SetEndpoints(now, declared(f, g)) })
+		Eventually(ended).WithTimeout(20 * time.Second).Should(BeClosed())
+	})
+
 	It("is resumed by another endpoint that has room", func() {
 		script := func(_ int, s receivedRequest) reply {
 			if s.header.Get("Test-Resume") == "" {
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -21,11 +21,20 @@
 
 // standby is the place of a request at another endpoint while the endpoint that it was
 // sent to is silent. That one may be sound and go on, so the attempt there is given up
-// only for a place that is granted and a retry that the budget allows.
+// only for a place that is granted, a connection to it and a retry that the budget
+// allows.
 type standby struct {
 	queued  *dispatch.Ticket // waiting, or decided since the last check
 	decided <-chan struct{}  // closed once queued is decided
 	granted *dispatch.Ticket // with a retry taken from the budget
+	conn    *upstream.Conn   // to its endpoint
+}
+
+// takeConn returns the connection, or nil if there is none.
+func (s *standby) takeConn() *upstream.Conn {
+	conn := s.conn
+	s.conn = nil
+	return conn
 }
 
 // waitOn decides what follows when an endpoint has been silent until the read deadline
@@ -74,11 +83,17 @@
 	if decided.State != dispatch.Granted {
 		return false
 	}
+	conn, failure := x.connect(ctx, decided, true)
+	if failure != nil {
+		dispatcher.Finish(decided, failure.outcome)
+		return false
+	}
 	if !x.takeRetry() {
+		conn.Close()
 		dispatcher.Finish(decided, dispatch.Withdrawn)
 		return false
 	}
-	s.granted = decided
+	s.granted, s.conn = decided, conn
 	return true
 }
 
@@ -113,6 +128,9 @@
 
 // releaseStandby gives back a place that is not used.
 func (x *exchange) releaseStandby() {
+	if conn := x.standby.takeConn(); conn != nil {
+		conn.Close()
+	}
 	if t := x.takeStandby(); t != nil {
 		x.h.opts.Dispatcher.Finish(t, dispatch.Withdrawn)
 	}
