Log resets of connections in the class that refusals do not crowd out

In a play with a burst one router dropped 7,057 lines, most of them of refused requests. The line on resets comes at most once a second and belongs to the state of the router.

--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -69,7 +69,7 @@
 		}})
 	}
 	e.front.OnReset(func(count int, waited time.Duration) {
-		e.log.Log(oplog.Failure, "connections.reset", slog.Int("count", count), slog.Duration("waited", waited))
+		e.log.Log(oplog.StateChange, "connections.reset", slog.Int("count", count), slog.Duration("waited", waited))
 	})
 	out[0].server.ConnState, out[0].server.ConnContext = e.relay.ConnState, e.relay.ConnContext
 	return out, nil
