--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -68,8 +68,8 @@
 			ErrorLog: log.New(errorLogWriter{e.log, l.name}, "", 0),
 		}})
 	}
-	e.front.OnReset(func(count int, waited time.Duration) {
-		e.log.Log(oplog.StateChange, "connections.reset", slog.Int("count", count), slog.Duration("waited", waited))
+	e.front.OnReset(func(r overload.Resets) {
+		e.log.Log(oplog.StateChange, "connections.reset", slog.Int("count", r.Count), slog.Duration("waited", r.Waited), slog.Duration("gap", r.Gap))
 	})
 	out[0].server.ConnState, out[0].server.ConnContext = e.relay.ConnState, e.relay.ConnContext
 	return out, nil
--- a/internal/overload/listener.go
+++ b/internal/overload/listener.go
@@ -55,6 +55,7 @@
 
 	acceptedAt time.Time // last time that Accept returned a connection; used by Accept only
 	pressure   pressure
+	lookedAt   time.Time   // end of the last look for new connections; used by Accept only
 	report     resetReport // used by Accept only
 }
 
@@ -78,6 +79,7 @@
 		if err != nil {
 			return nil, err
 		}
+		l.lookedAt = l.now()
 		if !l.overloaded() {
 			l.unread.Add(1)
 			l.count(1, 0)
@@ -119,6 +121,7 @@
 // false if the listener is closed.
 func (l *Listener) resetWaiting() bool {
 	n := 0
+	gap := l.now().Sub(l.lookedAt)
 	err := l.raw.Control(func(fd uintptr) {
 		for n < maxResets && l.overloaded() {
 			c, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
@@ -132,27 +135,36 @@
 		}
 	})
 	l.count(0, n)
-	l.report.send(l.now())
+	l.lookedAt = l.now()
+	if n > 0 {
+		l.report.sum.Gap = max(l.report.sum.Gap, gap)
+	}
+	l.report.send(l.lookedAt)
 	return err == nil
 }
 
-// OnReset sets a function that is called at most once a second with the number of
-// connections that were reset and the longest time for which a request on one of them
-// had waited. It is to be called before Accept.
-func (l *Listener) OnReset(report func(count int, waited time.Duration)) { l.report.to = report }
+// OnReset sets a function that is called at most once a second with the resets since.
+// It is to be called before Accept.
+func (l *Listener) OnReset(report func(Resets)) { l.report.to = report }
+
+// Resets sums up connections that were reset.
+type Resets struct {
+	Count  int
+	Waited time.Duration // the longest that the last bytes of one had been unread, by the kernel's clock
+	Gap    time.Duration // the longest between two looks for new connections
+}
 
 // resetReport sums up resets for the log.
 type resetReport struct {
-	to     func(count int, waited time.Duration) // nil: none
+	to     func(Resets) // nil: none
 	sentAt time.Time
-	count  int
-	waited time.Duration // the longest
+	sum    Resets
 }
 
 // add adds the reset of a connection whose last bytes had been unread for a time.
 func (r *resetReport) add(unread time.Duration) {
-	r.count++
-	r.waited = max(r.waited, unread)
+	r.sum.Count++
+	r.sum.Waited = max(r.sum.Waited, unread)
 	if unread >= longWait {
 		lateResets.Inc()
 	}
@@ -162,11 +174,11 @@
 const reportInterval = time.Second
 
 func (r *resetReport) send(now time.Time) {
-	if r.to == nil || r.count == 0 || now.Sub(r.sentAt) < reportInterval {
+	if r.to == nil || r.sum.Count == 0 || now.Sub(r.sentAt) < reportInterval {
 		return
 	}
-	r.to(r.count, r.waited)
-	r.sentAt, r.count, r.waited = now, 0, 0
+	r.to(r.sum)
+	r.sentAt, r.sum = now, Resets{}
 }
 
 // unreadFor returns how long the last bytes of a socket have been unread, or 0 if
--- a/internal/overload/listener_test.go
+++ b/internal/overload/listener_test.go
@@ -158,3 +158,38 @@
 		t.Error("a connection was reset although all others had been read from")
 	}
 }
+
+// TestResetsAreReportedWithTheWaitOfTheirRequests guards against requests that wait
+// long and are then reset without a trace.
+func TestResetsAreReportedWithTheWaitOfTheirRequests(t *testing.T) {
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := NewListener(tcp, func() time.Duration { return maxAcceptLag + 1 })
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.acceptedAt = time.Now()
+	l.now = func() time.Time { return l.acceptedAt }
+	defer l.Close()
+	reported := make(chan Resets, 1)
+	l.OnReset(func(r Resets) { reported <- r })
+	c, err := net.Dial("tcp", tcp.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	before := lateResets.Get()
+	time.Sleep(longWait + 50*time.Millisecond)
+	l.resetWaiting()
+	if r := <-reported; r.Count != 1 || r.Waited < longWait {
+		t.Errorf("reported %+v, want one reset after %v", r, longWait)
+	}
+	if n := lateResets.Get() - before; n != 1 {
+		t.Errorf("counted %d late resets, want 1", n)
+	}
+}
