Log the last resets of a listener when it is closed

Resets are reported at most once a second, so those of the last second before a stop were in no line. The sum that is left is now logged when the listener is closed. No change of what is decided.

--- a/internal/overload/listener.go
+++ b/internal/overload/listener.go
@@ -77,6 +77,7 @@
 		}
 		c, err := l.AcceptTCP()
 		if err != nil {
+			l.report.flush(l.now())
 			return nil, err
 		}
 		l.lookedAt = l.now()
@@ -174,7 +175,13 @@
 const reportInterval = time.Second
 
 func (r *resetReport) send(now time.Time) {
-	if r.to == nil || r.sum.Count == 0 || now.Sub(r.sentAt) < reportInterval {
+	if now.Sub(r.sentAt) >= reportInterval {
+		r.flush(now)
+	}
+}
+
+func (r *resetReport) flush(now time.Time) {
+	if r.to == nil || r.sum.Count == 0 {
 		return
 	}
 	r.to(r.sum)
