Stand-in of the store: restoration from an older copy

The platform's store may come back from a copy some seconds old. Copy takes the state with its revision and history, Restore puts it back: revisions are given out again, a watch that waits ends, with 410 if the store lacks its revision, and so does a watch from a revision above the newest. All responses name the era in Store-Era: 1 at first, one more after each restoration; OmitEra leaves it out, as stores without eras do.

The state that a copy holds is a type of its own, so that nothing of it is forgotten.

--- a/standin/prepared/store.go
+++ b/standin/prepared/store.go
@@ -50,19 +50,18 @@
 
 // Store is a stand-in for the platform's store. It is safe for concurrent use.
 type Store struct {
-	mu        sync.Mutex
-	revision  int64
-	objects   map[string]map[string]object // by kind, then name
-	history   []event
-	compacted int64 // revision up to which the history has been compacted
-	faults    Faults
-	changed   chan struct{} // closed and replaced at each change
-	calls     int           // calls received
+	mu sync.Mutex
+	state
+	era     int64 // 1 at first, one more after each Restore
+	omitEra bool
+	faults  Faults
+	changed chan struct{} // closed and replaced at each change
+	calls   int           // calls received
 }
 
-// NewStore returns an empty store.
+// NewStore returns an empty store of era 1.
 func NewStore() *Store {
-	return &Store{revision: 100, objects: map[string]map[string]object{}, changed: make(chan struct{})}
+	return &Store{state: state{revision: 100, objects: map[string]map[string]object{}}, era: 1, changed: make(chan struct{})}
 }
 
 // SetFaults replaces the injected faults.
@@ -145,39 +144,51 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	faults := s.faults
+	faults, era := s.faults, s.era
 	s.mu.Unlock()
 	switch {
 	case faults.Silent:
 		<-r.Context().Done()
 		return
 	case faults.Down:
-		w.WriteHeader(http.StatusServiceUnavailable)
+		s.refuse(w, http.StatusServiceUnavailable)
 		return
 	}
 	time.Sleep(faults.Delay)
 	path, ok := strings.CutPrefix(r.URL.Path, "/v1/objects/")
 	if !ok {
-		w.WriteHeader(http.StatusNotFound)
+		s.refuse(w, http.StatusNotFound)
 		return
 	}
 	kind, name, _ := strings.Cut(path, "/")
 	query := r.URL.Query()
 	switch {
 	case r.Method == http.MethodGet && query.Has("watch"):
-		s.watch(w, r, kind)
+		s.watch(w, r, kind, era)
 	case r.Method == http.MethodGet:
 		s.list(w, kind, query.Get("after"))
 	default:
-		status, body := s.write(r, kind, name)
+		status, body, era := s.write(r, kind, name)
 		if faults.LoseResponse {
 			panic(http.ErrAbortHandler)
 		}
-		reply(w, status, body)
+		reply(w, era, status, body)
 	}
 }
 
-func reply(w http.ResponseWriter, status int, body any) {
+// refuse sends a response that does not depend on the state.
+func (s *Store) refuse(w http.ResponseWriter, status int) {
+	s.mu.Lock()
+	era := s.eraHeader()
+	s.mu.Unlock()
+	reply(w, era, status, nil)
+}
+
+// reply sends a response. era is the header of the state that it was made from.
+func reply(w http.ResponseWriter, era string, status int, body any) {
+	if era != "" {
+		w.Header().Set("Store-Era", era)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if body != nil {
@@ -199,57 +210,79 @@
 	for _, name := range names[:min(len(names), pageSize)] {
 		items = append(items, s.objects[kind][name])
 	}
-	revision := s.revision
+	revision, era := s.revision, s.eraHeader()
 	s.mu.Unlock()
-	reply(w, http.StatusOK, map[string]any{"items": items, "has-more": more, "current-rev": revision})
+	reply(w, era, http.StatusOK, map[string]any{"items": items, "has-more": more, "current-rev": revision})
 }
 
-func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+// watch handles a watch that was received in the given era.
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string, era int64) {
 	since, err := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
 	wait, err2 := strconv.Atoi(r.URL.Query().Get("wait-ms"))
 	if err != nil || err2 != nil {
-		w.WriteHeader(http.StatusBadRequest)
+		s.refuse(w, http.StatusBadRequest)
 		return
 	}
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
-		s.mu.Lock()
-		events, expired, revision, changed := []event{}, since < s.compacted, s.revision, s.changed
-		for _, e := range s.history {
-			if e.kind == kind && e.revision > since {
-				events = append(events, e)
-			}
-		}
-		s.mu.Unlock()
-		if expired {
-			w.WriteHeader(http.StatusGone)
+		c := s.changesSince(kind, since)
+		switch {
+		case c.gone:
+			reply(w, c.eraHeader, http.StatusGone, nil)
 			return
+		case c.era != era:
+			panic(http.ErrAbortHandler)
 		}
-		if len(events) == 0 {
+		if len(c.events) == 0 {
 			select {
-			case <-changed:
+			case <-c.changed:
 				continue
 			case <-r.Context().Done():
 				return
 			case <-timeout:
 			}
 		}
-		reply(w, http.StatusOK, map[string]any{"events": events, "current-rev": revision})
+		reply(w, c.eraHeader, http.StatusOK, map[string]any{"events": c.events, "current-rev": c.revision})
 		return
 	}
 }
 
-// write executes a create, update or delete call and returns the status and the
-// body of the response.
-func (s *Store) write(r *http.Request, kind, name string) (int, any) {
+// changes are the events of one kind after a revision.
+type changes struct {
+	events    []event
+	gone      bool // the store does not have the history after the revision
+	revision  int64
+	era       int64
+	eraHeader string
+	changed   chan struct{}
+}
+
+func (s *Store) changesSince(kind string, since int64) changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := changes{events: []event{}, gone: since < s.compacted || since > s.revision, revision: s.revision, era: s.era, eraHeader: s.eraHeader(), changed: s.changed}
+	for _, e := range s.history {
+		if e.kind == kind && e.revision > since {
+			c.events = append(c.events, e)
+		}
+	}
+	return c
+}
+
+// write executes a create, update or delete call and returns the status, the
+// body and the era of the response.
+func (s *Store) write(r *http.Request, kind, name string) (status int, body any, era string) {
 	var o object
+	var invalid error
 	if r.Method != http.MethodDelete {
-		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-			return http.StatusBadRequest, nil
-		}
+		invalid = json.NewDecoder(r.Body).Decode(&o)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	era = s.eraHeader()
+	if invalid != nil {
+		return http.StatusBadRequest, nil, era
+	}
 	if r.Method == http.MethodPost {
 		name = o.Metadata.Name
 	}
@@ -260,14 +293,14 @@
 	}
 	switch {
 	case r.Method == http.MethodPost && exists:
-		return http.StatusConflict, old
+		return http.StatusConflict, old, era
 	case r.Method != http.MethodPost && !exists:
-		return http.StatusNotFound, nil
+		return http.StatusNotFound, nil, era
 	case expected != 0 && exists && expected != old.Metadata.Revision:
-		return http.StatusConflict, old
+		return http.StatusConflict, old, era
 	case r.Method == http.MethodDelete:
 		s.remove(kind, name)
-		return http.StatusOK, old
+		return http.StatusOK, old, era
 	}
-	return http.StatusOK, s.put(kind, name, o.Spec)
+	return http.StatusOK, s.put(kind, name, o.Spec), era
 }
