--- a/standin/prepared/store.go
+++ b/standin/prepared/store.go
@@ -4,6 +4,7 @@
 package prepared
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -78,7 +79,8 @@
 	return s.calls
 }
 
-// Put creates or replaces an object, as the operator and the runners do.
+// Put creates or replaces an object, as the operator and the runners do. The
+// revision stays if that changes nothing.
 func (s *Store) Put(kind, name string, spec any) {
 	data, err := json.Marshal(spec)
 	if err != nil {
@@ -93,8 +95,11 @@
 	if s.objects[kind] == nil {
 		s.objects[kind] = map[string]object{}
 	}
-	s.revision++
 	o := s.objects[kind][name]
+	if o.Metadata.Name != "" && bytes.Equal(o.Spec, spec) {
+		return o
+	}
+	s.revision++
 	if o.Metadata.Name == "" {
 		o.Metadata = meta{Name: name, Created: s.revision, Finalizers: []string{}}
 	}
--- a/standin/prepared/store_suite_test.go
+++ b/standin/prepared/store_suite_test.go
@@ -141,6 +141,17 @@
 		})
 	})
 
+	It("has a new revision only if a write changes something", func() {
+		store.Put("things", "one", 1)
+		before := list("things").CurrentRev
+		store.Put("things", "one", 1)
+		Expect(call("PUT", "things/one", `{"spec":1}`).Status).To(Equal(http.StatusOK))
+		Expect(list("things").CurrentRev).To(Equal(before))
+		Expect(watch("things", before, 0).names()).To(BeEmpty())
+		store.Put("things", "one", 2)
+		Expect(list("things").CurrentRev).To(Equal(before + 1))
+	})
+
 	It("names its era in all responses", func() {
 		store.Put("things", "one", 1)
 		older := store.Copy()
