--- a/test/prepared/harness_test.go
+++ b/test/prepared/harness_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -160,7 +161,9 @@
 	*prepared.Runner
 	store   *prepared.Store
 	address string
-	record  map[string]any
+
+	mu     sync.Mutex // guards the writes of record to the store
+	record map[string]any
 }
 
 func newRunner(store *prepared.Store, id, service, zone string) *runner {
@@ -168,12 +171,43 @@
 	server := httptest.NewServer(r.Runner)
 	DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
 	r.address = strings.TrimPrefix(server.URL, "http://")
-	r.record = map[string]any{"service": service, "address": r.address, "zone": zone, "version": "v1", "sequence": 1, "slots": 8, "state": "ready", "cold-remaining-ms": 0, "born": 1}
+	r.record = map[string]any{"service": service, "address": r.address, "zone": zone, "version": "v1", "sequence": 0, "slots": 8, "state": "ready", "cold-remaining-ms": 0, "born": 1}
 	r.publish()
 	return r
 }
 
-func (r *runner) publish() { r.store.Put("servers", r.ID, r.record) }
+// publish writes the record, with the next sequence number.
+func (r *runner) publish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record["sequence"] = r.record["sequence"].(int) + 1
+	r.store.Put("servers", r.ID, r.record)
+}
+
+// objectRevisions returns the revisions of all objects of a kind in the store, by
+// name.
+func objectRevisions(store *prepared.Store, kind string) map[string]int64 {
+	out := map[string]int64{}
+	for after, more := "", true; more; {
+		response := httptest.NewRecorder()
+		store.ServeHTTP(response, httptest.NewRequest("GET", "/v1/objects/"+kind+"?after="+after, nil))
+		var page struct {
+			Items []struct {
+				Metadata struct {
+					Name     string `json:"name"`
+					Revision int64  `json:"revision"`
+				} `json:"metadata"`
+			} `json:"items"`
+			HasMore bool `json:"has-more"`
+		}
+		Expect(json.Unmarshal(response.Body.Bytes(), &page)).To(Succeed())
+		for _, o := range page.Items {
+			after, out[o.Metadata.Name] = o.Metadata.Name, o.Metadata.Revision
+		}
+		more = page.HasMore
+	}
+	return out
+}
 
 // call sends a request as a client does. An error means that there was no
 // response or that its body was interrupted.
