Proxy of the tests: hold back all data for a while

Pause and Resume make an endpoint silent without loss, as one that is stopped for a moment: connections stay, and what was sent meanwhile arrives late.

--- a/standin/netproxy/netproxy.go
+++ b/standin/netproxy/netproxy.go
@@ -20,6 +20,7 @@
 	disconnected   bool          // new connections are closed at once
 	dropClientData bool          // data from clients is discarded
 	stalled        chan struct{} // closed to stall the connections opened since the last Stall
+	paused         chan struct{} // nil: not paused; closed by Resume
 	conns          map[net.Conn]bool
 }
 
@@ -41,6 +42,7 @@
 func (p *Proxy) Close() {
 	p.listener.Close()
 	p.Disconnect()
+	p.Resume()
 }
 
 // Disconnect closes all connections, and new ones at once, until Restore.
@@ -82,6 +84,36 @@
 	p.stalled = make(chan struct{})
 }
 
+// Pause holds back all data, on open and new connections, until Resume. Nothing is
+// lost.
+func (p *Proxy) Pause() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paused == nil {
+		p.paused = make(chan struct{})
+	}
+}
+
+// Resume ends the effect of Pause.
+func (p *Proxy) Resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paused != nil {
+		close(p.paused)
+		p.paused = nil
+	}
+}
+
+// awaitResume returns at once unless the proxy is paused.
+func (p *Proxy) awaitResume() {
+	p.mu.Lock()
+	paused := p.paused
+	p.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+}
+
 // DropClientData discards what clients send, on open and new connections, until
 // Restore; responses still pass. A connection on which data was discarded never
 // forwards client data again.
@@ -140,6 +172,7 @@
 	for {
 		n, err := from.Read(buffer)
 		time.Sleep(time.Duration(p.delay.Load()))
+		p.awaitResume()
 		if p.discards(stalled, fromClient) {
 			io.Copy(io.Discard, from)
 			return
