--- a/test/prepared/soak_test.go
+++ b/test/prepared/soak_test.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -85,7 +83,7 @@
 	storeProxies    []*netproxy.Proxy // one between each router and the store
 	runners         []*runner
 	endpointProxies []*netproxy.Proxy // one between the routers and each runner
-	versions        atomic.Int64
+	operator        operator
 	faultLocks      []sync.Mutex // by router; allow one fault at a time
 	results         *soakResults
 }
@@ -107,6 +105,12 @@
 	n.violations = append(n.violations, fmt.Sprintf(format, args...))
 }
 
+func (n *soakResults) addFault(format string, args ...any) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.faults = append(n.faults, fmt.Sprintf(format, args...))
+}
+
 func newSoak(seed uint64) *soak {
 	s := &soak{store: prepared.NewStore(), results: &soakResults{refused: map[string]int{}}}
 	server := httptest.NewServer(s.store)
@@ -128,8 +132,8 @@
 		r.publish()
 		s.runners, s.endpointProxies = append(s.runners, r), append(s.endpointProxies, endpointProxy)
 	}
-	s.versions.Store(1)
-	s.store.Put("config", "main", config(1, []string{"key-1"}))
+	s.operator.store = s.store
+	s.operator.changeConfig()
 	peers := freePort()
 	count := intFromEnv("CYCLAMENWINCH_SOAK_ROUTERS", soakRouters)
 	s.faultLocks = make([]sync.Mutex, count)
@@ -158,97 +162,6 @@
 	Eventually(func() int { return len(r.session.Out.Contents()) }).Should(BeNumerically(">", 0), r.name+" prints its first line")
 }
 
-// fault is a kind of failure; run injects it and returns when it is over.
-type fault struct {
-	name string
-	run  func(rng *rand.Rand, duration time.Duration)
-}
-
-func (s *soak) faults() []fault {
-	atRouter := func(inject func(r *router, storeProxy *netproxy.Proxy, duration time.Duration)) func(*rand.Rand, time.Duration) {
-		return func(rng *rand.Rand, duration time.Duration) {
-			i := rng.IntN(len(s.routers))
-			s.faultLocks[i].Lock()
-			defer s.faultLocks[i].Unlock()
-			inject(s.routers[i], s.storeProxies[i], duration)
-		}
-	}
-	atEndpoint := func(inject func(r *runner, p *netproxy.Proxy, duration time.Duration)) func(*rand.Rand, time.Duration) {
-		return func(rng *rand.Rand, duration time.Duration) {
-			i := rng.IntN(len(s.endpointProxies))
-			inject(s.runners[i], s.endpointProxies[i], duration)
-		}
-	}
-	storeFault := func(f prepared.Faults) func(*rand.Rand, time.Duration) {
-		return func(_ *rand.Rand, duration time.Duration) {
-			s.store.SetFaults(f)
-			time.Sleep(duration)
-			s.store.SetFaults(prepared.Faults{})
-		}
-	}
-	return []fault{
-		{"router killed", atRouter(func(r *router, _ *netproxy.Proxy, duration time.Duration) {
-			r.session.Kill().Wait(hangTimeout)
-			time.Sleep(duration / 4)
-			r.start()
-		})},
-		{"router restarted gracefully", atRouter(func(r *router, _ *netproxy.Proxy, _ time.Duration) {
-			awaitFirstOutput(r)
-			r.session.Terminate().Wait(hangTimeout)
-			if r.session.ExitCode() != 0 {
-				s.results.addViolation("%s: exit code %d after SIGTERM", r.name, r.session.ExitCode())
-			}
-			r.start()
-		})},
-		{"router suspended", atRouter(func(r *router, _ *netproxy.Proxy, duration time.Duration) {
-			r.session.Signal(syscall.SIGSTOP)
-			time.Sleep(duration)
-			r.session.Signal(syscall.SIGCONT)
-		})},
-		{"settings reloaded", atRouter(func(r *router, _ *netproxy.Proxy, _ time.Duration) {
-			awaitFirstOutput(r)
-			r.session.Signal(syscall.SIGHUP)
-		})},
-		{"router disconnected from the store", atRouter(func(_ *router, storeProxy *netproxy.Proxy, duration time.Duration) {
-			storeProxy.Disconnect()
-			time.Sleep(duration)
-			storeProxy.Restore()
-		})},
-		{"router's calls to the store lost", atRouter(func(_ *router, storeProxy *netproxy.Proxy, duration time.Duration) {
-			storeProxy.DropClientData()
-			time.Sleep(duration)
-			storeProxy.Restore()
-		})},
-		{"router's connections to the store go silent", atRouter(func(_ *router, storeProxy *netproxy.Proxy, _ time.Duration) { storeProxy.Stall() })},
-		{"store down", storeFault(prepared.Faults{Down: true})},
-		{"store silent", storeFault(prepared.Faults{Silent: true})},
-		{"store slow", storeFault(prepared.Faults{Delay: 300 * time.Millisecond})},
-		{"store's responses lost", storeFault(prepared.Faults{LoseResponse: true})},
-		{"store's history dropped", func(*rand.Rand, time.Duration) { s.store.Compact() }},
-		{"endpoint's connections reset", atEndpoint(func(_ *runner, p *netproxy.Proxy, _ time.Duration) { p.CloseConns() })},
-		{"endpoint's connections go silent", atEndpoint(func(_ *runner, p *netproxy.Proxy, _ time.Duration) { p.Stall() })},
-		{"endpoint slow to reach", atEndpoint(func(_ *runner, p *netproxy.Proxy, duration time.Duration) {
-			p.SetDelay(50 * time.Millisecond)
-			time.Sleep(duration)
-			p.Restore()
-		})},
-		{"endpoint unreachable and back", atEndpoint(func(r *runner, p *netproxy.Proxy, duration time.Duration) {
-			p.Disconnect()
-			time.Sleep(duration)
-			p.Restore()
-		})},
-		{"stream interrupted inside an event", atEndpoint(func(r *runner, _ *netproxy.Proxy, _ time.Duration) { r.BreakNextStream(4) })},
-		{"configuration changed", func(*rand.Rand, time.Duration) {
-			s.store.Put("config", "main", config(int(s.versions.Add(1)), []string{"key-1"}))
-		}},
-		{"zone out and back", func(_ *rand.Rand, duration time.Duration) {
-			s.store.Put("evacuations", "b", map[string]any{})
-			time.Sleep(duration)
-			s.store.Delete("evacuations", "b")
-		}},
-	}
-}
-
 // client sends requests to the addresses that the routers list until stop is
 // closed.
 func (s *soak) client(n int, rng *rand.Rand, stop <-chan struct{}) {
@@ -345,22 +258,17 @@
 // run injects faults that overlap while clients send requests, waits until
 // every router serves again and checks the results.
 func (s *soak) run(seed uint64) {
-	rng := rand.New(rand.NewPCG(seed, 1))
 	stop := make(chan struct{})
 	var clients, faults sync.WaitGroup
 	for n := range soakClients {
 		clientRNG := rand.New(rand.NewPCG(seed, uint64(100+n)))
 		clients.Go(func() { defer GinkgoRecover(); s.client(n, clientRNG, stop) })
 	}
-	kinds := s.faults()
-	for i := range intFromEnv("CYCLAMENWINCH_SOAK_FAULTS", soakFaults) {
-		f := kinds[rng.IntN(len(kinds))]
-		duration := time.Duration(rng.Int64N(int64(maxFaultDuration)))
-		s.results.faults = append(s.results.faults, fmt.Sprintf("%s for %v", f.name, duration.Round(time.Millisecond)))
-		faultRNG := rand.New(rand.NewPCG(seed, uint64(1000+i)))
-		faults.Go(func() { defer GinkgoRecover(); f.run(faultRNG, duration) })
-		time.Sleep(time.Duration(rng.Int64N(int64(maxFaultInterval))))
-	}
+	count := intFromEnv("CYCLAMENWINCH_SOAK_FAULTS", soakFaults)
+	faults.Go(func() { defer GinkgoRecover(); s.inject(seed, 1, s.faults(), count, maxFaultInterval) })
+	// These kinds were added later. They are drawn apart, so that a seed still
+	// injects the same faults of the other kinds at the same times.
+	faults.Go(func() { defer GinkgoRecover(); s.inject(seed, 2, s.laterFaults(), count/4, 4*maxFaultInterval) })
 	faults.Wait()
 	close(stop)
 	clients.Wait()
@@ -368,8 +276,25 @@
 	s.checkResults()
 }
 
+// inject starts a number of faults of the given kinds at random intervals, and
+// returns when all are over. Different streams of a seed are independent.
+func (s *soak) inject(seed, stream uint64, kinds []fault, count int, maxInterval time.Duration) {
+	rng := rand.New(rand.NewPCG(seed, stream))
+	var faults sync.WaitGroup
+	for i := range count {
+		f := kinds[rng.IntN(len(kinds))]
+		duration := time.Duration(rng.Int64N(int64(maxFaultDuration)))
+		s.results.addFault("%s for %v", f.name, duration.Round(time.Millisecond))
+		faultRNG := rand.New(rand.NewPCG(seed, 1000*stream+uint64(i)))
+		faults.Go(func() { defer GinkgoRecover(); f.run(faultRNG, duration) })
+		time.Sleep(time.Duration(rng.Int64N(int64(maxInterval))))
+	}
+	faults.Wait()
+}
+
 // awaitRecovery ends the faults of the store and waits until every router
-// lists all routers and serves a request.
+// lists all routers, is registered and serves a request with a key that only the
+// newest configuration has.
 func (s *soak) awaitRecovery() {
 	s.store.SetFaults(prepared.Faults{})
 	for _, r := range s.routers {
@@ -378,9 +303,10 @@
 		Eventually(r.addresses).Should(HaveLen(len(s.routers)))
 		Eventually(func() string {
 			attempt := fmt.Sprint("last-", r.name, "-", time.Now().UnixNano())
-			_, body, _, _ := call(r.listenAddress("frontend"), "POST", "/chat/x", "key-1", attempt, "hello", chatHeaders...)
+			_, body, _, _ := call(r.listenAddress("frontend"), "POST", "/chat/x", s.operator.newestKey(), attempt, "hello", chatHeaders...)
 			return strings.ReplaceAll(body, attempt, "#")
-		}).Should(Equal(expectedStream("#", 6)))
+		}).Should(Equal(expectedStream("#", 6)), "%s has the newest configuration", r.name)
+		Eventually(func() map[string]int64 { return objectRevisions(s.store, "cyclamenwinch-routers") }).Should(HaveKey(r.name))
 	}
 }
 
