Let a response that begins after the deadline be written

Callers saw: a request whose body arrived more than half a second after its deadline was read whole, and its connection was closed without a response. The same would follow a suspension of the router of that length.

Cause: the write deadline is half a second after the request's deadline and held for a refusal that begins later, too; the write failed at once. Class: a deadline of one phase applied to the next. A response that begins after the deadline now gets the half second from its beginning. Seen failing before: "unexpected EOF" in place of the 503.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -33,7 +32,7 @@
 	// Options.Lag.
 	overloadRetryAfter = 300 * time.Millisecond
 	// writeGrace is how long after the request's deadline the rest of a
-	// response may still be written.
+	// response may still be written, and for how long one that begins later.
 	writeGrace = 500 * time.Millisecond
 	// defaultMaxBodyBytes limits request bodies if the configuration sets no
 	// limit.
@@ -143,10 +142,6 @@
 	}
 	ctx, cancel := context.WithDeadline(clientCtx, x.deadline)
 	defer cancel()
-	// Keeps a client that does not read from holding the request open past
-	// its deadline.
-	if err := http.NewResponseController(w).SetWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
-		h.opts.Log.Log(oplog.Failure, "request.no_write_deadline", x.attrs(slog.String("error", err.Error()))...)
-	}
+	x.limitWrite(x.deadline)
 	x.finish(x.run(ctx))
 }
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -40,12 +40,23 @@
 // writeResponse writes a complete response. An error is logged and counted; the
 // HTTP server closes the connection after one.
 func (x *exchange) writeResponse(b *bufferedResponse) {
+	if now := time.Now(); !x.deadline.IsZero() && now.After(x.deadline) {
+		x.limitWrite(now) // the body arrived late, or this process was suspended
+	}
 	if err := b.writeTo(x.w); err != nil {
 		x.h.opts.Log.Log(oplog.Failure, "request.answer_not_written", x.attrs(slog.String("error", err.Error()))...)
 		x.recordNoResponse(notWritten)
 	}
 }
 
+// limitWrite keeps a client that does not read from holding the request open for longer
+// than writeGrace after a time.
+func (x *exchange) limitWrite(after time.Time) {
+	if err := http.NewResponseController(x.w).SetWriteDeadline(after.Add(writeGrace)); err != nil {
+		x.h.opts.Log.Log(oplog.Failure, "request.no_write_deadline", x.attrs(slog.String("error", err.Error()))...)
+	}
+}
+
 // noResponseReason says why a client got no complete response.
 type noResponseReason string
 
