--- a/internal/overload/listener.go
+++ b/internal/overload/listener.go
@@ -152,7 +152,7 @@
 type Resets struct {
 	Count  int
 	Waited time.Duration // the longest that the last bytes of one had been unread, by the kernel's clock
-	Gap    time.Duration // the longest between two looks for new connections
+	Gap    time.Duration // the longest before a round of resets in which no connection was accepted or reset
 }
 
 // resetReport sums up resets for the log.
