Prefer a silent endpoint that speaks while its standby is being connected to

Bytes that arrive in that time now keep the attempt, and the next read deadline is counted from the end of the search, so that a slow connect does not make the next read fail before it has looked for data.

--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -41,14 +41,15 @@
 // of its connection. It sets a later deadline and returns true, or returns false if
 // the attempt is to be given up.
 func (x *exchange) waitOn(ctx context.Context, conn *upstream.Conn, t *dispatch.Ticket) bool {
-	now, end := time.Now(), x.deadline.Add(deadlineGrace)
-	if !now.Before(end) || x.seekStandby(ctx, t) {
+	end := x.deadline.Add(deadlineGrace)
+	if !time.Now().Before(end) || x.seekStandby(ctx, conn, t) {
 		return false
 	}
-	next := now.Add(standbyRetryInterval)
+	interval := standbyRetryInterval
 	if x.standby.queued != nil {
-		next = now.Add(standbyPollInterval)
+		interval = standbyPollInterval
 	}
+	next := time.Now().Add(interval) // seeking may have taken long
 	if next.After(end) {
 		next = end
 	}
@@ -56,8 +57,9 @@
 }
 
 // seekStandby queues the request for another endpoint, unless it is queued already,
-// and reports whether it has been granted one together with a retry.
-func (x *exchange) seekStandby(ctx context.Context, t *dispatch.Ticket) bool {
+// and reports whether it has been granted one together with a retry. silent is the
+// connection of the attempt.
+func (x *exchange) seekStandby(ctx context.Context, silent *upstream.Conn, t *dispatch.Ticket) bool {
 	if ctx.Err() != nil || !x.mayRetrySilent() || time.Until(x.deadline) < minTimeForRetry {
 		return false
 	}
@@ -88,7 +90,7 @@
 		dispatcher.Finish(decided, failure.outcome)
 		return false
 	}
-	if !x.takeRetry() {
+	if silent.Readable() || !x.takeRetry() {
 		conn.Close()
 		dispatcher.Finish(decided, dispatch.Withdrawn)
 		return false
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -156,21 +156,23 @@
 // usable reports whether an idle connection can be used: its idle timeout has
 // not passed, it is still open, and the endpoint has sent no unsolicited bytes.
 func (c *Conn) usable() bool {
-	if time.Since(c.idleSince) > c.idleTimeout || c.reader.Buffered() > 0 {
-		return false
-	}
+	return time.Since(c.idleSince) <= c.idleTimeout && c.reader.Buffered() == 0 && !c.Readable()
+}
+
+// Readable reports whether a read of the socket would return at once, with data, an
+// error or the end of the connection. It does not regard the read deadline.
+func (c *Conn) Readable() bool {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return true
 	}
 	noData := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		noData = errors.Is(err, unix.EAGAIN)
-		return true
 	})
-	return err == nil && noData
+	return err != nil || !noData
 }
 
 // Put returns a connection to the pool after its response has been read to the
