Specs of the restored store: let endpoints write again in time, use the endpoint asked for

Three specs were wrong: they failed on code that follows a restored store.

- A draining endpoint's older entry stayed in the store for two watches, over 5 s, which the platform doesn't do: it removes entries that are not renewed for 3.6 s.
The endpoint now writes again a second after the restoration, and no request may reach it before, then, or after.
The same for an endpoint that has left is new.
- Two expected each router to use an endpoint of either zone; routers prefer their own.
The other endpoint now drains first.

A zone is taken back only once all routers have read that it is out. The configuration after one that is written again has a revision lower than what was known, so that this spec fails on the code before the fix too.

--- a/test/prepared/restored_test.go
+++ b/test/prepared/restored_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -15,15 +17,18 @@
 	"github.com/cyclamenwinch/cyclamenwinch/standin/prepared"
 )
 
+// writeInterval is how often endpoints write their entries.
+const writeInterval = time.Second
+
 // storeLink is the path of one router to the store. It records what the router
 // has read.
 type storeLink struct {
 	store *prepared.Store
 	cut   atomic.Bool // calls are closed without a response
 
-	mu        sync.Mutex
-	responses map[string]int  // successful reads by kind and era
-	processed map[string]bool // kinds and eras that the router has read and applied
+	mu      sync.Mutex
+	reads   map[string]int  // by kind and era: 2 for each list, 1 for each watch
+	applied map[string]bool // kinds and eras whose state the router has
 }
 
 func (l *storeLink) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -37,29 +42,33 @@
 	}
 	l.store.ServeHTTP(recorder, r)
 	if r.Method == http.MethodGet && recorder.status == http.StatusOK {
+		weight := 2
+		if r.URL.Query().Has("watch") {
+			weight = 1
+		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.responses[kind+" "+w.Header().Get("Store-Era")]++
+		l.reads[kind+" "+w.Header().Get("Store-Era")] += weight
 	}
 }
 
-// recordCall records that a router has applied what it has read of a kind, since
-// it calls for the next change only then. A single response may only have told it
-// that the era is new.
+// recordCall records that the router has applied what it has read of a kind, since
+// it calls for the next change only then. A single watch may only have told it that
+// the era is new.
 func (l *storeLink) recordCall(kind string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for key, n := range l.responses {
+	for key, n := range l.reads {
 		if strings.HasPrefix(key, kind+" ") && n >= 2 {
-			l.processed[key] = true
+			l.applied[key] = true
 		}
 	}
 }
 
-func (l *storeLink) hasProcessed(kind string, era int) bool {
+func (l *storeLink) hasApplied(kind string, era int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.processed[fmt.Sprint(kind, " ", era)]
+	return l.applied[fmt.Sprint(kind, " ", era)]
 }
 
 type statusRecorder struct {
@@ -80,7 +89,7 @@
 	var peers, attempts int
 
 	startRouter := func(seeds ...string) *router {
-		l := &storeLink{store: store, responses: map[string]int{}, processed: map[string]bool{}}
+		l := &storeLink{store: store, reads: map[string]int{}, applied: map[string]bool{}}
 		server := httptest.NewServer(l)
 		DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
 		n := len(routers)
@@ -136,6 +145,18 @@
 			Eventually(r.session.Out.Contents).Should(MatchRegexp(pattern), r.name)
 		}
 	}
+	// drain makes an endpoint drain and waits until all routers know.
+	drain := func(r *runner) {
+		r.record["state"] = "draining"
+		r.publish()
+		awaitLog(fmt.Sprintf(`"event":"endpoint.changed".*"endpoint":"%s".*"draining":true`, r.ID))
+	}
+	// awaitRequests sends requests by each router until they reach the endpoint.
+	awaitRequests := func(endpoint *prepared.Runner, send func(r *router) int) {
+		for _, r := range routers {
+			Eventually(func() int { n := len(endpoint.Requests()); send(r); return len(endpoint.Requests()) - n }).Should(Equal(1), r.name)
+		}
+	}
 	// restore makes the store unavailable, restores a copy, and lets write change
 	// the store before routers can read it.
 	restore := func(older prepared.Copy, write func()) {
@@ -145,18 +166,26 @@
 		store.SetFaults(prepared.Faults{})
 	}
 	unchanged := func() {}
-	// untilRead calls check for each router until all have read a kind of the given
-	// era.
-	untilRead := func(kind string, era int, check func(r *router)) {
+	// holds calls check for each router until the condition holds for all of them.
+	holds := func(check func(r *router), condition func(n int) bool) {
 		Eventually(func() (waiting []string) {
-			for i, r := range routers {
+			for n, r := range routers {
 				check(r)
-				if !links[i].hasProcessed(kind, era) {
+				if !condition(n) {
 					waiting = append(waiting, r.name)
 				}
 			}
 			return waiting
-		}).Should(BeEmpty(), "routers that have not read %s of era %d", kind, era)
+		}).Should(BeEmpty())
+	}
+	// read returns a condition: a router has the state of a kind as of the era after
+	// the first restoration.
+	read := func(kind string) func(n int) bool {
+		return func(n int) bool { return links[n].hasApplied(kind, 2) }
+	}
+	logged := func(format string, args ...any) func(n int) bool {
+		pattern := regexp.MustCompile(fmt.Sprintf(format, args...))
+		return func(n int) bool { return pattern.Match(routers[n].session.Out.Contents()) }
 	}
 	objects := func(kind string) map[string]int64 { return objectRevisions(store, kind) }
 	writeZones := func(n int) {
@@ -200,15 +229,16 @@
 		putConfig(2, "lost")
 		awaitRoute("lost")
 		restore(older, unchanged)
-		untilRead("config", 2, func(r *router) { Expect(get(r, "lost")).To(Equal(200), r.name) })
+		holds(func(r *router) { Expect(get(r, "lost")).To(Equal(200), r.name) }, read("config"))
 	})
 
-	It("put the same version in force again and then follow the next one", func() {
+	It("don't miss the configuration after the one that is written again", func() {
 		older := store.Copy()
+		writeZones(5)
 		putConfig(2, "lost")
 		awaitRoute("lost")
 		restore(older, unchanged)
-		untilRead("config", 2, func(r *router) {})
+		holds(func(*router) {}, read("config"))
 		putConfig(2, "lost")
 		putConfig(3, "new")
 		awaitRoute("new")
@@ -217,37 +247,47 @@
 		}
 	})
 
-	It("don't send requests to a draining endpoint while its older entry is back", func() {
-		older := store.Copy()
-		m1.record["state"] = "draining"
-		m1.publish()
-		awaitLog(`"event":"endpoint.changed".*"endpoint":"m1".*"draining":true`)
-		before := len(m1.Requests())
-		restore(older, unchanged)
+	// leaves expects that no request reaches m1, which the copy lists as ready, when
+	// it writes or loses its entry as endpoints do, and afterwards.
+	leaves := func(older prepared.Copy, write func()) {
+		restored := len(m1.Requests())
 		check := func(r *router) {
 			Expect(chat(r)).To(Equal(200), r.name)
-			Expect(m1.Requests()).To(HaveLen(before), r.name)
-		}
-		untilRead("servers", 2, check)
-		By("reading again that the endpoint drains, and then a new endpoint")
-		m1.publish()
-		m3 := newRunner(store, "m3", "model", "a")
-		for _, r := range routers {
-			Eventually(func() int { n := len(m3.Requests()); check(r); return len(m3.Requests()) - n }).Should(Equal(1), r.name)
+			Expect(m1.Requests()).To(HaveLen(restored), r.name)
 		}
+		restore(older, unchanged)
+		entry := objects("servers")["m1"]
+		time.AfterFunc(writeInterval, write)
+		holds(check, read("servers"))
+		holds(check, func(int) bool { return objects("servers")["m1"] != entry })
+		m2.record["slots"] = 9
+		m2.publish()
+		holds(check, logged(`"event":"endpoint.changed".*"endpoint":"m2".*"revision":%d,`, objects("servers")["m2"]))
+	}
+
+	It("don't send requests to a draining endpoint while its older entry is back", func() {
+		older := store.Copy()
+		drain(m1)
+		leaves(older, m1.publish)
+	})
+
+	It("don't send requests to an endpoint that has left while its older entry is back", func() {
+		older := store.Copy()
+		drain(m1)
+		remove := func() { store.Delete("servers", "m1") }
+		remove()
+		awaitLog(`"event":"endpoint.gone".*"endpoint":"m1"`)
+		leaves(older, remove)
 	})
 
 	It("use an endpoint that drained once it has started again", func() {
 		older := store.Copy()
-		m1.record["state"] = "draining"
-		m1.publish()
-		awaitLog(`"event":"endpoint.changed".*"endpoint":"m1".*"draining":true`)
+		drain(m1)
 		restore(older, unchanged)
 		m1.record["state"], m1.record["born"], m1.record["sequence"] = "ready", 2, 0
 		m1.publish()
-		for _, r := range routers {
-			Eventually(func() int { n := len(m1.Requests()); chat(r); return len(m1.Requests()) - n }).Should(Equal(1), r.name)
-		}
+		drain(m2)
+		awaitRequests(m1.Runner, chat)
 	})
 
 	It("don't take an endpoint's entry for the one that had its revision before", func() {
@@ -259,13 +299,11 @@
 		moved := &prepared.Runner{ID: "o1"}
 		server := httptest.NewServer(moved)
 		DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
-		orders.record["address"] = strings.TrimPrefix(server.URL, "http://")
+		orders.record["born"], orders.record["address"] = 2, strings.TrimPrefix(server.URL, "http://")
 		restore(older, orders.publish)
 		Expect(objects("servers")["o1"]).To(Equal(known))
 		putConfig(2, "moved")
-		for _, r := range routers {
-			Eventually(func() int { n := len(moved.Requests()); get(r, "moved"); return len(moved.Requests()) - n }).Should(Equal(1), r.name)
-		}
+		awaitRequests(moved, func(r *router) int { return get(r, "moved") })
 	})
 
 	It("don't send requests to a zone that is out while the copy lacks its entry", func() {
@@ -274,16 +312,18 @@
 		awaitLog(`"event":"zones.out".*"zones":\["b"\]`)
 		before := len(m2.Requests())
 		restore(older, unchanged)
-		untilRead("evacuations", 2, func(r *router) {
+		check := func(r *router) {
 			Expect(chat(r)).To(Equal(200), r.name)
 			Expect(m2.Requests()).To(HaveLen(before), r.name)
-		})
+		}
+		holds(check, read("evacuations"))
 		By("reading again that the zone is out, and then that it is back")
+		writeZones(5)
 		store.Put("evacuations", "b", map[string]any{})
+		holds(check, logged(`"event":"zones.out".*"zones":\["b"\],"revision":%d,`, objects("evacuations")["b"]))
 		store.Delete("evacuations", "b")
-		for _, r := range routers {
-			Eventually(func() int { n := len(m2.Requests()); chat(r); return len(m2.Requests()) - n }).Should(Equal(1), r.name)
-		}
+		drain(m1)
+		awaitRequests(m2.Runner, chat)
 	})
 
 	It("register again when the copy lacks their entries", func() {
@@ -345,8 +385,6 @@
 		Eventually(routers[1].session.Out).Should(gbytes.Say(`"event":"store.lost"`))
 		restore(older, func() { putConfig(3, "new") })
 		awaitRoute("new")
-		m1.record["state"] = "draining"
-		m1.publish()
-		awaitLog(`"event":"endpoint.changed".*"endpoint":"m1".*"draining":true`)
+		drain(m1)
 	})
 })
