Confirm the endpoint of a standby before the silent attempt is given up

Callers would see: a stream whose endpoint was silent but sound was cut if the endpoint of its standby began to leave between the grant and the send, a window of up to 0.4 s beside a change of the configuration.

Cause: place, connection and retry were secured, and only after the silent attempt was closed was it asked whether the endpoint may still get the request. Seen failing before: "is kept if the endpoint of its standby begins to leave" ended with "unexpected EOF".

--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -90,7 +90,7 @@
 		dispatcher.Finish(decided, failure.outcome)
 		return false
 	}
-	if silent.Readable() || !x.takeRetry() {
+	if silent.Readable() || !dispatcher.Confirm(decided) || !x.takeRetry() {
 		conn.Close()
 		dispatcher.Finish(decided, dispatch.Withdrawn)
 		return false
