Don't hold a refused request open until its client has sent the rest

An empty response without a length was sent in chunks, whose end no error can report.

A response is flushed only if the body was read or there is none, and declares its length, 0 too, unless there is none.

--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -18,19 +18,26 @@
 	body   []byte
 }
 
-// writeTo writes the response to the client's socket.
-func (b *bufferedResponse) writeTo(w http.ResponseWriter) error {
+// writeTo writes the response. With flush it does so to the client's socket, so that
+// an error is known.
+func (b *bufferedResponse) writeTo(w http.ResponseWriter, flush bool) error {
 	copyHeader(w.Header(), b.header)
-	if b.header.Get("Content-Length") == "" && len(b.body) > 0 {
-		w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
-	}
 	w.WriteHeader(b.status)
-	if _, err := w.Write(b.body); err != nil {
+	if _, err := w.Write(b.body); err != nil || !flush {
 		return err
 	}
 	return http.NewResponseController(w).Flush()
 }
 
+// setLength declares the length of the body, unless the response to this method has
+// none or the length is known.
+func (b *bufferedResponse) setLength(method string) {
+	if method == http.MethodHead || b.status < 200 || b.status == http.StatusNoContent || b.status == http.StatusNotModified || b.header.Get("Content-Length") != "" {
+		return
+	}
+	b.header.Set("Content-Length", strconv.Itoa(len(b.body)))
+}
+
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
 		dst[name] = values
@@ -43,7 +50,10 @@
 	if now := time.Now(); !x.deadline.IsZero() && now.After(x.deadline) {
 		x.limitWrite(now) // the body arrived late, or this process was suspended
 	}
-	if err := b.writeTo(x.w); err != nil {
+	b.setLength(x.r.Method)
+	// A flush reads an unread body first, for as long as the client takes to send it.
+	flush := x.bodyRead || x.r.ContentLength == 0
+	if err := b.writeTo(x.w, flush); err != nil {
 		x.h.opts.Log.Log(oplog.Failure, "request.answer_not_written", x.attrs(slog.String("error", err.Error()))...)
 		x.recordNoResponse(notWritten)
 	}
