Refuse requests that still wait when a stop reaches the end of its grace

Cause: a stop refused new requests and waited for the others; nothing ended the wait of those in the queue before the connections were closed.

Change: 0.3 s before the end, requests that wait are refused with 503 and Retry-After; connections that the router closes itself are counted as router_stopped.

--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -104,8 +104,18 @@
 	// waiting for requests in progress, so that the process exits in time.
 	exitMargin        = 700 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
+	// refuseWaitingBefore is how long before that requests that still wait for an
+	// endpoint are refused, so that their clients can go elsewhere.
+	refuseWaitingBefore = 300 * time.Millisecond
 )
 
+// awaitRequests waits until no request is in progress, or until a time.
+func (e *Edge) awaitRequests(until time.Time) {
+	for e.relay.OpenRequests() > 0 && time.Now().Before(until) {
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // drain stops the router gracefully. The router leaves the directory, accepts
 // requests until clients use other routers, waits for the requests in progress
 // and closes the server.
@@ -118,10 +128,11 @@
 	e.log.Log(oplog.StateChange, "router.stopping", slog.Int64("open", e.relay.OpenRequests()))
 	time.Sleep(min(drainAcceptPeriod, time.Until(end)))
 	e.relay.RejectRequests()
-	for e.relay.OpenRequests() > 0 && time.Now().Before(end) {
-		time.Sleep(drainPollInterval)
-	}
+	e.awaitRequests(end.Add(-refuseWaitingBefore))
+	e.relay.RefuseWaiting()
+	e.awaitRequests(end)
 	left := e.relay.OpenRequests()
+	e.relay.ExpectClose()
 	limit, cancel := context.WithDeadline(context.Background(), end.Add(drainPollInterval))
 	defer cancel()
 	err := front.Shutdown(limit)
--- a/internal/relay/dispatcher.go
+++ b/internal/relay/dispatcher.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/wake"
 )
@@ -32,6 +34,7 @@
 	waiting    map[*dispatch.Ticket]chan struct{}
 	hadWaiting bool          // requests were waiting at the last poll
 	queued     chan struct{} // receives when a request has begun to wait
+	stopped    chan struct{} // closed by StopWaiting
 
 	lastPoll         time.Time
 	lastPollDuration time.Duration
@@ -40,11 +43,18 @@
 // NewSharedDispatcher returns a SharedDispatcher for d. Afterwards d must be
 // used only through it.
 func NewSharedDispatcher(d *dispatch.Dispatcher) *SharedDispatcher {
-	return &SharedDispatcher{dispatcher: d, waiting: map[*dispatch.Ticket]chan struct{}{}, queued: make(chan struct{}, 1)}
+	return &SharedDispatcher{dispatcher: d, waiting: map[*dispatch.Ticket]chan struct{}{}, queued: make(chan struct{}, 1), stopped: make(chan struct{})}
 }
 
+// errStopped means that a request no longer waits because the process is about to exit.
+var errStopped = errors.New("the router is stopping")
+
+// StopWaiting ends the wait of all requests. It must be called only once.
+func (d *SharedDispatcher) StopWaiting() { close(d.stopped) }
+
 // Acquire submits a request and waits until its ticket is granted or refused. If
-// the context ends first, it cancels the ticket and returns the context's error.
+// the context ends first, it cancels the ticket and returns the context's error, or
+// errStopped after StopWaiting.
 func (d *SharedDispatcher) Acquire(ctx context.Context, r dispatch.Request) (*dispatch.Ticket, error) {
 	t, decided := d.Submit(r)
 	select {
@@ -53,6 +63,9 @@
 	case <-ctx.Done():
 		d.Cancel(t)
 		return nil, ctx.Err()
+	case <-d.stopped:
+		d.Cancel(t)
+		return nil, errStopped
 	}
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -145,7 +145,7 @@
 		if ticket == nil {
 			var err error
 			if ticket, err = dispatcher.Acquire(ctx, x.dispatchRequest()); err != nil {
-				return x.contextFailure(ctx)
+				return x.waitFailure(ctx, err)
 			}
 		}
 		x.lastTicket = ticket
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
@@ -41,6 +42,17 @@
 	return failure
 }
 
+// waitFailure returns the failure of a request that no longer waits for an endpoint.
+func (x *exchange) waitFailure(ctx context.Context, err error) *code.Error {
+	switch {
+	case !errors.Is(err, errStopped):
+		return x.contextFailure(ctx)
+	case x.mayHaveRun:
+		return code.Fail(code.Stopping, err.Error())
+	}
+	return notRunError(code.Stopping, stoppingRetryAfter)
+}
+
 // contextFailure returns the failure of a request whose context has ended.
 func (x *exchange) contextFailure(ctx context.Context) *code.Error {
 	if x.r.Context().Err() != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -67,6 +67,7 @@
 	conns        atomic.Int64 // open client connections
 	noKeepAlives atomic.Bool
 	rejecting    atomic.Bool
+	closing      atomic.Bool // see ExpectClose
 	openRequests atomic.Int64
 	bodyBudget   byteBudget
 	open         openExchanges
@@ -99,6 +100,14 @@
 // process is about to exit.
 func (h *Relay) RejectRequests() { h.rejecting.Store(true) }
 
+// RefuseWaiting refuses the requests that wait for an endpoint, and those that will. It
+// is called once, shortly before the process exits.
+func (h *Relay) RefuseWaiting() { h.opts.Dispatcher.StopWaiting() }
+
+// ExpectClose is called before the process closes the connections of clients, so that
+// these do not count as clients that left.
+func (h *Relay) ExpectClose() { h.closing.Store(true) }
+
 // OpenRequests returns the number of requests in progress.
 func (h *Relay) OpenRequests() int64 { return h.openRequests.Load() }
 
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -75,6 +75,7 @@
 	bodyIncomplete  noResponseReason = "body_incomplete" // the request could not be read to its end
 	streamCut       noResponseReason = "stream_cut"      // the rest of a stream could not be obtained
 	notWritten      noResponseReason = "not_written"     // the response could not be written
+	routerStopped   noResponseReason = "router_stopped"  // this router closed the connection at the end of its grace
 	handlerPanicked noResponseReason = "panic"           // a bug in this router
 )
 
@@ -83,6 +84,9 @@
 
 // recordNoResponse counts and logs a request whose client gets no complete response.
 func (x *exchange) recordNoResponse(reason noResponseReason) {
+	if reason == clientLeft && x.h.closing.Load() {
+		reason = routerStopped
+	}
 	recent := false
 	attrs := []slog.Attr{slog.String("reason", string(reason)), slog.Bool("read", x.bodyRead), slog.Int("sends", x.sends)}
 	if t := x.h.table.Load(); t != nil {
