--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -17,6 +17,8 @@
 	standbyPollInterval = 25 * time.Millisecond
 	// standbyRetryInterval is the time until a standby is sought again after a refusal.
 	standbyRetryInterval = 200 * time.Millisecond
+	// unreadWait is the read deadline for bytes that have arrived already.
+	unreadWait = 50 * time.Millisecond
 )
 
 // standby is the place of a request at another endpoint while the endpoint that it was
@@ -42,11 +44,16 @@
 // the attempt is to be given up.
 func (x *exchange) waitOn(ctx context.Context, conn *upstream.Conn, t *dispatch.Ticket) bool {
 	end := x.deadline.Add(deadlineGrace)
-	if !time.Now().Before(end) || x.seekStandby(ctx, conn, t) {
+	if !time.Now().Before(end) {
 		return false
 	}
 	interval := standbyRetryInterval
-	if x.standby.queued != nil {
+	switch {
+	case conn.Readable(): // this process was late, not the endpoint
+		interval = unreadWait
+	case x.seekStandby(ctx, conn, t):
+		return false
+	case x.standby.queued != nil:
 		interval = standbyPollInterval
 	}
 	next := time.Now().Add(interval) // seeking may have taken long
