Seek another endpoint for a silent generation however long its client waits

Cause, found by a review: from 2 to 2.4 s after its newest event, no endpoint could meet the time by which clients give up, so a generation at an endpoint that was gone waited there until its deadline although others were free. Clients that are still connected then wait for longer than that.

Past that time, the deadline of the request bounds the wait.

--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -80,6 +80,9 @@
 		}
 		r := x.dispatchRequest()
 		r.ExcludedEndpoints = append(slices.Clone(r.ExcludedEndpoints), t.Endpoint.ID)
+		if time.Now().After(r.FirstEventDeadline) {
+			r.FirstEventDeadline = r.Deadline // the client has not left, so it waits for longer
+		}
 		s.queued, s.decided = dispatcher.Submit(r)
 	}
 	select {
--- a/internal/relay/standby_test.go
+++ b/internal/relay/standby_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -19,7 +20,34 @@
 	}
 }
 
+// generating is a testProtocol whose requests have an expected output.
+type generating struct{ testProtocol }
+
+func (g generating) ReadRequest(h http.Header) relay.RequestMeta {
+	m := g.testProtocol.ReadRequest(h)
+	m.OutputHint, m.MaxOutput = 10, 10
+	return m
+}
+
 var _ = Describe("A silent attempt", func() {
+	It("of a generation is resumed elsewhere although room appears late", func() {
+		f := newFakeEndpoint(func(_ int, s receivedRequest) reply {
+			return reply{raw: streamHead(s) + chunk(event(1)), hang: true}
+		})
+		g := newFakeEndpoint(func(_ int, s receivedRequest) reply {
+			return reply{raw: streamHead(s) + chunk(event(2)) + "0\r\n\r\n"}
+		})
+		route := resumable
+		route.Timeout = 30 * time.Second
+		server, _, dispatcher := newServerWithDispatcher(relay.Options{Protocol: generating{}}, route, f)
+		time.AfterFunc(2500*time.Millisecond, func() { // later than clients wait for a first event
+			dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) { d.SetEndpoints(now, declared(f, g)) })
+		})
+		_, body, err := send(server, "POST", "/p/", "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(event(1) + event(2)))
+	})
+
 	It("is kept if the endpoint of its standby begins to leave before the request is sent there", func() {
 		release := make(chan struct{})
 		f := newFakeEndpoint(func(_ int, s receivedRequest) reply {
