Let the object stand-in come back from an older copy

The platform's store may be restored from a copy some seconds old. The stand-in could not show this. PUT /copy keeps a copy, PUT /restore returns to it: objects, versions and history are those of the copy, versions are given out again, open watches end, and a watch from a version that is not there gets 410.

All responses carry Platform-Era, which rises by one at each restoration. A write may require an era, since after a restoration the same version may belong to another value.

go test ./standin/objects

--- a/standin/objects/server.go
+++ b/standin/objects/server.go
@@ -21,6 +21,7 @@
 const (
 	maxValueBytes  = 1 << 20
 	watchKeepAlive = time.Second
+	eraHeader      = "Platform-Era"
 )
 
 // Faults are the injected faults of the server, set by PUT /faults. The random
@@ -68,13 +69,20 @@
 	instances []instanceList // oldest first
 	writes    *rate.Limiter
 	reads     *rate.Limiter
+	copied    Copy // what PUT /restore returns to
+
+	// restoring is held for reading by each call, so that the era in its response
+	// is that in which it took effect.
+	restoring sync.RWMutex
 }
 
 // NewServer returns a server of an empty store. The seed determines its random
 // faults.
 func NewServer(seed uint64) *Server {
+	store := NewStore()
 	return &Server{
-		store:     NewStore(),
+		store:     store,
+		copied:    store.Copy(),
 		rng:       rand.New(rand.NewPCG(seed, seed)),
 		instances: []instanceList{{instances: []platform.Instance{}}},
 		writes:    rate.NewLimiter(rate.Inf, 0),
@@ -85,15 +93,17 @@
 // Handler returns the object API and the control calls of tests.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/records", s.withFaults(s.list))
-	mux.HandleFunc("GET /v1/records/{key...}", s.withFaults(s.get))
-	mux.HandleFunc("PUT /v1/records/{key...}", s.withFaults(s.put))
-	mux.HandleFunc("DELETE /v1/records/{key...}", s.withFaults(s.delete))
+	mux.HandleFunc("GET /v1/records", s.withFaults(s.inEra(s.list)))
+	mux.HandleFunc("GET /v1/records/{key...}", s.withFaults(s.inEra(s.get)))
+	mux.HandleFunc("PUT /v1/records/{key...}", s.withFaults(s.inEra(s.put)))
+	mux.HandleFunc("DELETE /v1/records/{key...}", s.withFaults(s.inEra(s.delete)))
 	mux.HandleFunc("GET /v1/watch", s.withFaults(s.watch))
 	mux.HandleFunc("GET /v1/instances", s.withFaults(s.getInstances))
 	mux.HandleFunc("PUT /instances", s.putInstances)
 	mux.HandleFunc("PUT /faults", s.putFaults)
 	mux.HandleFunc("PUT /rates", s.putRates)
+	mux.HandleFunc("PUT /copy", s.putCopy)
+	mux.HandleFunc("PUT /restore", s.putRestore)
 	mux.HandleFunc("GET /history", s.getHistory)
 	mux.HandleFunc("GET /counts", s.getCounts)
 	return mux
@@ -104,6 +114,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		write := r.Method == http.MethodPut || r.Method == http.MethodDelete
 		f, ok := s.countCall(r, write)
+		s.setEra(w)
 		if !ok {
 			http.Error(w, "rate limit exceeded", http.StatusTooManyRequests)
 			return
@@ -121,6 +132,25 @@
 	}
 }
 
+// inEra makes next run in one era. It rejects a write that requires another era.
+func (s *Server) inEra(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.restoring.RLock()
+		defer s.restoring.RUnlock()
+		s.setEra(w)
+		required := r.Header.Get(eraHeader)
+		if required != "" && required != formatEra(s.store.Era()) {
+			writeError(w, platform.ErrConflict)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s *Server) setEra(w http.ResponseWriter) { w.Header().Set(eraHeader, formatEra(s.store.Era())) }
+
+func formatEra(era int64) string { return strconv.FormatInt(era, 10) }
+
 // failWrite applies the faults of writes. It reports whether the response is
 // lost.
 func (s *Server) failWrite(f Faults, next http.HandlerFunc, r *http.Request) bool {
@@ -222,13 +252,15 @@
 		http.Error(w, "query parameter from is not a version", http.StatusBadRequest)
 		return
 	}
+	era := s.store.Era()
+	w.Header().Set(eraHeader, formatEra(era))
 	enc := json.NewEncoder(w)
 	for first := true; ; first = false {
 		events, version, changed, err := s.store.EventsSince(r.URL.Query().Get("prefix"), from)
 		if err != nil && first {
 			writeError(w, err)
 		}
-		if err != nil || s.isDown() {
+		if err != nil || s.isDown() || s.store.Era() != era {
 			return
 		}
 		if s.isSilent() {
@@ -278,59 +310,6 @@
 	writeJSON(w, list.instances)
 }
 
-func (s *Server) putInstances(w http.ResponseWriter, r *http.Request) {
-	var instances []platform.Instance
-	if err := json.NewDecoder(r.Body).Decode(&instances); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.instances = append(s.instances, instanceList{since: time.Now(), instances: instances})
-}
-
-func (s *Server) putRates(w http.ResponseWriter, r *http.Request) {
-	var rates Rates
-	if err := json.NewDecoder(r.Body).Decode(&rates); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.writes, s.reads = limiter(rates.Writes), limiter(rates.Reads)
-}
-
-// limiter returns a limiter whose burst is the calls of a tenth of a second.
-func limiter(perSecond float64) *rate.Limiter {
-	if perSecond <= 0 {
-		return rate.NewLimiter(rate.Inf, 0)
-	}
-	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/10)))
-}
-
-// getHistory returns the changes under a prefix that are still in the history,
-// oldest first, so that tests and cyclamenwinch-load can check them.
-func (s *Server) getHistory(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, s.store.History(r.URL.Query().Get("prefix")))
-}
-
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
-
-func (s *Server) getCounts(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	writeJSON(w, s.counts)
-}
-
 // precondition returns the version that a write expects, 0 if the object must
 // not exist, and whether the request states one.
 func precondition(r *http.Request) (int64, bool) {
