Tell versions of the platform apart across a restoration

What callers saw: after the platform came back from an older copy, a router could overwrite an object at a version that the platform had given out again for another value, a watch from such a version skipped changes, a lease that was renewed had a lower version than before and counted as old, and a write whose response arrived late counted as confirmed although it was lost.

Cause: the platform's numbers identify a value only until it is restored, and the client compared and required them as if they always did.

The client now reads Platform-Era. Versions carry the era above the number, so they rise across a restoration; a write requires the era of its version; a watch from a version of another era ends as too old; a response of an earlier era is an error, uncertain for a write. A platform without the header is in era 0, and nothing changes.

Seen failing before, all five of era_test.go on: no error for the write and the late responses, versions not higher, the watch not ended.

go test ./internal/platform

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,6 +5,10 @@
 // A failed write may still have taken effect. Put and Delete then return an
 // error that is marked with ErrUncertain, and the caller has to read the
 // object back.
+//
+// The platform may be restored from an older copy of itself, which begins a new
+// era. Versions are ordered across eras, a write takes effect only in the era of
+// the version that it requires, and a response from an earlier era is an error.
 package platform
 
 import (
@@ -84,6 +88,7 @@
 	http    *http.Client
 	watch   *http.Client
 	retries *retryPacer
+	eras    eras
 	// watchIdleTimeout is how long a watch may receive nothing.
 	watchIdleTimeout time.Duration
 }
@@ -114,7 +119,7 @@
 	if err != nil {
 		return Object{}, errors.Wrap(err, "read object")
 	}
-	version, err := etag(resp)
+	version, err := etagVersion(resp)
 	return Object{Key: key, Version: version, Value: value}, err
 }
 
@@ -135,7 +140,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return 0, statusError(resp)
 	}
-	return etag(resp)
+	return etagVersion(resp)
 }
 
 // Delete deletes an object if its current version is the given one.
@@ -154,7 +159,16 @@
 // List returns all objects whose key starts with prefix.
 func (c *Client) List(ctx context.Context, prefix string) (List, error) {
 	var list List
-	err := c.getJSON(ctx, c.base+"/v1/records?prefix="+url.QueryEscape(prefix), &list)
+	era, err := c.getJSON(ctx, c.base+"/v1/records?prefix="+url.QueryEscape(prefix), &list)
+	if err != nil {
+		return list, err
+	}
+	for i := range list.Items {
+		if list.Items[i].Version, err = newVersion(era, list.Items[i].Version); err != nil {
+			return list, err
+		}
+	}
+	list.Version, err = newVersion(era, list.Version)
 	return list, err
 }
 
@@ -162,33 +176,41 @@
 // state.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
 	var instances []Instance
-	err := c.getJSON(ctx, c.base+"/v1/instances", &instances)
+	_, err := c.getJSON(ctx, c.base+"/v1/instances", &instances)
 	return instances, err
 }
 
 // Watch calls deliver for each change under prefix after the given version. It
 // returns when the context ends, the connection fails, nothing is received for
-// watchIdleTimeout, or the platform's history no longer reaches back to the
-// version (ErrVersionTooOld).
+// watchIdleTimeout, or the platform's history does not reach back to the version
+// (ErrVersionTooOld), which is so for all versions of an earlier era.
 func (c *Client) Watch(ctx context.Context, prefix string, from int64, deliver func(Event)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	idleTimer := time.AfterFunc(c.watchIdleTimeout, func() { cancel(errWatchIdle) })
 	defer idleTimer.Stop()
-	u := fmt.Sprintf("%s/v1/watch?prefix=%s&from=%d", c.base, url.QueryEscape(prefix), from)
+	u := fmt.Sprintf("%s/v1/watch?prefix=%s&from=%d", c.base, url.QueryEscape(prefix), numberOf(from))
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 	if err != nil {
 		return errors.Wrap(err, "watch")
 	}
 	countCall("watch")
+	_, changes := c.eras.now()
 	resp, err := c.watch.Do(req)
 	if err != nil {
 		return errors.Wrap(watchError(ctx, err), "watch")
 	}
 	defer resp.Body.Close()
+	era := responseEra(resp)
+	if err := c.eras.observe(era, changes); err != nil {
+		return errors.Wrap(err, "watch")
+	}
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp)
 	}
+	if from != 0 && EraOf(from) != era {
+		return ErrVersionTooOld
+	}
 	body := &limitio.Reader{R: resp.Body}
 	dec := json.NewDecoder(body)
 	for {
@@ -198,9 +220,13 @@
 			return errors.Wrap(watchError(ctx, err), "watch")
 		}
 		idleTimer.Reset(c.watchIdleTimeout)
-		if e.Object.Key != "" { // an empty event is a keepalive
-			deliver(e)
+		if e.Object.Key == "" {
+			continue // a keepalive
+		}
+		if e.Object.Version, err = newVersion(era, e.Object.Version); err != nil {
+			return errors.Wrap(err, "watch")
 		}
+		deliver(e)
 	}
 }
 
@@ -212,16 +238,17 @@
 	return err
 }
 
-func (c *Client) getJSON(ctx context.Context, u string, into any) error {
+// getJSON decodes a response and returns its era.
+func (c *Client) getJSON(ctx context.Context, u string, into any) (int64, error) {
 	resp, err := c.call(ctx, http.MethodGet, u, nil, nil)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer drain(resp)
 	if resp.StatusCode != http.StatusOK {
-		return statusError(resp)
+		return 0, statusError(resp)
 	}
-	return errors.Wrap(json.NewDecoder(&limitio.Reader{R: resp.Body, Remaining: maxListBytes}).Decode(into), "read list")
+	return responseEra(resp), errors.Wrap(json.NewDecoder(&limitio.Reader{R: resp.Body, Remaining: maxListBytes}).Decode(into), "read list")
 }
 
 func (c *Client) objectURL(key string) string {
@@ -237,9 +264,17 @@
 		req.Header = header
 	}
 	countCall(strings.ToLower(method))
+	_, changes := c.eras.now()
 	resp, err := c.http.Do(req)
 	c.retries.record(err == nil && resp.StatusCode < http.StatusInternalServerError && resp.StatusCode != http.StatusTooManyRequests)
-	return resp, errors.Wrap(err, "platform call")
+	if err != nil {
+		return nil, errors.Wrap(err, "platform call")
+	}
+	if err := c.eras.observe(responseEra(resp), changes); err != nil {
+		drain(resp)
+		return nil, errors.Wrap(err, "platform call")
+	}
+	return resp, nil
 }
 
 // WaitRetry blocks until a failed call may be retried. The retries of all users
@@ -257,12 +292,11 @@
 	if version == 0 {
 		return http.Header{"If-None-Match": {"*"}}
 	}
-	return http.Header{"If-Match": {strconv.Quote(strconv.FormatInt(version, 10))}}
-}
-
-func etag(resp *http.Response) (int64, error) {
-	version, err := strconv.ParseInt(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
-	return version, errors.Wrap(err, "platform response has no valid version")
+	header := http.Header{"If-Match": {strconv.Quote(strconv.FormatInt(numberOf(version), 10))}}
+	if era := EraOf(version); era > 0 {
+		header.Set(eraHeader, strconv.FormatInt(era, 10))
+	}
+	return header
 }
 
 func statusError(resp *http.Response) error {
