Keep accepted configurations when the platform loses them

What callers saw: after the platform came back from an older copy, submit said that a manifest was accepted, and no router put it in force, since they hold a higher generation or another manifest of the same one. A fleet that restarted then read the older root. A submission whose response was lost in the restoration was reported as rejected, though routers may have adopted it.

Cause: routers only move to higher generations, and submissions number from the stored root, which is older than what is in force.

Routers that read the platform now store root and parts in force again, under the condition of the version that they read. A submission waits for that, and the first one of an era skips 1000 generations, so it is above all that were accepted since the copy, whoever was cut off.

go test ./core/manifest ./internal/fleet ./internal/submit

--- a/core/manifest/fuzz_test.go
+++ b/core/manifest/fuzz_test.go
@@ -30,7 +30,7 @@
 		if json.Unmarshal(data, &m) != nil || len(m.Check()) > 0 {
 			return
 		}
-		root, parts, err := manifest.Split(&m, nil, "t")
+		root, parts, err := manifest.Split(&m, nil, "t", 1)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/core/manifest/manifest_test.go
+++ b/core/manifest/manifest_test.go
@@ -70,7 +70,7 @@
 	var prev *manifest.Root
 	for i := range rapid.IntRange(1, 4).Draw(t, "generations") {
 		m := drawManifest(t, "next")
-		root, parts, err := manifest.Split(m, prev, fmt.Sprint("token", i))
+		root, parts, err := manifest.Split(m, prev, fmt.Sprint("token", i), 1)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -106,7 +106,7 @@
 	})
 
 	It("keep every object of the largest manifest below the platform's size limit", func() {
-		root, parts, err := manifest.Split(newManifest(2200, 12000), nil, "token")
+		root, parts, err := manifest.Split(newManifest(2200, 12000), nil, "token", 1)
 		Expect(err).NotTo(HaveOccurred())
 		value, err := json.Marshal(root)
 		Expect(err).NotTo(HaveOccurred())
@@ -118,10 +118,10 @@
 
 	It("replace only the part that contains a changed endpoint", func() {
 		m := newManifest(2200, 12000)
-		root, _, err := manifest.Split(m, nil, "one")
+		root, _, err := manifest.Split(m, nil, "one", 1)
 		Expect(err).NotTo(HaveOccurred())
 		m.Endpoints[7].State = manifest.Out
-		next, parts, err := manifest.Split(m, root, "two")
+		next, parts, err := manifest.Split(m, root, "two", 1)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(parts).To(HaveLen(1))
 		Expect(next.Dropped).To(HaveLen(1))
@@ -130,7 +130,7 @@
 	It("report the outcome of a submission as long as its token is kept", func() {
 		var root *manifest.Root
 		for i := range 30 {
-			root, _, _ = manifest.Split(newManifest(1, 1), root, fmt.Sprint("t", i))
+			root, _, _ = manifest.Split(newManifest(1, 1), root, fmt.Sprint("t", i), 1)
 		}
 		generation, known := root.Outcome("t20", 20)
 		Expect(generation).To(BeEquivalentTo(21))
@@ -197,7 +197,7 @@
 func BenchmarkJoin(b *testing.B) {
 	for _, endpoints := range []int{12, 3000, 12000} {
 		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
-			root, parts, _ := manifest.Split(newManifest(2200, endpoints), nil, "token")
+			root, parts, _ := manifest.Split(newManifest(2200, endpoints), nil, "token", 1)
 			b.ReportAllocs()
 			for b.Loop() {
 				m, _ := root.Join(parts)
@@ -211,13 +211,13 @@
 	for _, endpoints := range []int{12, 3000, 12000} {
 		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
 			m := newManifest(2200, endpoints)
-			root, parts, _ := manifest.Split(m, nil, "token")
+			root, parts, _ := manifest.Split(m, nil, "token", 1)
 			joiner := manifest.NewJoiner()
 			joiner.Join(root, parts)
 			for i := 0; b.Loop(); i++ {
 				b.StopTimer()
 				m.Accounts[7].MaxQueue = 100 + i
-				next, changed, _ := manifest.Split(m, root, "other")
+				next, changed, _ := manifest.Split(m, root, "other", 1)
 				maps.Copy(parts, changed)
 				b.StartTimer()
 				joined, _ := joiner.Join(next, parts)
--- a/core/manifest/parts.go
+++ b/core/manifest/parts.go
@@ -22,6 +22,10 @@
 	// maxSubmissions is the number of submissions listed in a root, so that a
 	// submitter whose response was lost can find out the outcome.
 	maxSubmissions = 16
+	// restoreGap is how many generations the first submission after a restoration
+	// of the platform skips. Those accepted since the copy was made may still be in
+	// force at routers.
+	restoreGap = 1000
 )
 
 // Ref is the name of a part. It consists of the digest of the content and of the
@@ -34,12 +38,14 @@
 type Submission struct {
 	Generation int64  `json:"generation"`
 	Token      string `json:"token"`
+	Era        int64  `json:"era,omitempty"` // era of the platform in which it was accepted
 }
 
 // Root is the object whose conditional write commits a generation. Accounts
 // and endpoints are stored in parts, which are immutable.
 type Root struct {
 	Generation int64        `json:"generation"`
+	Era        int64        `json:"era,omitempty"` // era of the platform in which the root was written
 	Zones      []Zone       `json:"zones"`
 	Pools      []Pool       `json:"pools"`
 	Orders     Orders       `json:"orders"`
@@ -54,21 +60,28 @@
 
 // Split returns the root and the new parts of m as the generation after
 // prev. Parts with unchanged content keep their names. prev is nil for the
-// first generation; token identifies the submission, see Submission.
-func Split(m *Manifest, prev *Root, token string) (*Root, Parts, error) {
+// first generation; token identifies the submission, see Submission. era is the
+// platform's current one; if prev was accepted in another one, the generation is
+// above all that the platform may have lost.
+func Split(m *Manifest, prev *Root, token string, era int64) (*Root, Parts, error) {
 	if prev == nil {
 		prev = &Root{}
 	}
+	generation := prev.Generation + 1
+	if prev.acceptedEra() != firstEra(era) {
+		generation += restoreGap
+	}
 	s := splitter{token: token[:min(len(token), refTokenLen)], refs: map[string]Ref{}, parts: Parts{}}
 	for _, ref := range prev.Refs() {
 		s.refs[ref.digest()] = ref
 	}
 	root := &Root{
-		Generation: prev.Generation + 1,
+		Generation: generation,
+		Era:        era,
 		Zones:      m.Zones,
 		Pools:      m.Pools,
 		Orders:     m.Orders,
-		Accepted:   []Submission{{Generation: prev.Generation + 1, Token: token}},
+		Accepted:   []Submission{{Generation: generation, Token: token, Era: era}},
 	}
 	root.Accepted = append(root.Accepted, prev.Accepted[:min(len(prev.Accepted), maxSubmissions-1)]...)
 	var err error
@@ -86,6 +99,22 @@
 // Refs returns the names of all parts in use.
 func (r *Root) Refs() []Ref { return slices.Concat(r.Accounts, r.Endpoints) }
 
+// WrittenIn reports whether the root was written in an era of the platform, and not
+// restored from a copy since.
+func (r *Root) WrittenIn(era int64) bool { return firstEra(r.Era) == firstEra(era) }
+
+// acceptedEra returns the era in which the root's manifest was accepted.
+func (r *Root) acceptedEra() int64 {
+	if len(r.Accepted) == 0 {
+		return firstEra(0)
+	}
+	return firstEra(r.Accepted[0].Era)
+}
+
+// firstEra returns era, or the first one if there is none: the platform sends no
+// era, or the root does not say it.
+func firstEra(era int64) int64 { return max(era, 1) }
+
 // Join returns the complete manifest of a root. It fails if a part is missing.
 func (r *Root) Join(parts Parts) (*Manifest, error) { return NewJoiner().Join(r, parts) }
 
@@ -98,7 +127,8 @@
 			return s.Generation, true
 		}
 	}
-	return 0, r.Generation <= base+maxSubmissions
+	n := len(r.Accepted)
+	return 0, n < maxSubmissions || r.Accepted[n-1].Generation <= base+1
 }
 
 // Matches reports whether the digest of value equals the one in the name.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -66,6 +66,18 @@
 	return c.root
 }
 
+// encoded returns the root and the parts of the manifest in force, or nil if there
+// are none.
+func (c *config) encoded() (*manifest.Root, manifest.Parts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var root manifest.Root
+	if c.root == nil || json.Unmarshal(c.root, &root) != nil {
+		return nil, nil
+	}
+	return &root, c.parts
+}
+
 // knownParts returns those of the named parts that belong to the manifest in
 // force.
 func (c *config) knownParts(refs []manifest.Ref) manifest.Parts {
--- /dev/null
+++ b/internal/fleet/restore_test.go
@@ -0,0 +1,108 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/platform"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/submit"
+)
+
+// control makes one of the stand-in's control calls.
+func (c *cluster) control(path string) {
+	GinkgoHelper()
+	req, err := http.NewRequest(http.MethodPut, c.platform.URL+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(resp.Body.Close()).To(Succeed())
+}
+
+var _ = Describe("a fleet whose platform is restored from an older copy", func() {
+	var (
+		c       *cluster
+		routers []*router
+	)
+	slots := func(r *router) func() int {
+		return func() int {
+			if m := r.Manifest(); m != nil {
+				return m.Endpoints[0].Slots
+			}
+			return 0
+		}
+	}
+	// submitAndLose submits manifests after a copy was made, and restores the copy
+	// once the last of them is in force.
+	submitAndLose := func(slotsOfEach ...int) {
+		GinkgoHelper()
+		c.submit(1)
+		c.control("/copy")
+		for _, n := range slotsOfEach {
+			c.submit(n)
+		}
+		for _, r := range routers {
+			Eventually(slots(r)).Should(Equal(slotsOfEach[len(slotsOfEach)-1]))
+		}
+		c.control("/restore")
+	}
+
+	BeforeEach(func() {
+		c = newCluster()
+		routers = nil
+		for i := range 3 {
+			routers = append(routers, c.router(fmt.Sprintf("r%d", i)))
+		}
+		for _, r := range routers {
+			Eventually(r.names).Should(HaveLen(3))
+		}
+	})
+
+	DescribeTable("puts a manifest in force that is accepted afterwards",
+		func(lost ...int) {
+			submitAndLose(lost...)
+			c.submit(9)
+			for _, r := range routers {
+				Eventually(slots(r)).Should(Equal(9))
+			}
+		},
+		Entry("whose generation would be below the one in force", 2, 3, 4),
+		Entry("whose generation would be the one in force", 2),
+	)
+
+	It("stores the manifest in force again", func(ctx SpecContext) {
+		submitAndLose(2, 3)
+		Eventually(func() (int, error) {
+			m, _, err := submit.Current(ctx, platform.New(c.platform.URL))
+			return m.Endpoints[0].Slots, err
+		}).Should(Equal(3))
+		for _, r := range routers {
+			r.stop()
+		}
+		routers[0].start()
+		Eventually(slots(routers[0])).Should(Equal(3), "a fleet that restarts reads what was accepted last")
+	})
+
+	It("rejects a manifest that was made from the copy's generation", func() {
+		submitAndLose(2, 3)
+		m := exampleManifest(9)
+		m.Generation = 1
+		_, err := submit.Submit(context.Background(), platform.New(c.platform.URL), m)
+		Expect(code.Is(err, code.Conflict)).To(BeTrue(), "%v", err)
+		Expect(err.Error()).To(ContainSubstring("endpoints/e.slots: "))
+	})
+
+	It("keeps its members and goes on when it is restored twice in quick succession", func() {
+		submitAndLose(2, 3)
+		c.control("/restore")
+		c.submit(9)
+		for _, r := range routers {
+			Eventually(slots(r)).Should(Equal(9))
+			Consistently(r.names, lease).Should(HaveLen(3))
+		}
+	})
+})
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -22,7 +22,7 @@
 	initialPollInterval    = 500 * time.Millisecond // until there is a manifest
 	peerManifestTimeout    = 2 * time.Second        // time that a starting router waits for a manifest from its peers
 	peerCheckInterval      = 50 * time.Millisecond
-	maxParallelReads       = 8 // manifest parts read from the platform at the same time
+	maxParallelCalls       = 8 // manifest parts read or written at the same time
 )
 
 // WatchManifest keeps the manifest in force up to date from the platform
@@ -116,12 +116,19 @@
 	if err != nil {
 		return err
 	}
-	for _, o := range list.Items {
-		f.applyStoredRoot(ctx, o.Value)
+	var stored platform.Object
+	if len(list.Items) > 0 {
+		stored = list.Items[0]
+	}
+	if err := f.handleStoredRoot(ctx, stored); err != nil {
+		klog.ErrorS(err, "fleet: Failed to apply manifest from the platform")
 	}
 	return f.opts.Platform.Watch(ctx, ManifestKey, list.Version, func(e platform.Event) {
-		if !e.Deleted {
-			f.applyStoredRoot(ctx, e.Object.Value)
+		if e.Deleted {
+			return
+		}
+		if err := f.applyRoot(ctx, e.Object.Value, f.readPlatformParts); err != nil {
+			klog.ErrorS(err, "fleet: Failed to apply manifest from the platform")
 		}
 	})
 }
@@ -140,27 +147,33 @@
 
 func (f *Fleet) readManifest(ctx context.Context) error {
 	o, err := f.opts.Platform.Get(ctx, ManifestKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil
-	}
-	if err != nil {
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
 	}
-	return f.applyRoot(ctx, o.Value, f.readPlatformParts)
+	return f.handleStoredRoot(ctx, o)
 }
 
-func (f *Fleet) applyStoredRoot(ctx context.Context, value []byte) {
-	if err := f.applyRoot(ctx, value, f.readPlatformParts); err != nil {
-		klog.ErrorS(err, "fleet: Failed to apply manifest from the platform")
+// handleStoredRoot puts a root that was read from the platform in force if it is
+// newer than the current one. A watcher stores the current one again if the platform
+// has lost it.
+func (f *Fleet) handleStoredRoot(ctx context.Context, o platform.Object) error {
+	if len(o.Value) > 0 {
+		if err := f.applyRoot(ctx, o.Value, f.readPlatformParts); err != nil {
+			return err
+		}
+	}
+	if !f.isWatcher() {
+		return nil
 	}
+	return f.storeAgain(ctx, o)
 }
 
-// readPlatformParts reads parts from the platform, at most maxParallelReads at a
+// readPlatformParts reads parts from the platform, at most maxParallelCalls at a
 // time.
 func (f *Fleet) readPlatformParts(ctx context.Context, refs []manifest.Ref) (manifest.Parts, error) {
 	values := make([][]byte, len(refs))
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(maxParallelReads)
+	group.SetLimit(maxParallelCalls)
 	for i, ref := range refs {
 		group.Go(func() error {
 			o, err := f.opts.Platform.Get(ctx, PartPrefix+string(ref))
--- a/internal/submit/stored.go
+++ b/internal/submit/stored.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -19,13 +20,32 @@
 	maxLoadAttempts    = 3 // retries are needed because a root may be replaced while its parts are read
 )
 
+// confirmTimeout is how long a submission waits for a router to store the manifest
+// in force again after the platform was restored from an older copy.
+var confirmTimeout = 5 * time.Second
+
 // stored is the manifest in the platform.
 type stored struct {
 	root     *manifest.Root
 	version  int64 // version of the root object; 0: there is none yet
+	era      int64 // era of the platform when the root was read
 	manifest *manifest.Manifest
 }
 
+// loadConfirmed reads the root and all its parts. If the root was restored from an
+// older copy, it first waits until a router has written the root again, which is
+// then the one in force, or until confirmTimeout is over.
+func loadConfirmed(ctx context.Context, p *platform.Client) (*stored, error) {
+	deadline := time.Now().Add(confirmTimeout)
+	for {
+		s, err := loadStored(ctx, p)
+		if err != nil || s.root.WrittenIn(s.era) || time.Now().After(deadline) || ctx.Err() != nil {
+			return s, err
+		}
+		pause(ctx)
+	}
+}
+
 // loadStored reads the root and all its parts, with retries.
 func loadStored(ctx context.Context, p *platform.Client) (*stored, error) {
 	var err error
@@ -42,12 +62,12 @@
 func loadOnce(ctx context.Context, p *platform.Client) (*stored, error) {
 	o, err := p.Get(ctx, fleet.ManifestKey)
 	if errors.Is(err, platform.ErrNotFound) {
-		return &stored{root: &manifest.Root{}, manifest: &manifest.Manifest{}}, nil
+		return &stored{root: &manifest.Root{}, era: p.Era(), manifest: &manifest.Manifest{}}, nil
 	}
 	if err != nil {
 		return nil, code.Fail(code.PlatformError, err.Error())
 	}
-	s := &stored{root: &manifest.Root{}, version: o.Version}
+	s := &stored{root: &manifest.Root{}, version: o.Version, era: platform.EraOf(o.Version)}
 	if err := json.Unmarshal(o.Value, s.root); err != nil {
 		return nil, code.Fail(code.BadManifest, "the stored manifest can't be decoded: "+err.Error())
 	}
--- a/internal/submit/submit.go
+++ b/internal/submit/submit.go
@@ -49,7 +49,7 @@
 // must be the generation in force, or 0 for any. If the result of its write is
 // uncertain, Submit reads the root again to determine whether m was accepted.
 func Submit(ctx context.Context, p *platform.Client, m *manifest.Manifest) (int64, error) {
-	base, err := loadStored(ctx, p)
+	base, err := loadConfirmed(ctx, p)
 	if err != nil {
 		return 0, err
 	}
@@ -60,7 +60,7 @@
 		return 0, err
 	}
 	token := newToken()
-	root, parts, err := manifest.Split(m, base.root, token)
+	root, parts, err := manifest.Split(m, base.root, token, base.era)
 	if err != nil {
 		return 0, err
 	}
@@ -96,14 +96,16 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "encode root")
 	}
+	uncertain := false
 	for range maxWriteAttempts {
 		_, err = p.Put(ctx, fleet.ManifestKey, value, base.version)
 		if err == nil {
 			return root.Generation, nil
 		}
+		uncertain = uncertain || errors.Is(err, platform.ErrUncertain)
 		if errors.Is(err, platform.ErrConflict) {
 			var generation int64
-			if generation, err = readOutcome(ctx, p, base, token); err == nil || code.Is(err, code.Conflict) {
+			if generation, err = readOutcome(ctx, p, base, token, uncertain); err == nil || code.Is(err, code.Conflict) {
 				return generation, err
 			}
 		}
@@ -113,8 +115,9 @@
 }
 
 // readOutcome reads the root again to determine whether the submission was
-// accepted. It returns the submission's generation.
-func readOutcome(ctx context.Context, p *platform.Client, base *stored, token string) (int64, error) {
+// accepted. It returns the submission's generation. uncertain says that a write of
+// it may have taken effect.
+func readOutcome(ctx context.Context, p *platform.Client, base *stored, token string, uncertain bool) (int64, error) {
 	now, err := loadStored(ctx, p)
 	if err != nil {
 		return 0, err
@@ -123,6 +126,9 @@
 	if generation > 0 {
 		return generation, nil
 	}
+	if now.era != base.era && uncertain {
+		return 0, code.Fail(code.SubmitUnknown, "the platform was restored from an older copy during the submission")
+	}
 	if !known {
 		return 0, code.Fail(code.SubmitUnknown, fmt.Sprintf("generation %d is in force, and its list of submissions does not go back to this one", now.root.Generation))
 	}
--- a/internal/submit/submit_test.go
+++ b/internal/submit/submit_test.go
@@ -26,6 +26,16 @@
 	RunSpecs(t, "Submit")
 }
 
+// control makes one of the stand-in's control calls.
+func control(server *httptest.Server, path string) {
+	GinkgoHelper()
+	req, err := http.NewRequest(http.MethodPut, server.URL+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(resp.Body.Close()).To(Succeed())
+}
+
 func example(slots int) *manifest.Manifest {
 	return &manifest.Manifest{
 		Zones:     []manifest.Zone{{Name: "z", Region: "north", State: manifest.In}},
@@ -136,6 +146,43 @@
 		Expect(code.Is(err, code.SubmitUnknown)).To(BeTrue())
 	})
 
+	It("accepts a manifest above all generations that a restored platform has lost", func() {
+		DeferCleanup(submit.SetConfirmTimeout(0))
+		_, err := submit.Submit(ctx, client, example(1))
+		Expect(err).NotTo(HaveOccurred())
+		control(server, "/copy")
+		var lost int64
+		for slots := range 20 {
+			lost, err = submit.Submit(ctx, client, example(2+slots))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		control(server, "/restore")
+		generation, err := submit.Submit(ctx, client, example(30))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(generation).To(BeNumerically(">", lost))
+		next, err := submit.Submit(ctx, client, example(31))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(next).To(Equal(generation + 1))
+	})
+
+	It("does not say that a manifest was rejected if a restoration may have lost it", func() {
+		dropped := false
+		restoring := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			server.Config.Handler.ServeHTTP(w, r)
+			if r.Method == http.MethodPut && strings.HasSuffix(r.URL.Path, "config/manifest") && !dropped {
+				dropped = true
+				control(server, "/restore")
+			}
+		}))
+		defer restoring.Close()
+		_, err := submit.Submit(ctx, client, example(1))
+		Expect(err).NotTo(HaveOccurred())
+		control(server, "/copy")
+		loseResponses.Store(1)
+		_, err = submit.Submit(ctx, platform.New(restoring.URL), example(2))
+		Expect(code.Is(err, code.SubmitUnknown)).To(BeTrue(), "%v", err)
+	})
+
 	It("lists every fault of an invalid manifest", func() {
 		m := example(0)
 		m.Accounts[0].Share = -1
