Do not take a lease that comes back from a copy for a living router

What callers would see: a router that had been removed is a member again for one lease after the platform was restored, and requests go to it as the owner of its pools.

Cause: since versions rise across a restoration, a lease that came back has a higher version than the one known, which counts as a renewal. Before that, the opposite held: renewals after a restoration had lower versions and were not counted, so a router that its peers can't reach was removed.

A lease now says in which era it was renewed. One of an earlier era is no evidence for a router that is a member or was removed; a starting router still begins with it.

go test ./core/member ./internal/fleet

--- a/core/member/lease.go
+++ b/core/member/lease.go
@@ -19,6 +19,9 @@
 type Lease struct {
 	Router  Router
 	Version int64 // increases with each renewal
+	// Restored is set if the platform was restored from an older copy and the lease
+	// was not renewed since.
+	Restored bool
 }
 
 // RenewalInterval returns the time between two renewals of a lease. It grows with
@@ -108,10 +111,10 @@
 		}
 		return
 	}
-	if p := t.members[l.Router.Name]; p != nil && l.Version <= p.leaseVersion {
+	if p := t.members[l.Router.Name]; p != nil && (l.Restored || l.Version <= p.leaseVersion) {
 		return
 	}
-	if old, ok := t.removed[l.Router.Name]; ok && l.Version <= old.leaseVersion {
+	if old, ok := t.removed[l.Router.Name]; ok && (l.Restored || l.Version <= old.leaseVersion) {
 		return
 	}
 	if p, ok := t.recordAlive(now, l.Router, 0, l.Version); ok {
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -54,6 +54,21 @@
 	return f.opts.Platform.Delete(ctx, LeasePrefix+f.opts.Self.Name, version)
 }
 
+// storedLease is the value of a lease.
+type storedLease struct {
+	member.Router
+	Era int64 `json:"era,omitempty"` // era of the platform in which the lease was renewed
+}
+
+// decodeLease decodes a lease. One without an era, of an older router, does not count
+// as restored.
+func decodeLease(o platform.Object) (member.Lease, error) {
+	var stored storedLease
+	err := json.Unmarshal(o.Value, &stored)
+	restored := stored.Era != 0 && stored.Era != platform.EraOf(o.Version)
+	return member.Lease{Router: stored.Router, Version: o.Version, Restored: restored}, err
+}
+
 func (f *Fleet) renewalDelay() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -94,7 +109,11 @@
 		return errors.Newf("another router with a higher incarnation uses the name %s", self.Name)
 	}
 	self.Load = 0
-	value, err := json.Marshal(self)
+	era := f.opts.Platform.Era()
+	if version != 0 {
+		era = platform.EraOf(version) // the write takes effect in no other one
+	}
+	value, err := json.Marshal(storedLease{Router: self, Era: era})
 	if err != nil {
 		return errors.Wrap(err, "encode lease")
 	}
@@ -125,11 +144,11 @@
 	if err != nil {
 		return err
 	}
-	var holder member.Router
-	if err := json.Unmarshal(o.Value, &holder); err != nil {
+	holder, err := decodeLease(o)
+	if err != nil {
 		return errors.Wrap(err, "decode lease")
 	}
-	f.tracker.HandleHeartbeat(time.Now(), member.Heartbeat{Router: holder})
+	f.tracker.HandleHeartbeat(time.Now(), member.Heartbeat{Router: holder.Router})
 	f.leaseVersion = o.Version
 	return nil
 }
@@ -142,15 +161,15 @@
 	leases := make([]member.Lease, 0, len(list.Items))
 	own := int64(0)
 	for _, o := range list.Items {
-		var r member.Router
-		if err := json.Unmarshal(o.Value, &r); err != nil || r.Name != strings.TrimPrefix(o.Key, LeasePrefix) {
+		l, err := decodeLease(o)
+		if err != nil || l.Router.Name != strings.TrimPrefix(o.Key, LeasePrefix) {
 			klog.InfoS("fleet: Ignoring a lease that cannot be decoded or names another router", "key", o.Key, "err", err)
 			continue
 		}
-		if r.Name == f.opts.Self.Name {
+		if l.Router.Name == f.opts.Self.Name {
 			own = o.Version
 		}
-		leases = append(leases, member.Lease{Router: r, Version: o.Version})
+		leases = append(leases, l)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -171,9 +190,8 @@
 		if err != nil {
 			return err
 		}
-		var r member.Router
-		if err := json.Unmarshal(o.Value, &r); err == nil && r.Name == name {
-			leases = append(leases, member.Lease{Router: r, Version: o.Version})
+		if l, err := decodeLease(o); err == nil && l.Router.Name == name {
+			leases = append(leases, l)
 		}
 	}
 	f.mu.Lock()
--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -23,6 +23,14 @@
 	Expect(resp.Body.Close()).To(Succeed())
 }
 
+// version returns the version of an object.
+func version(c *cluster, key string) int64 {
+	GinkgoHelper()
+	o, err := platform.New(c.platform.URL).Get(context.Background(), key)
+	Expect(err).NotTo(HaveOccurred())
+	return o.Version
+}
+
 var _ = Describe("a fleet whose platform is restored from an older copy", func() {
 	var (
 		c       *cluster
@@ -96,6 +104,32 @@
 		Expect(err.Error()).To(ContainSubstring("endpoints/e.slots: "))
 	})
 
+	It("does not bring a removed router back with its lease", func() {
+		c.control("/copy")
+		routers[2].stop()
+		for _, r := range routers[:2] {
+			Eventually(r.names).Should(Equal([]string{"r0", "r1"}))
+		}
+		c.control("/restore")
+		Consistently(func(g Gomega) {
+			for _, r := range routers[:2] {
+				g.Expect(r.names()).To(Equal([]string{"r0", "r1"}))
+			}
+		}, 2*lease).Should(Succeed())
+	})
+
+	It("keeps a router that is known by its lease only", func() {
+		c.control("/copy")
+		for _, r := range routers[1:] {
+			c.setBlocked("r0", r.addr, true)
+			c.setBlocked(r.name, routers[0].addr, true)
+		}
+		before := version(c, "leases/r0")
+		Eventually(func() int64 { return version(c, "leases/r0") }, 10*lease).Should(BeNumerically(">", before+10), "renewed several times since the copy")
+		c.control("/restore")
+		Consistently(routers[1].names, 2*lease).Should(HaveLen(3))
+	})
+
 	It("keeps its members and goes on when it is restored twice in quick succession", func() {
 		submitAndLose(2, 3)
 		c.control("/restore")
