Log that the platform was restored from an older copy

Nothing in a router's log or timeline told a restoration from an outage: an operator could not see that acknowledged writes were gone. The event platform_restored and a log line name the new era.

go test ./internal/fleet ./internal/eventlog ./internal/explain

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -27,7 +27,8 @@
 	EndpointPaused   Kind = "endpoint_paused"
 	PlatformLost     Kind = "platform_lost"
 	PlatformRegained Kind = "platform_regained"
-	PartRestarted    Kind = "part_restarted" // a supervised service of the router, for example the heartbeats
+	PlatformRestored Kind = "platform_restored" // from an older copy
+	PartRestarted    Kind = "part_restarted"    // a supervised service of the router, for example the heartbeats
 	RouterStopped    Kind = "router_stopped"
 	StopIncomplete   Kind = "stop_cut" // the router stopped before its work had ended
 	SettingsReloaded Kind = "settings_reloaded"
--- a/internal/explain/step.go
+++ b/internal/explain/step.go
@@ -61,6 +61,8 @@
 		return withDetail("lost contact with the platform", e)
 	case eventlog.PlatformRegained:
 		return withDetail("reached the platform again", e)
+	case eventlog.PlatformRestored:
+		return withDetail("found the platform restored from an older copy", e)
 	}
 	return withDetail(string(e.Kind), e)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,7 +59,8 @@
 	incarnation    int64 // for which usage was created
 	leaseVersion   int64
 	platformDown   bool
-	viewMismatches int // consecutive replies from peers with another view
+	platformEra    int64 // at the last renewal; 0: none yet
+	viewMismatches int   // consecutive replies from peers with another view
 	usage          *usage.Aggregator
 	remoteUsage    map[string]fair.Cost // copy of usage.Remote at remoteUsageSeq
 	remoteUsageSeq uint64
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -62,6 +62,7 @@
 	addr     string
 	platform string
 	usage    map[string]fair.Cost
+	events   *eventlog.Log
 	stop     func()
 }
 
@@ -133,11 +134,12 @@
 		return breakableConn{conn, func() bool { return r.cluster.isBlocked(r.name, addr) }}, err
 	})
 	usage := r.usage
+	r.events = eventlog.New(r.name, 1000)
 	r.Fleet = fleet.New(fleet.Options{
 		Self:      member.Router{Name: r.name, Incarnation: r.cluster.incarnations.Add(1), Zone: "z", Region: "north", PeerAddr: r.addr},
 		Platform:  platform.New(r.platform),
 		Dialer:    dialer,
-		Events:    eventlog.New(r.name, 1000),
+		Events:    r.events,
 		Lease:     lease,
 		Heartbeat: heartbeat,
 		Usage:     func() map[string]fair.Cost { return usage },
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -33,6 +33,7 @@
 	for round := 0; ; round++ {
 		err := f.renewOnce(ctx)
 		f.recordPlatformResult(err)
+		f.recordEra()
 		if err == nil && round%renewalsPerInstanceRead == 0 {
 			f.readInstances(ctx)
 		}
@@ -214,6 +215,20 @@
 	f.tracker.SetInstances(leaving)
 }
 
+// recordEra logs a restoration of the platform.
+func (f *Fleet) recordEra() {
+	era := f.opts.Platform.Era()
+	f.mu.Lock()
+	previous := f.platformEra
+	f.platformEra = era
+	f.mu.Unlock()
+	if previous == 0 || previous == era {
+		return
+	}
+	klog.InfoS("fleet: Platform restored from an older copy", "era", era, "previous", previous)
+	f.opts.Events.Add(eventlog.Event{Kind: eventlog.PlatformRestored, Detail: detail("era", era)})
+}
+
 // recordPlatformResult records whether the platform was reachable and logs each
 // change.
 func (f *Fleet) recordPlatformResult(err error) {
--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/platform"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/submit"
 )
@@ -23,6 +24,17 @@
 	Expect(resp.Body.Close()).To(Succeed())
 }
 
+// restorations returns the details of the events of restorations.
+func (r *router) restorations() []string {
+	var details []string
+	for _, e := range r.events.All() {
+		if e.Kind == eventlog.PlatformRestored {
+			details = append(details, e.Detail)
+		}
+	}
+	return details
+}
+
 // version returns the version of an object.
 func version(c *cluster, key string) int64 {
 	GinkgoHelper()
@@ -82,6 +94,13 @@
 		Entry("whose generation would be the one in force", 2),
 	)
 
+	It("shows the restoration in the timeline of each router", func() {
+		submitAndLose(2)
+		for _, r := range routers {
+			Eventually(r.restorations).Should(Equal([]string{"era=2"}))
+		}
+	})
+
 	It("stores the manifest in force again", func(ctx SpecContext) {
 		submitAndLose(2, 3)
 		Eventually(func() (int, error) {
