Do not run an order again whose record the platform has lost

Cause: the ledger took the platform's copy for the whole truth. A router that knew the lost record dropped it, or never wrote it again.

A shard now notices the era of each result. When it changes, the shard is loaded again and writes the records that it knew and the copy lacks, or has in an earlier state, before anything else; a state that is later than the remembered one stays. Segments with records of the last minute stay in memory for that. New claims wait for the hold, the lifetime of a lease, in which each router renews its own and learns of the restoration. Orders whose record is there are answered at once.

Seen failing before, on the commit before: "resent to another router" (replayed false, executed twice) and "records the outcome of an order whose claim is lost while it runs" (error instead of the recorded response).

go test ./core/order ./internal/ledger ./internal/daemon

--- a/core/order/call.go
+++ b/core/order/call.go
@@ -56,6 +56,9 @@
 	Status  CallStatus
 	Version int64  // of the object read or written
 	Value   []byte // for Get
+	// Era rises each time the platform is restored from an older copy of itself; 0:
+	// the platform does not tell. Versions are ordered across eras.
+	Era int64
 }
 
 // head is the stored object that marks the start of a shard's chain. It is
--- a/core/order/clone_test.go
+++ b/core/order/clone_test.go
@@ -15,6 +15,7 @@
 	c.index = maps.Clone(s.index)
 	c.summaries = maps.Clone(s.summaries)
 	c.reread = maps.Clone(s.reread)
+	c.lost = maps.Clone(s.lost)
 	c.claims = copyAll(s.claims)
 	c.changes = copyAll(s.changes)
 	c.reads = copyAll(s.reads)
@@ -22,7 +23,7 @@
 		p.toRead = maps.Clone(p.toRead)
 	}
 	if s.inFlight != nil {
-		c.inFlight = &segmentWrite{segment: s.inFlight.segment, claims: copyAll(s.inFlight.claims), changes: copyAll(s.inFlight.changes)}
+		c.inFlight = &segmentWrite{segment: s.inFlight.segment, claims: copyAll(s.inFlight.claims), changes: copyAll(s.inFlight.changes), lost: s.inFlight.lost}
 	}
 	return &c
 }
--- a/core/order/next.go
+++ b/core/order/next.go
@@ -9,6 +9,11 @@
 	if s.call != nil {
 		return Call{}, false
 	}
+	s.now = now
+	if s.holdPending {
+		s.holdPending = false
+		s.Hold(now.Add(s.cfg.RestoreHold))
+	}
 	call, ok := s.chooseCall(now)
 	if ok {
 		s.call = &call
@@ -22,14 +27,24 @@
 	if s.call != nil || !s.Busy() {
 		return time.Time{}, false
 	}
+	if s.onlyClaims() && s.holdUntil.After(s.nextWriteAt) {
+		return s.holdUntil, true
+	}
 	return s.nextWriteAt, true
 }
 
+// onlyClaims reports whether nothing but claims waits for the platform.
+func (s *Shard) onlyClaims() bool {
+	return len(s.claims) > 0 && s.tail != nil && !s.verifyHead && len(s.changes)+len(s.reads)+len(s.lost)+len(s.reread) == 0
+}
+
 func (s *Shard) chooseCall(now time.Time) (Call, bool) {
 	if s.tail == nil || s.verifyHead {
 		return s.loadCall(), true
 	}
-	s.completeReads()
+	if len(s.lost) == 0 {
+		s.completeReads()
+	}
 	if seq, ok := s.nextReread(); ok {
 		return s.getSegment(seq), true
 	}
@@ -104,6 +119,11 @@
 // nextEvicted returns a sealed segment that a pending operation needs and that
 // is not in memory.
 func (s *Shard) nextEvicted() (int, bool) {
+	for id := range s.lost {
+		if seq, ok := s.evictedSegment(id); ok {
+			return seq, true
+		}
+	}
 	for _, c := range s.claims {
 		if seq, ok := s.evictedSegment(c.id); ok {
 			return seq, true
--- /dev/null
+++ b/core/order/restore.go
@@ -0,0 +1,124 @@
+package order
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// restoreWindow is the age of the newest record of a sealed segment up to which the
+// segment stays in memory. What was written longer ago is not expected to be lost when
+// the platform is restored from an older copy.
+const restoreWindow = time.Minute
+
+// Hold makes claims wait until the given time.
+func (s *Shard) Hold(until time.Time) {
+	if until.After(s.holdUntil) {
+		s.holdUntil = until
+	}
+}
+
+// handleRestoration handles the result of a call that shows that the platform was
+// restored from an older copy. It discards the result and loads the shard again.
+// The records in memory are written again unless the platform has them.
+func (s *Shard) handleRestoration(call *Call, r CallResult) {
+	if w := s.inFlight; w != nil {
+		s.inFlight = nil
+		if r.Status == CallOK || r.Status == CallUncertain {
+			markUncertain(w, call)
+		}
+		s.requeue(w)
+	}
+	for _, seg := range s.segments() {
+		for _, e := range seg.entries {
+			s.remember(e.record)
+		}
+	}
+	s.era = r.Era
+	s.reset()
+	s.head, s.headVersion = head{}, 0
+	s.loadRequested = true
+	s.holdPending = true
+}
+
+func (s *Shard) remember(r Record) {
+	id := r.ID()
+	if known, ok := s.lost[id]; !ok || r.supersedes(known) {
+		s.lost[id] = r
+	}
+}
+
+// supersedes reports whether r is a later state than other of the same key.
+func (r Record) supersedes(other Record) bool {
+	if r.Fence != other.Fence {
+		return r.Fence > other.Fence
+	}
+	return r.Token == other.Token && r.State.progress() > other.State.progress()
+}
+
+// progress orders the states by the changes that are possible.
+func (s State) progress() int {
+	switch s {
+	case Claimed:
+		return 0
+	case Unknown:
+		return 1
+	}
+	return 2
+}
+
+// rewriteCall returns a write that commits lost records of one segment, if there are
+// any. It forgets those that need not be written.
+func (s *Shard) rewriteCall(now time.Time) (Call, bool) {
+	var base *storedSegment
+	var w *segmentWrite
+	for _, r := range s.lostRecords() {
+		target := s.rewriteTarget(r, now)
+		if target == nil {
+			delete(s.lost, r.ID())
+			continue
+		}
+		if w == nil {
+			base, w = target, &segmentWrite{segment: target.clone()}
+		}
+		if target != base || base == s.tail && s.full(w.segment) {
+			continue
+		}
+		w.segment.put(r)
+		w.lost = append(w.lost, r.ID())
+	}
+	if w == nil {
+		return Call{}, false
+	}
+	if base == s.tail && s.full(w.segment) {
+		w.segment.Sealed = true
+	}
+	return s.startWrite(w, base, now), true
+}
+
+// rewriteTarget returns the segment to which a lost record is to be written, or nil
+// if the platform has it, or a later state of it, or its retention may have ended.
+func (s *Shard) rewriteTarget(r Record, now time.Time) *storedSegment {
+	if s.cfg.Retention > 0 && now.Sub(r.AcceptedAt) >= s.cfg.Retention/2 {
+		return nil
+	}
+	current := s.findRecord(r.ID())
+	if current == nil {
+		return s.tail
+	}
+	if !r.supersedes(*current) {
+		return nil
+	}
+	return s.segment(s.index[r.ID()])
+}
+
+// lostRecords returns the lost records in the order of their acceptance.
+func (s *Shard) lostRecords() []Record {
+	return slices.SortedFunc(maps.Values(s.lost), func(a, b Record) int {
+		if order := a.AcceptedAt.Compare(b.AcceptedAt); order != 0 {
+			return order
+		}
+		return strings.Compare(a.Token, b.Token)
+	})
+}
--- a/core/order/result.go
+++ b/core/order/result.go
@@ -8,6 +8,11 @@
 func (s *Shard) HandleResult(r CallResult) error {
 	call := s.call
 	s.call = nil
+	if r.Era != s.era && s.era != 0 {
+		s.handleRestoration(call, r)
+		return nil
+	}
+	s.era = r.Era
 	switch call.purpose {
 	case readHead:
 		return s.handleReadHead(r)
@@ -205,9 +210,7 @@
 		return
 	}
 	if r.Status == CallUncertain {
-		for _, c := range w.claims {
-			c.uncertainSeq, c.uncertainVersion = call.seq, call.Version
-		}
+		markUncertain(w, call)
 	}
 	s.requeue(w)
 	if r.Status != CallFailed {
@@ -215,6 +218,13 @@
 	}
 }
 
+// markUncertain records that a write may take effect.
+func markUncertain(w *segmentWrite, call *Call) {
+	for _, c := range w.claims {
+		c.uncertainSeq, c.uncertainVersion = call.seq, call.Version
+	}
+}
+
 // requeue puts the operations of a write that was not confirmed back at the
 // front of the queues, in their original order. It drops withdrawn claims that
 // can't have been written.
@@ -243,6 +253,10 @@
 	for _, c := range w.changes {
 		s.complete(c.op, ChangeCommitted, *seg.Find(c.id))
 	}
+	for _, id := range w.lost {
+		s.index[id] = seg.Seq
+		delete(s.lost, id)
+	}
 	if seg.Sealed {
 		wasTail := s.tail == seg
 		s.applySealed(seg)
--- a/core/order/retention.go
+++ b/core/order/retention.go
@@ -76,11 +76,13 @@
 }
 
 // evict limits the sealed segments in memory to those with open records, those
-// that pending operations need and the newest maxCachedSegments others.
+// that pending operations need, those that a restoration of the platform may lose
+// and the newest maxCachedSegments others.
 func (s *Shard) evict() {
 	var evictable []int
 	for seq, seg := range s.sealed {
-		if seg.openRecords == 0 && !s.inUse(seq) {
+		recent := s.now.Sub(s.summaries[seq].newestAccepted) < restoreWindow
+		if seg.openRecords == 0 && !recent && !s.inUse(seq) {
 			evictable = append(evictable, seq)
 		}
 	}
@@ -95,6 +97,11 @@
 
 // inUse reports whether a pending operation needs a segment.
 func (s *Shard) inUse(seq int) bool {
+	for id := range s.lost {
+		if at, ok := s.index[id]; ok && at == seq {
+			return true
+		}
+	}
 	for _, c := range s.claims {
 		if at, ok := s.index[c.id]; ok && at == seq {
 			return true
--- a/core/order/shard.go
+++ b/core/order/shard.go
@@ -11,6 +11,11 @@
 	WriteInterval time.Duration // minimum time between the starts of two writes of this shard
 	Retention     time.Duration // how long a record is kept after Record.AcceptedAt; 0: forever
 	SealBytes     int           // size at which a segment is sealed; 0: the default
+	// Era is the era of the platform that the router knows when it creates the
+	// shard; 0: none. RestoreHold is how long claims wait after a restoration of
+	// the platform, so that routers can write lost records again.
+	Era         int64
+	RestoreHold time.Duration
 }
 
 const (
@@ -82,6 +87,13 @@
 	call        *Call
 	inFlight    *segmentWrite
 	nextWriteAt time.Time // earliest start of the next write
+
+	now         time.Time     // as of the last call of NextCall
+	era         int64         // era of the platform; 0: unknown
+	lost        map[ID]Record // records known before a restoration that may have to be written again
+	holdUntil   time.Time     // claims wait until then
+	holdPending bool          // a restoration was found; NextCall sets holdUntil
+
 	// lastCallWasRead is set while a write may go before the segment reads of
 	// pending reads, because such a read went first last time. The two alternate,
 	// so that neither starves the other.
@@ -133,6 +145,7 @@
 	segment *Segment
 	claims  []*pendingClaim
 	changes []*pendingChange
+	lost    []ID // lost records that it writes again
 }
 
 // NewShard returns a shard that has not read anything yet.
@@ -140,7 +153,7 @@
 	if cfg.SealBytes == 0 {
 		cfg.SealBytes = defaultSealBytes
 	}
-	s := &Shard{cfg: cfg}
+	s := &Shard{cfg: cfg, era: cfg.Era, lost: map[ID]Record{}}
 	s.reset()
 	return s
 }
@@ -240,9 +253,10 @@
 // again.
 func (s *Shard) Loaded() bool { return s.tail != nil && !s.verifyHead && len(s.reread) == 0 }
 
-// Pending reports whether claims, changes or reads wait for the platform.
+// Pending reports whether claims, changes, reads or lost records wait for the
+// platform.
 func (s *Shard) Pending() bool {
-	return len(s.claims)+len(s.changes)+len(s.reads) > 0 || s.inFlight != nil
+	return len(s.claims)+len(s.changes)+len(s.reads)+len(s.lost) > 0 || s.inFlight != nil
 }
 
 // Busy reports whether the shard has work that needs platform calls: pending
--- a/core/order/write.go
+++ b/core/order/write.go
@@ -5,7 +5,12 @@
 // writeCall returns a write that commits all pending changes and claims of one
 // segment, if there are any.
 func (s *Shard) writeCall(now time.Time) (Call, bool) {
-	seq, ok := s.writeTarget()
+	if len(s.lost) > 0 {
+		if call, ok := s.rewriteCall(now); ok {
+			return call, true
+		}
+	}
+	seq, ok := s.writeTarget(now)
 	if !ok {
 		return Call{}, false
 	}
@@ -18,21 +23,26 @@
 	if !changed {
 		return Call{}, false
 	}
+	return s.startWrite(w, base, now), true
+}
+
+// startWrite returns the call of a write that replaces base.
+func (s *Shard) startWrite(w *segmentWrite, base *storedSegment, now time.Time) Call {
 	s.inFlight = w
 	s.nextWriteAt = now.Add(s.cfg.WriteInterval)
 	return Call{
 		Verb:    Put,
-		Object:  s.segmentObject(seq),
+		Object:  s.segmentObject(base.Seq),
 		Value:   w.segment.Encode(),
 		Version: base.version,
 		purpose: writeSegment,
-		seq:     seq,
-	}, true
+		seq:     base.Seq,
+	}
 }
 
 // writeTarget returns the segment that the oldest pending claim or change is
 // written to.
-func (s *Shard) writeTarget() (int, bool) {
+func (s *Shard) writeTarget(now time.Time) (int, bool) {
 	var oldest Op
 	seq, ok := 0, false
 	for _, c := range s.changes {
@@ -47,6 +57,9 @@
 			}
 		}
 	}
+	if now.Before(s.holdUntil) {
+		return seq, ok
+	}
 	for _, c := range s.claims {
 		if !ok || c.op < oldest {
 			oldest, seq, ok = c.op, s.tail.Seq, true
@@ -102,6 +115,9 @@
 // it in the same write once it is full. It reports whether it modified the
 // segment.
 func (s *Shard) addClaims(w *segmentWrite, now time.Time) bool {
+	if now.Before(s.holdUntil) {
+		return false
+	}
 	any := false
 	waiting := s.claims[:0]
 	for _, c := range s.claims {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -81,6 +81,10 @@
 	// StartupGrace is how long after its start a router considers all claimants
 	// alive, because its view of the fleet is not complete yet; 0: the default.
 	StartupGrace time.Duration
+	// RestoreHold is how long new orders wait after the platform was restored from
+	// an older copy, until every router has written its lost records again; 0: the
+	// default.
+	RestoreHold time.Duration
 }
 
 // Order is a request that must be executed at most once.
@@ -113,6 +117,8 @@
 	running    map[order.ID]chan struct{} // runs at this router; closed when the run ends
 	retries    *retry.Budget
 	activeRuns sync.WaitGroup
+	era        int64     // of the platform, as last observed; 0: none yet
+	holdUntil  time.Time // new orders wait until then
 }
 
 // New returns a ledger. It reads nothing from the platform yet. Close stops it.
@@ -120,6 +126,9 @@
 	if opts.StartupGrace == 0 {
 		opts.StartupGrace = defaultStartupGrace
 	}
+	if opts.RestoreHold == 0 {
+		opts.RestoreHold = defaultRestoreHold
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	return &Ledger{
 		opts:    opts,
@@ -290,11 +299,15 @@
 }
 
 func (l *Ledger) shard(n int) *shard {
+	l.observeEra()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, ok := l.shards[n]
 	if !ok {
-		s = newShard(l.ctx, l.opts.Platform, l.config(n))
+		cfg := l.config(n)
+		cfg.Era = l.era
+		s = newShard(l.ctx, l.opts.Platform, cfg)
+		s.core.Hold(l.holdUntil)
 		l.shards[n] = s
 	}
 	return s
@@ -308,6 +321,7 @@
 		Number:        n,
 		WriteInterval: time.Duration(orders.Shards) * time.Second / fleetWritesPerSecond,
 		Retention:     time.Duration(orders.RetentionHours) * time.Hour,
+		RestoreHold:   l.opts.RestoreHold,
 	}
 }
 
--- a/internal/ledger/rig_test.go
+++ b/internal/ledger/rig_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -27,6 +28,10 @@
 	"github.com/cyclamenwinch/cyclamenwinch/standin/orders"
 )
 
+// restoreHold is how long new orders wait after a restoration. The specs wait for what
+// has to happen in that time.
+const restoreHold = 10 * time.Millisecond
+
 func TestLedger(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "Ledger")
@@ -80,6 +85,8 @@
 	return s.Store.Delete(key, version)
 }
 
+func (s *store) Era() int64 { return 0 }
+
 func (s *store) WaitRetry(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
@@ -107,7 +114,12 @@
 	runner   *httptest.Server
 	endpoint manifest.Endpoint
 	routers  []*ledger.Ledger
-	onOrder  func() // called when an order reaches the runner
+	onOrder  func()              // called when an order reaches the runner
+	serve    bool                // added routers maintain their shards
+	platform func() ledger.Store // returns the store of a router that is added
+
+	mu     sync.Mutex
+	fences []int64 // fencing numbers of the orders that reached the runner
 }
 
 func newRig(options orders.Options, lookup bool, routers ...string) *rig {
@@ -115,9 +127,11 @@
 		store:   &store{Store: objects.NewStore(), rng: rand.New(rand.NewPCG(1, 1))},
 		onOrder: func() {},
 	}
+	r.platform = func() ledger.Store { return r.store }
 	runner := orders.NewServer("runner", options).Handler()
 	r.runner = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if req.Method == http.MethodPost {
+			r.recordFence(req)
 			r.onOrder()
 		}
 		runner.ServeHTTP(w, req)
@@ -131,6 +145,7 @@
 }
 
 func (r *rig) add(name string) *ledger.Ledger {
+	GinkgoHelper()
 	f := fleet{self: member.Router{Name: name, Incarnation: 1, Zone: "z", Region: "r"}, manifest: &manifest.Manifest{
 		Generation: 1,
 		Zones:      []manifest.Zone{{Name: "z", Region: "r", State: manifest.In}},
@@ -146,12 +161,31 @@
 	go host.Serve(ctx)
 	pools := pool.NewClient(f, host, nil)
 	DeferCleanup(pools.Close)
-	l := ledger.New(ledger.Options{Fleet: f, Platform: r.store, Pools: pools, Endpoints: endpoint.New(200 * time.Millisecond), Events: events, StartupGrace: time.Nanosecond})
+	l := ledger.New(ledger.Options{Fleet: f, Platform: r.platform(), Pools: pools, Endpoints: endpoint.New(200 * time.Millisecond), Events: events, StartupGrace: time.Nanosecond, RestoreHold: restoreHold})
 	DeferCleanup(l.Close)
+	serving, stop := context.WithCancel(context.Background())
+	DeferCleanup(stop)
+	if r.serve {
+		go l.Serve(serving)
+	}
 	r.routers = append(r.routers, l)
 	return l
 }
 
+func (r *rig) recordFence(req *http.Request) {
+	fence, _ := strconv.ParseInt(req.Header.Get(orders.FencingNumberHeader), 10, 64)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fences = append(r.fences, fence)
+}
+
+// lastFence returns the fencing number of the last order that reached the runner.
+func (r *rig) lastFence() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fences[len(r.fences)-1]
+}
+
 func testOrder(key string) ledger.Order {
 	return ledger.Order{Account: "hotels", Key: key, Pool: "orders", Path: "/v1/orders", ContentType: "application/json", Body: []byte("{}"), RequestID: "request-" + key}
 }
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -48,8 +48,10 @@
 
 // Serve maintains the shards whose home router is this router, until the context
 // is done: it reads them in advance, settles claims of lost routers and looks up
-// unknown outcomes.
+// unknown outcomes. It also writes records of any shard again that the platform has
+// lost.
 func (l *Ledger) Serve(ctx context.Context) error {
+	go l.watchEra(ctx)
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	lookedUp := time.Now()
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -17,6 +17,8 @@
 	Get(ctx context.Context, key string) (platform.Object, error)
 	Put(ctx context.Context, key string, value []byte, version int64) (int64, error)
 	Delete(ctx context.Context, key string, version int64) error
+	// Era returns the era of the newest response, see platform.Client.
+	Era() int64
 	// WaitRetry waits until a failed call may be retried.
 	WaitRetry(ctx context.Context) error
 }
@@ -100,6 +102,14 @@
 	s.startLoop()
 }
 
+// hold makes claims wait until the given time, and reads the shard again.
+func (s *shard) hold(until time.Time) {
+	s.mu.Lock()
+	s.core.Hold(until)
+	s.mu.Unlock()
+	s.refresh()
+}
+
 // records returns the claimed and unknown records, and whether the whole shard
 // has been read.
 func (s *shard) records() ([]order.Record, bool) {
@@ -157,7 +167,7 @@
 		s.running = false
 		return order.Call{}, false, 0
 	}
-	return order.Call{}, false, max(at.Sub(now), time.Millisecond)
+	return order.Call{}, false, min(max(at.Sub(now), time.Millisecond), pollInterval) // operations may be added meanwhile
 }
 
 // make makes one platform call and passes its result to the core shard.
@@ -180,6 +190,15 @@
 // executeCall makes one platform call. It returns an error only if the call
 // failed or its effect is uncertain.
 func (s *shard) executeCall(call order.Call) (order.CallResult, error) {
+	result, err := s.callStore(call)
+	result.Era = s.store.Era()
+	if result.Version != 0 {
+		result.Era = platform.EraOf(result.Version)
+	}
+	return result, err
+}
+
+func (s *shard) callStore(call order.Call) (order.CallResult, error) {
 	switch call.Verb {
 	case order.Get:
 		o, err := s.store.Get(s.ctx, call.Object)
