Never give a fencing number out twice, also after a restoration

What callers could see: an order executed twice at an endpoint that checks fencing numbers. After the platform came back from an older copy, a claim got a number that a lost claim of the same key already had, so the endpoint accepted the late dispatch of a stalled router beside the new one. A fence that the copy shows as raised was trusted although a lost claim may have a higher number.

Cause: numbers count up from the record of the key, which a restoration takes back.

The platform's era is now the high part of a fencing number. Every number given out or raised in an era is above all of the eras before, without anybody remembering them, and a fence raised in an earlier era counts as not raised. Without Platform-Era numbers stay as they were.

go test ./core/order ./internal/ledger

--- a/core/order/record.go
+++ b/core/order/record.go
@@ -97,20 +97,22 @@
 }
 
 // apply returns the changed record and whether the change is allowed. A change
-// that was already made is allowed and has no effect.
-func (c Change) apply(r Record) (Record, bool) {
+// that was already made is allowed and has no effect. A fence is raised to
+// lowestFence at least.
+func (c Change) apply(r Record, lowestFence int64) (Record, bool) {
 	if r.Token != c.Token {
 		return r, false
 	}
-	if r.State == c.To && (r.FenceRaised || !c.RaiseFence) {
+	raised := r.FenceRaised && r.Fence >= lowestFence
+	if r.State == c.To && (raised || !c.RaiseFence) {
 		return r, true
 	}
 	if r.State.Final() || (c.OnlyIfUnknown && r.State != Unknown) {
 		return r, false
 	}
-	if c.RaiseFence && !r.FenceRaised {
+	if c.RaiseFence && !raised {
 		r.FenceRaised = true
-		r.Fence++
+		r.Fence = max(r.Fence+1, lowestFence)
 	}
 	r.State = c.To
 	r.Response = c.Response
--- a/core/order/restore.go
+++ b/core/order/restore.go
@@ -7,10 +7,19 @@
 	"time"
 )
 
-// restoreWindow is the age of the newest record of a sealed segment up to which the
-// segment stays in memory. What was written longer ago is not expected to be lost when
-// the platform is restored from an older copy.
-const restoreWindow = time.Minute
+const (
+	// restoreWindow is the age of the newest record of a sealed segment up to which
+	// the segment stays in memory. What was written longer ago is not expected to be
+	// lost when the platform is restored from an older copy.
+	restoreWindow = time.Minute
+	// fenceBits are the low bits of a fencing number. The bits above hold the era in
+	// which it was given out, so that no number is given out again after the
+	// platform has lost the record of the first time.
+	fenceBits = 32
+)
+
+// lowestFence returns the lowest fencing number that may be given out.
+func (s *Shard) lowestFence() int64 { return s.era<<fenceBits | 1 }
 
 // Hold makes claims wait until the given time.
 func (s *Shard) Hold(until time.Time) {
--- a/core/order/restore_test.go
+++ b/core/order/restore_test.go
@@ -163,3 +163,33 @@
 		t.Errorf("state %s, want done", record.State)
 	}
 }
+
+func TestFencingNumberIsNotGivenOutAgainAfterRestoration(t *testing.T) {
+	p := newRestorablePlatform()
+	raise := order.Change{Key: "k", Token: "ta", To: order.Unknown, RaiseFence: true}
+	wantResult(t, p.claim(t, newRestorableShard(0), "k", "ta"), order.ClaimWon, "ta")
+	b := newRestorableShard(0)
+	b.Refresh()
+	p.drive(t, b)
+	raised := p.change(t, b, raise)
+	p.copy()
+	p.change(t, b, order.Change{Key: "k", Token: "ta", To: order.NotRun})
+	lost := wantResult(t, p.claim(t, b, "k", "tb"), order.ClaimWon, "tb")
+	p.restore()
+
+	c := newRestorableShard(0) // remembers nothing
+	c.ReadRecord("acct", "k", true)
+	found := p.drive(t, c)[0].Record
+	if found.Fence != raised.Fence || found.FenceRaised {
+		t.Fatalf("read fence %d raised %v, want %d, not raised: the endpoint may have accepted a lost claim since", found.Fence, found.FenceRaised, raised.Fence)
+	}
+	again := p.change(t, c, raise)
+	if !again.FenceRaised || again.Fence <= lost.Fence {
+		t.Errorf("raised to %d, not above %d, which a lost claim has", again.Fence, lost.Fence)
+	}
+	p.change(t, c, order.Change{Key: "k", Token: "ta", To: order.NotRun})
+	next := wantResult(t, p.claim(t, c, "k", "tc"), order.ClaimWon, "tc")
+	if next.Fence <= again.Fence {
+		t.Errorf("claimed with %d, not above %d", next.Fence, again.Fence)
+	}
+}
--- a/core/order/shard.go
+++ b/core/order/shard.go
@@ -317,5 +317,8 @@
 }
 
 func (s *Shard) complete(op Op, kind OpResultKind, r Record) {
+	if r.Fence < s.lowestFence() {
+		r.FenceRaised = false // a fence of an earlier era rules out only what the restored record tells of
+	}
 	s.results = append(s.results, OpResult{Op: op, Kind: kind, Record: r})
 }
--- a/core/order/write.go
+++ b/core/order/write.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		current := *found
-		changed, allowed := c.apply(current)
+		changed, allowed := c.apply(current, s.lowestFence())
 		if !allowed {
 			s.complete(c.op, ChangeRejected, current)
 			continue
@@ -195,6 +195,7 @@
 // may have been written is written in state NotRun.
 func (s *Shard) recordToWrite(seg *Segment, c *pendingClaim) Record {
 	r := c.record
+	r.Fence = max(r.Fence, s.lowestFence())
 	old := seg.Find(c.id)
 	if old == nil {
 		old = s.findRecord(c.id)
--- a/internal/ledger/restore_test.go
+++ b/internal/ledger/restore_test.go
@@ -134,4 +134,18 @@
 		Expect(r.run(ctx, 1, "k").Replayed).To(BeTrue())
 		Expect(r.stats().MaxByKey).To(Equal(1))
 	}, SpecTimeout(time.Minute))
+
+	It("gives out no fencing number again", func(ctx SpecContext) {
+		r := newRestorableRig(orders.Options{CheckFence: true}, true, "a")
+		r.run(ctx, 0, "before")
+		r.control("/copy")
+		r.run(ctx, 0, "k")
+		lost := r.lastFence()
+		r.routers[0].Close()
+		r.control("/restore")
+		r.add("c")
+		r.run(ctx, 1, "k")
+		Expect(r.lastFence()).To(BeNumerically(">", lost), "the claim that nobody remembers has a lower number")
+		Expect(r.dispatch("k", lost)).To(Equal(412))
+	}, SpecTimeout(time.Minute))
 })
