Take an error without an era for no restoration

What callers would see: new orders wait for the hold after each error response of a load balancer before the platform, since a response without Platform-Era counted as era 0, and the next one as a change back.

An error response without the header now leaves the era as it is. A success without it is still era 0, of a platform that does not send it.

Seen failing on the commit before: "keeps its era when an intermediary rejects a call" (era 0 instead of 1).

go test ./internal/platform

--- a/internal/platform/era.go
+++ b/internal/platform/era.go
@@ -81,7 +81,11 @@
 // of changes. It returns errEarlierEra if the response is outdated. A lower era is
 // not outdated if the call began in the current one: the address then leads to
 // another platform.
-func (e *eras) observe(era int64, changesAtStart int) error {
+func (e *eras) observe(resp *http.Response, changesAtStart int) error {
+	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(eraHeader) == "" {
+		return nil // may be from an intermediary, which knows no era
+	}
+	era := responseEra(resp)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
--- a/internal/platform/era_test.go
+++ b/internal/platform/era_test.go
@@ -133,4 +133,23 @@
 		close(resume)
 		Eventually(ctx, read).Should(Receive(HaveOccurred()))
 	}, SpecTimeout(10*time.Second))
+
+	It("keeps its era when an intermediary rejects a call", func(ctx SpecContext) {
+		version, err := client.Put(ctx, "a", nil, 0)
+		Expect(err).NotTo(HaveOccurred())
+		intermediary := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/v1/records/a" {
+				http.Error(w, "no backend", http.StatusBadGateway)
+				return
+			}
+			server.Config.Handler.ServeHTTP(w, r)
+		}))
+		defer intermediary.Close()
+		client = platform.New(intermediary.URL)
+		_, err = client.List(ctx, "")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client.Get(ctx, "a")
+		Expect(err).To(HaveOccurred())
+		Expect(client.Era()).To(Equal(platform.EraOf(version)))
+	}, SpecTimeout(10*time.Second))
 })
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -201,13 +201,13 @@
 		return errors.Wrap(watchError(ctx, err), "watch")
 	}
 	defer resp.Body.Close()
-	era := responseEra(resp)
-	if err := c.eras.observe(era, changes); err != nil {
+	if err := c.eras.observe(resp, changes); err != nil {
 		return errors.Wrap(err, "watch")
 	}
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp)
 	}
+	era := responseEra(resp)
 	if from != 0 && EraOf(from) != era {
 		return ErrVersionTooOld
 	}
@@ -270,7 +270,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "platform call")
 	}
-	if err := c.eras.observe(responseEra(resp), changes); err != nil {
+	if err := c.eras.observe(resp, changes); err != nil {
 		drain(resp)
 		return nil, errors.Wrap(err, "platform call")
 	}
