--- a/internal/platform/era_test.go
+++ b/internal/platform/era_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -114,7 +115,7 @@
 		_, err := client.List(ctx, "")
 		Expect(err).NotTo(HaveOccurred())
 		close(resume)
-		Eventually(ctx, written).Should(Receive(MatchError(platform.ErrUncertain)))
+		Eventually(ctx, written).Should(Receive(Satisfy(func(err error) bool { return errors.Is(err, platform.ErrUncertain) })))
 	}, SpecTimeout(10*time.Second))
 
 	It("does not return what it held before to a read that began before the restoration", func(ctx SpecContext) {
