--- a/core/order/clone_test.go
+++ b/core/order/clone_test.go
@@ -16,6 +16,7 @@
 	c.summaries = maps.Clone(s.summaries)
 	c.reread = maps.Clone(s.reread)
 	c.lost = maps.Clone(s.lost)
+	c.abandoned = maps.Clone(s.abandoned)
 	c.claims = copyAll(s.claims)
 	c.changes = copyAll(s.changes)
 	c.reads = copyAll(s.reads)
--- a/core/order/next.go
+++ b/core/order/next.go
@@ -119,8 +119,8 @@
 // nextEvicted returns a sealed segment that a pending operation needs and that
 // is not in memory.
 func (s *Shard) nextEvicted() (int, bool) {
-	for id := range s.lost {
-		if seq, ok := s.evictedSegment(id); ok {
+	for _, r := range s.lost {
+		if seq, ok := s.evictedSegment(r.ID()); ok {
 			return seq, true
 		}
 	}
--- a/core/order/restore.go
+++ b/core/order/restore.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -39,6 +40,7 @@
 		}
 		s.requeue(w)
 	}
+	s.abandonUncertainClaims()
 	for _, seg := range s.segments() {
 		for _, e := range seg.entries {
 			s.remember(e.record)
@@ -51,10 +53,42 @@
 	s.holdPending = true
 }
 
+// abandonUncertainClaims gives up the claims whose write was uncertain. Another router
+// may have seen such a claim and write it again at any time, so its absence from the
+// restored segment does not settle it.
+func (s *Shard) abandonUncertainClaims() {
+	waiting := s.claims[:0]
+	for _, c := range s.claims {
+		if c.uncertainVersion == 0 {
+			waiting = append(waiting, c)
+			continue
+		}
+		if !c.withdrawn {
+			s.complete(c.op, ClaimExpired, c.record)
+		}
+		s.abandoned[c.record.Token] = true
+	}
+	clear(s.claims[len(waiting):])
+	s.claims = waiting
+}
+
+// settleAbandoned records the abandoned claims in a segment that was read as not
+// executed.
+func (s *Shard) settleAbandoned(seg *storedSegment) {
+	if len(s.abandoned) == 0 {
+		return
+	}
+	for _, e := range seg.entries {
+		if r := e.record; s.abandoned[r.Token] && !r.State.Final() {
+			delete(s.abandoned, r.Token)
+			s.Change(Change{Account: r.Account, Key: r.Key, Token: r.Token, To: NotRun})
+		}
+	}
+}
+
 func (s *Shard) remember(r Record) {
-	id := r.ID()
-	if known, ok := s.lost[id]; !ok || r.supersedes(known) {
-		s.lost[id] = r
+	if known, ok := s.lost[r.Token]; !ok || r.supersedes(known) {
+		s.lost[r.Token] = r
 	}
 }
 
@@ -85,7 +119,7 @@
 	for _, r := range s.lostRecords() {
 		target := s.rewriteTarget(r, now)
 		if target == nil {
-			delete(s.lost, r.ID())
+			delete(s.lost, r.Token)
 			continue
 		}
 		if w == nil {
@@ -95,7 +129,7 @@
 			continue
 		}
 		w.segment.put(r)
-		w.lost = append(w.lost, r.ID())
+		w.lost = append(w.lost, r)
 	}
 	if w == nil {
 		return Call{}, false
@@ -119,13 +153,17 @@
 	if !r.supersedes(*current) {
 		return nil
 	}
+	if r.Token != current.Token {
+		return s.tail // another claim, which the copies of sealed segments at other routers don't show
+	}
 	return s.segment(s.index[r.ID()])
 }
 
-// lostRecords returns the lost records in the order of their acceptance.
+// lostRecords returns the lost records in the order of their fencing numbers, which is
+// that of the claims of a key.
 func (s *Shard) lostRecords() []Record {
 	return slices.SortedFunc(maps.Values(s.lost), func(a, b Record) int {
-		if order := a.AcceptedAt.Compare(b.AcceptedAt); order != 0 {
+		if order := cmp.Compare(a.Fence, b.Fence); order != 0 {
 			return order
 		}
 		return strings.Compare(a.Token, b.Token)
--- a/core/order/result.go
+++ b/core/order/result.go
@@ -123,6 +123,7 @@
 		}
 	}
 	s.resolveUncertainClaims(seg)
+	s.settleAbandoned(seg)
 	if seg.Sealed {
 		s.applySealed(seg)
 		return
@@ -253,9 +254,9 @@
 	for _, c := range w.changes {
 		s.complete(c.op, ChangeCommitted, *seg.Find(c.id))
 	}
-	for _, id := range w.lost {
-		s.index[id] = seg.Seq
-		delete(s.lost, id)
+	for _, r := range w.lost {
+		s.index[r.ID()] = seg.Seq
+		delete(s.lost, r.Token)
 	}
 	if seg.Sealed {
 		wasTail := s.tail == seg
--- a/core/order/retention.go
+++ b/core/order/retention.go
@@ -97,8 +97,8 @@
 
 // inUse reports whether a pending operation needs a segment.
 func (s *Shard) inUse(seq int) bool {
-	for id := range s.lost {
-		if at, ok := s.index[id]; ok && at == seq {
+	for _, r := range s.lost {
+		if at, ok := s.index[r.ID()]; ok && at == seq {
 			return true
 		}
 	}
--- a/core/order/shard.go
+++ b/core/order/shard.go
@@ -45,7 +45,7 @@
 	ChangeCommitted                         // the change is committed
 	ChangeRejected                          // the record's token or state rules out the change; Record is the current record
 	ClaimPreempted                          // the claim is committed, but another router has settled it since; Record is the current record
-	ClaimExpired                            // the claim waited too long and will never be dispatched, so the order is not executed
+	ClaimExpired                            // the claim waited too long, or the platform was restored while its write was uncertain; it will never be dispatched, so the order is not executed
 	RecordFound                             // read: Record is the current record
 	RecordMissing                           // change or read: there is no record with the key
 )
@@ -88,11 +88,12 @@
 	inFlight    *segmentWrite
 	nextWriteAt time.Time // earliest start of the next write
 
-	now         time.Time     // as of the last call of NextCall
-	era         int64         // era of the platform; 0: unknown
-	lost        map[ID]Record // records known before a restoration that may have to be written again
-	holdUntil   time.Time     // claims wait until then
-	holdPending bool          // a restoration was found; NextCall sets holdUntil
+	now         time.Time         // as of the last call of NextCall
+	era         int64             // era of the platform; 0: unknown
+	lost        map[string]Record // records known before a restoration that may have to be written again, by token
+	abandoned   map[string]bool   // tokens of claims whose write was uncertain at a restoration
+	holdUntil   time.Time         // claims wait until then
+	holdPending bool              // a restoration was found; NextCall sets holdUntil
 
 	// lastCallWasRead is set while a write may go before the segment reads of
 	// pending reads, because such a read went first last time. The two alternate,
@@ -145,7 +146,7 @@
 	segment *Segment
 	claims  []*pendingClaim
 	changes []*pendingChange
-	lost    []ID // lost records that it writes again
+	lost    []Record // lost records that it writes again
 }
 
 // NewShard returns a shard that has not read anything yet.
@@ -153,7 +154,7 @@
 	if cfg.SealBytes == 0 {
 		cfg.SealBytes = defaultSealBytes
 	}
-	s := &Shard{cfg: cfg, era: cfg.Era, lost: map[ID]Record{}}
+	s := &Shard{cfg: cfg, era: cfg.Era, lost: map[string]Record{}, abandoned: map[string]bool{}}
 	s.reset()
 	return s
 }
