Resume no stream at an endpoint after the router has stalled

Cause: a router that is stopped for seconds finds its streams silent or broken when it runs again, and resumed them at the same endpoint after 200 ms, in the slots that it held. If the endpoint had restarted meanwhile, it was cold and got them all at once; the owner grants nothing that would show there, since it counts these slots. New grants were checked for a stall, resumed streams not.

Router 2 was suspended from 49.43 s to 53.43 s; runner 9 crashed at 50.55 s and was up again at 52.55 s; at 53.64 s it got the streams 281 and 292 of router 2, granted while it was warm at 48.95 s and 49.25 s, both resumed, and no other request.

Ruled out for that overload: two owners at once, a late grant and a retry (both requests were sent before the suspension, by one owner's grants), a killed router's bytes, a request that its router had given up.

--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -42,6 +42,8 @@
 	Endpoint string
 	scope    *scopeClient
 	seq      uint64
+
+	stallCount int // when the session that granted the slot began
 }
 
 // NewClient returns a client; Close ends its sessions.
@@ -81,6 +83,11 @@
 	s.scope.updateProgress(s.seq, known, ttft)
 }
 
+// Stalled reports whether this process has stalled since the slot was granted. The
+// endpoint may have restarted meanwhile, so no further request may be sent there
+// in this slot.
+func (s *Slot) Stalled() bool { return s.scope.client.stallCount() != s.stallCount }
+
 // Release returns the slot, with the outcome of its request.
 func (s *Slot) Release(outcome admission.Outcome, cost fair.Cost, ttft time.Duration) {
 	s.scope.release(s.seq, outcome, cost, ttft)
--- a/internal/pool/scope_client.go
+++ b/internal/pool/scope_client.go
@@ -150,7 +150,7 @@
 	if r.err != nil {
 		return nil, r.err
 	}
-	return &Slot{Endpoint: r.endpoint, scope: sc, seq: seq}, nil
+	return &Slot{Endpoint: r.endpoint, scope: sc, seq: seq, stallCount: r.stallCount}, nil
 }
 
 // connected reports whether there is a session and its owner has sent a message
