Take no evidence of warmth from slots that a stalled router held

Cause: a router that runs again after a stall opens a session and reports the slots that it held, often with the releases of requests that ended meanwhile, as if it had watched them all the time. The owner counted the slots as observed, so it trusted a report of warmth from before the stall for 30 s instead of 1.2 s, and a release as a response of this moment. If the endpoint had restarted, it was cold and believed to be warm.

Change: the report marks slots that were granted before the stall as unattended. The owner doesn't count them as observed and takes no progress, first token or complete response of them for evidence; failures count as before. A router that has stalled ends its session at the next look (250 ms) and keeps releases for the next report, which marks them. Owners of earlier builds ignore the mark.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -151,7 +151,7 @@
 	if ttft > 0 || known > 0 {
 		p.recordSuspectProgress(r)
 	}
-	r.endpoint.recordProgress(now)
+	r.recordProgress(now)
 	p.recordTTFT(now, r, ttft)
 	p.resize(now, r.endpoint)
 }
@@ -171,7 +171,7 @@
 	case Failed:
 		r.endpoint.recordError(now, r.account)
 	case Canceled:
-		r.endpoint.recordProgress(now)
+		r.recordProgress(now)
 	case Crashed, Unreachable:
 		r.req.Fingerprint = max(r.req.Fingerprint, rel.Fingerprint)
 		p.handleConnFailure(now, r, rel.Outcome)
@@ -186,6 +186,14 @@
 	p.resize(now, e)
 }
 
+// recordProgress records progress of the request at its endpoint, unless that may
+// have been long ago.
+func (r *request) recordProgress(now time.Time) {
+	if !r.unattended {
+		r.endpoint.recordProgress(now)
+	}
+}
+
 // linger keeps the slot of an incomplete request in use for lingerTime, because
 // a cold endpoint may still run it.
 func (p *Pool) linger(now time.Time, r *request, cost fair.Cost) {
@@ -212,7 +220,7 @@
 // recordTTFT compares a request's time to first token with the account's mean,
 // to tell whether the endpoint is warm.
 func (p *Pool) recordTTFT(now time.Time, r *request, ttft time.Duration) {
-	if ttft <= 0 || r.ttftSeen {
+	if ttft <= 0 || r.ttftSeen || r.unattended {
 		return
 	}
 	r.ttftSeen = true
@@ -237,7 +245,7 @@
 	if !r.grantedAt.IsZero() {
 		p.rate.add(cost, now.Sub(r.grantedAt))
 	}
-	if !r.slowTTFT {
+	if !r.slowTTFT && !r.unattended {
 		r.endpoint.recordSuccess(now, r.grantedAt)
 	}
 }
--- a/core/admission/members.go
+++ b/core/admission/members.go
@@ -191,7 +191,7 @@
 	}
 	for _, h := range held {
 		if r, known := p.requests[h.ID]; known && !r.lingering {
-			r.freeAt = time.Time{}
+			r.freeAt, r.unattended = time.Time{}, h.Unattended
 		} else if !known {
 			p.adopt(h)
 		}
@@ -203,7 +203,7 @@
 	a := p.accountOrNew(h.Account)
 	p.markSeen(a)
 	r := p.newRequest(Request{ID: h.ID, Account: h.Account}, a)
-	r.charge = h.Charge
+	r.charge, r.unattended = h.Charge, h.Unattended
 	p.scheduler.ChargeOutstanding(h.Account, h.Charge)
 	p.requests[h.ID] = r
 	p.occupySlot(r, p.endpointOrNew(h.Endpoint))
@@ -262,14 +262,16 @@
 	return s == nil || !s.silent
 }
 
-// setObserved sets whether updates on a router's requests arrive.
+// setObserved sets whether updates on a router's requests arrive. Those on
+// unattended requests may be old and count as none.
 func (p *Pool) setObserved(router string, observed bool) {
 	for id, r := range p.requests {
-		if id.Router != router || r.endpoint == nil || r.observed == observed {
+		now := observed && !r.unattended
+		if id.Router != router || r.endpoint == nil || r.observed == now {
 			continue
 		}
-		r.observed = observed
-		if observed {
+		r.observed = now
+		if r.observed {
 			r.endpoint.observed++
 		} else {
 			r.endpoint.observed--
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -46,6 +46,7 @@
 	lingering bool      // released, but its endpoint may still run it
 
 	observed        bool // updates from its router arrive
+	unattended      bool // its router has stalled since the grant; its updates may be old
 	suspect         bool // crashed an endpoint before
 	withoutProgress bool // a suspect that has made no progress yet; see chooseRestricted
 	ttftSeen        bool // the time to first token is known
--- a/core/admission/types.go
+++ b/core/admission/types.go
@@ -89,6 +89,9 @@
 	Endpoint string
 	Account  string
 	Charge   fair.Charge
+	// Unattended is set if the router's process has stalled since the grant: what it
+	// reports of this request may be old.
+	Unattended bool
 }
 
 // Account is the configuration of a client account.
--- a/internal/pool/convert.go
+++ b/internal/pool/convert.go
@@ -21,6 +21,8 @@
 			Endpoint: s.names.lookup(h.Endpoint),
 			Account:  s.names.lookup(h.Account),
 			Charge:   fair.Charge{Estimate: fair.Cost(h.Estimate), Known: fair.Cost(h.Known)},
+
+			Unattended: h.Unattended,
 		})
 	}
 	for _, w := range req.Warmth {
@@ -78,13 +80,17 @@
 	m.Wants = append(m.Wants, w)
 }
 
-func (o *outbox) addHeldSlot(m *peerpb.AdmitRequest, seq uint64, h *heldSlot) {
+// addHeldSlot adds a slot in use to a message. stallCount is the number of stalls
+// of this process so far.
+func (o *outbox) addHeldSlot(m *peerpb.AdmitRequest, seq uint64, h *heldSlot, stallCount int) {
 	m.Held = append(m.Held, &peerpb.Held{
 		Seq:      seq,
 		Endpoint: o.encoder.encode(h.endpoint, &m.Names),
 		Account:  o.encoder.encode(h.account, &m.Names),
 		Estimate: h.estimate,
 		Known:    h.knownCost,
+
+		Unattended: h.stallCount != stallCount,
 	})
 }
 
--- a/internal/pool/scope_client.go
+++ b/internal/pool/scope_client.go
@@ -69,6 +69,7 @@
 	knownCost   float32  // so far
 	provenSlots uint32
 	grantedAt   time.Time
+	stallCount  int             // when the session that granted the slot began
 	release     *peerpb.Release // nil while the slot is in use
 
 	ttft         time.Duration
@@ -233,8 +234,8 @@
 		h.addCrash(r)
 	}
 	h.release = r
-	if sc.outbox == nil {
-		return
+	if sc.outbox == nil || sc.client.stallCount() != sc.stallCount {
+		return // the next session reports it, and whether the endpoint was attended
 	}
 	delete(sc.held, seq)
 	sc.send(sc.addRelease(&peerpb.AdmitRequest{}, r, h))
@@ -308,6 +309,7 @@
 		estimate:    g.Estimate,
 		provenSlots: g.Proved,
 		grantedAt:   time.Now(),
+		stallCount:  sc.stallCount,
 		reportedAt:  time.Now(),
 	}
 	if g.Proved == 0 {
@@ -327,44 +329,6 @@
 	p.result <- result{err: refusal}
 }
 
-// syncRequest returns the first message of a session: all slots that this router
-// holds and all requests that wait. The release of a slot is part of the
-// message that reports the slot, and the slot is then forgotten. The caller
-// holds mu.
-func (sc *scopeClient) syncRequest(out *outbox, owner ownerID) *peerpb.AdmitRequest {
-	self := sc.client.fleet.Self()
-	first := &peerpb.AdmitRequest{
-		Scope:   sc.scope,
-		Router:  self.Name,
-		Zone:    self.Zone,
-		Sync:    true,
-		Resumed: sc.lastOwner == owner,
-		Crashes: crashesToProto(sc.client.host.Crashes()),
-
-		PartCrashes: sc.client.host.partCrashes(),
-
-		RemovalAgeMillis: sc.client.host.timeSinceRemoval().Milliseconds(),
-	}
-	for seq, h := range sc.held {
-		out.addHeldSlot(first, seq, h)
-		if h.release != nil {
-			sc.addRelease(first, h.release, h)
-			delete(sc.held, seq)
-		}
-	}
-	for _, p := range sc.pending {
-		out.addRequest(first, p)
-	}
-	for name, w := range sc.warmth {
-		if time.Since(w.asOf) > warmthTTL {
-			delete(sc.warmth, name)
-			continue
-		}
-		first.Warmth = append(first.Warmth, &peerpb.Warmth{Endpoint: name, Proved: w.provenSlots, AgeMillis: time.Since(w.asOf).Milliseconds()})
-	}
-	return first
-}
-
 // sendProgress reports the progress that is due of running requests.
 func (sc *scopeClient) sendProgress() {
 	sc.mu.Lock()
--- a/internal/pool/session.go
+++ b/internal/pool/session.go
@@ -91,7 +91,7 @@
 	stallCount := sc.client.stallCount()
 	sc.attach(out, ownerID{owner.Name, owner.Incarnation}, stallCount)
 	defer sc.detach(out)
-	go sc.monitor(ctx, end, owner, preferred)
+	go sc.monitor(ctx, end, owner, preferred, stallCount)
 	var received nameTable
 	for {
 		reply, err := l.Recv()
@@ -147,10 +147,48 @@
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	sc.confirmed, sc.unanswered, sc.ownerConfirms = 0, true, true
-	out.put(sc.syncRequest(out, owner))
+	out.put(sc.syncRequest(out, owner, stallCount))
 	sc.outbox, sc.lastOwner, sc.stallCount, sc.lastReceived = out, owner, stallCount, time.Now()
 }
 
+// syncRequest returns the first message of a session: all slots that this router
+// holds and all requests that wait. The release of a slot is part of the
+// message that reports the slot, and the slot is then forgotten. The caller
+// holds mu.
+func (sc *scopeClient) syncRequest(out *outbox, owner ownerID, stallCount int) *peerpb.AdmitRequest {
+	self := sc.client.fleet.Self()
+	first := &peerpb.AdmitRequest{
+		Scope:   sc.scope,
+		Router:  self.Name,
+		Zone:    self.Zone,
+		Sync:    true,
+		Resumed: sc.lastOwner == owner,
+		Crashes: crashesToProto(sc.client.host.Crashes()),
+
+		PartCrashes: sc.client.host.partCrashes(),
+
+		RemovalAgeMillis: sc.client.host.timeSinceRemoval().Milliseconds(),
+	}
+	for seq, h := range sc.held {
+		out.addHeldSlot(first, seq, h, stallCount)
+		if h.release != nil {
+			sc.addRelease(first, h.release, h)
+			delete(sc.held, seq)
+		}
+	}
+	for _, p := range sc.pending {
+		out.addRequest(first, p)
+	}
+	for name, w := range sc.warmth {
+		if time.Since(w.asOf) > warmthTTL {
+			delete(sc.warmth, name)
+			continue
+		}
+		first.Warmth = append(first.Warmth, &peerpb.Warmth{Endpoint: name, Proved: w.provenSlots, AgeMillis: time.Since(w.asOf).Milliseconds()})
+	}
+	return first
+}
+
 func (sc *scopeClient) detach(out *outbox) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
@@ -161,10 +199,10 @@
 }
 
 // monitor reports progress and sends keepalives during a session. It ends the
-// session when the owner is unresponsive, when a preferred router responds to a
+// session when this process has stalled, when the owner is unresponsive, when a preferred router responds to a
 // ping, and when the view has changed so that another router should own the
 // scope.
-func (sc *scopeClient) monitor(ctx context.Context, end context.CancelCauseFunc, owner member.Router, preferred []member.Router) {
+func (sc *scopeClient) monitor(ctx context.Context, end context.CancelCauseFunc, owner member.Router, preferred []member.Router, stallCount int) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	lastPing := time.Now()
@@ -179,6 +217,10 @@
 			continue
 		case <-ticker.C:
 		}
+		if sc.client.stallCount() != stallCount {
+			end(errStalled)
+			return
+		}
 		sc.sendProgress()
 		sc.sendKeepalive()
 		if sc.ownerUnresponsive() {
