Compare a first token with the shortest, not the mean

Cause: an endpoint whose warmth is in doubt was taken for warm after one first token of at most 1.5 times the account's mean. Load and the network lengthen first tokens, and with them the mean, so that a cold endpoint's first token passes for one at normal speed.

Runner 8 was killed at 21.86 s and up again at 23.88 s, unseen by its owner, whose sessions were gone in between. Its warmth was in doubt; the third request's first token came after 13.9 ms, against a mean of the account of 15.7 ms. The owner then granted seven more at 26.18 s, and two ran at once. A warm runner needs 5 ms and a cold one 10 ms in this test; many of the times at warm runners were 6 to 8 ms.

Change: the time is compared with the account's shortest at warm endpoints, once there are 16. Delays can't make a cold endpoint look fast by this. They make the proof rarer, and then 8 complete responses are needed, as for a cold endpoint. An endpoint is also cold for longer if an account's prompts differ much in length.

The new spec fails without the change.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -234,7 +234,7 @@
 		r.endpoint.confirmWarmth(now, r.grantedAt)
 	}
 	if !r.endpoint.cold() {
-		r.account.updateMeanTTFT(ttft)
+		r.account.recordTTFT(ttft)
 	}
 }
 
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -17,7 +17,10 @@
 	restricted   queue     // requests that may not use every endpoint
 	queuedCost   fair.Cost // sum of the estimates in both queues
 
-	meanTTFT time.Duration // mean time to first token at warm endpoints; 0: unknown
+	// Times to first token at warm endpoints.
+	meanTTFT     time.Duration // 0: unknown
+	shortestTTFT time.Duration
+	ttftSamples  int
 }
 
 func (a *account) waiting() int { return a.unrestricted.len + a.restricted.len }
