Resume streams after a stall again

Reverts what changed in internal/callerapi; the slot still knows of a stall, which the owner's evidence needs. Callers lose more by a cut stream than an endpoint by one request beyond its cold limit. What is needed is a resume through a new grant.

--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -70,19 +70,12 @@
 	started bool     // part of the response has been sent to the caller
 
 	// State of the current attempt.
-	slot      slot
+	slot      *pool.Slot
 	startedAt time.Time
 	ttft      time.Duration // time to the first token; 0: none yet
 	tokens    int
 }
 
-// slot permits running one request at one endpoint; see pool.Slot.
-type slot interface {
-	RecordBegun()
-	UpdateProgress(known fair.Cost, ttft time.Duration)
-	Stalled() bool
-}
-
 // serve sends the request to one endpoint after the other until one completes
 // it. Once part of a response has been sent to the caller, no other endpoint
 // is tried.
--- a/internal/callerapi/relay.go
+++ b/internal/callerapi/relay.go
@@ -37,29 +37,18 @@
 		err = c.relayEvents(s)
 		events := s.EventCount()
 		s.Close()
-		if err == nil || events == 0 || resumes == maxResumes || !retryable(err) {
+		if err == nil || events == 0 || resumes == maxResumes || !retryable(err) || !c.api.mayRetry(c.call, c.pool.Name, err) {
 			return err
 		}
-		if !c.awaitResume() || !c.api.mayRetry(c.call, c.pool.Name, err) {
+		select {
+		case <-c.r.Context().Done():
 			return err
+		case <-time.After(resumeDelay):
 		}
 		out.NewConnection, out.ResumeFrom = true, events
 	}
 }
 
-// awaitResume waits until an interrupted stream may be resumed. It returns false if
-// the caller has left, or if this process has stalled since the slot was granted:
-// then the endpoint may have restarted, and cold it can't handle all the streams
-// that it ran.
-func (c *chatRun) awaitResume() bool {
-	select {
-	case <-c.r.Context().Done():
-		return false
-	case <-time.After(resumeDelay):
-	}
-	return !c.slot.Stalled()
-}
-
 // relayEvents passes events to the caller until the stream ends.
 func (c *chatRun) relayEvents(s *endpoint.Stream) error {
 	flush := http.NewResponseController(c.w)
