Soak: let endpoints write regularly and configurations change around a restoration

Endpoints now write their entries every second, as real ones do, and the operator changes the configuration right before the restoration and right after it has written again. The other faults of a seed stay as they were.

--- a/test/prepared/soak_faults_test.go
+++ b/test/prepared/soak_faults_test.go
@@ -162,15 +162,15 @@
 		{"store restored from an older copy", func(rng *rand.Rand, duration time.Duration) {
 			older := s.store.Copy()
 			time.Sleep(duration)
+			s.operator.changeConfig()
+			time.Sleep(pause / 2)
 			s.store.SetFaults(prepared.Faults{Down: true})
 			time.Sleep(time.Duration(rng.Int64N(int64(2 * pause))))
 			s.store.Restore(older)
 			s.store.SetFaults(prepared.Faults{})
 			time.Sleep(time.Duration(rng.Int64N(int64(pause))))
 			s.operator.writeAgain()
-			for _, r := range s.runners {
-				r.publish()
-			}
+			s.operator.changeConfig()
 		}},
 		{"sound endpoint silent for a second", func(rng *rand.Rand, duration time.Duration) {
 			p := s.endpointProxies[rng.IntN(len(s.endpointProxies))]
--- a/test/prepared/soak_test.go
+++ b/test/prepared/soak_test.go
@@ -258,6 +258,9 @@
 // run injects faults that overlap while clients send requests, waits until
 // every router serves again and checks the results.
 func (s *soak) run(seed uint64) {
+	stopWriting := make(chan struct{})
+	defer close(stopWriting)
+	go s.writeEntries(stopWriting)
 	stop := make(chan struct{})
 	var clients, faults sync.WaitGroup
 	for n := range soakClients {
@@ -276,6 +279,23 @@
 	s.checkResults()
 }
 
+// writeEntries writes the entries of the endpoints every writeInterval until stop is
+// closed.
+func (s *soak) writeEntries(stop <-chan struct{}) {
+	ticks := time.NewTicker(writeInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticks.C:
+		}
+		for _, r := range s.runners {
+			r.publish()
+		}
+	}
+}
+
 // inject starts a number of faults of the given kinds at random intervals, and
 // returns when all are over. Different streams of a seed are independent.
 func (s *soak) inject(seed, stream uint64, kinds []fault, count int, maxInterval time.Duration) {
