--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -213,7 +213,7 @@
 	return e.URL, ok
 }
 
-// outcome returns what the owner of the pool is told about an attempt that
+// outcome returns what is reported to the owner of the pool about an attempt that
 // ended with err.
 func (a *API) outcome(err error) admission.Outcome {
 	var failure *code.Error
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -109,7 +109,7 @@
 }
 
 // readResponse reads the body. A body without a length or chunked encoding is an
-// error, since its end can't be told from a lost connection.
+// error, since its end can't be distinguished from a lost connection.
 func readResponse(ctx context.Context, watch *progressWatch, resp *http.Response) (Response, error) {
 	if resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return Response{}, code.Fail(code.Truncated, "the response has no length")
--- a/test/prepared/restored_test.go
+++ b/test/prepared/restored_test.go
@@ -53,7 +53,7 @@
 }
 
 // recordCall records that the router has applied what it has read of a kind, since
-// it calls for the next change only then. A single watch may only have told it that
+// it calls for the next change only then. A single watch may only have shown it that
 // the era is new.
 func (l *storeLink) recordCall(kind string) {
 	l.mu.Lock()
