Name what secures a standby for what it does

Remarks of a reader who was new to it: the name said that it seeks only, the states and who calls WaitOn were not said. No change of behaviour.

--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -24,7 +24,8 @@
 // standby is the place of a request at another endpoint while the endpoint that it was
 // sent to is silent. That one may be sound and go on, so the attempt there is given up
 // only for a place that is granted, a connection to it and a retry that the budget
-// allows.
+// allows. It is queued, then granted, or neither: not sought, refused, or given back
+// since the endpoint went on.
 type standby struct {
 	queued  *dispatch.Ticket // waiting, or decided since the last check
 	decided <-chan struct{}  // closed once queued is decided
@@ -51,7 +52,7 @@
 	switch {
 	case conn.Readable(): // this process was late, not the endpoint
 		interval = unreadWait
-	case x.seekStandby(ctx, conn, t):
+	case x.secureStandby(ctx, conn, t):
 		return false
 	case x.standby.queued != nil:
 		interval = standbyPollInterval
@@ -63,10 +64,11 @@
 	return conn.SetReadDeadline(next) == nil
 }
 
-// seekStandby queues the request for another endpoint, unless it is queued already,
-// and reports whether it has been granted one together with a retry. silent is the
-// connection of the attempt.
-func (x *exchange) seekStandby(ctx context.Context, silent *upstream.Conn, t *dispatch.Ticket) bool {
+// secureStandby queues the request for another endpoint, unless it is queued already.
+// Once it is granted one, it connects there and takes a retry from the budget, and
+// returns true if the silent attempt may be given up for it. silent is the connection
+// of that attempt.
+func (x *exchange) secureStandby(ctx context.Context, silent *upstream.Conn, t *dispatch.Ticket) bool {
 	if ctx.Err() != nil || !x.mayRetrySilent() || time.Until(x.deadline) < minTimeForRetry {
 		return false
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -86,8 +86,8 @@
 type Conn struct {
 	net.Conn
 	Reused bool
-	// WaitOn, if set, is called when a read deadline has passed. It sets a later one
-	// and returns true if reading is to go on.
+	// WaitOn, if set, is called by the reading goroutine when a read deadline has
+	// passed. If reading is to go on, it sets a later one and returns true.
 	WaitOn func() bool
 
 	address     string
