--- a/standin/objects/server.go
+++ b/standin/objects/server.go
@@ -32,7 +32,7 @@
 	LoseResponse  float64 `json:"lose_answer"`     // fraction of writes that take effect and return 503
 	LoseWrite     float64 `json:"lose_write"`      // fraction of writes that return 503 without effect
 	LateWrite     float64 `json:"late_write"`      // fraction of writes that return 503 and take effect later
-	LateMs        int     `json:"late_ms"`         // delay of late writes
+	LateMs        int     `json:"late_ms"`         // how long a write that is done late is delayed
 	SilentWatch   bool    `json:"silent_watch"`    // watches stay open and send nothing
 	InstanceLagMs int     `json:"instance_lag_ms"` // age of the instance list that is returned
 }
