--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,14 +1,14 @@
-// Command 2 sends prompts with one shared part that crashes each runner which has begun to
-// write its answer.
+// Command 2 sends a request without a body that crashes each runner which begins to run
+// it, again and again.
 package main
 
 import (
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"time"
 
@@ -16,38 +16,40 @@
 )
 
 const (
-	contact    = 3 * time.Second // contact-ms
-	backAfter  = 3 * time.Second // a crashed runner
-	lasts      = 20 * time.Second
-	soundPerS  = 60.0
-	deadlyPerS = 1.0
-	deadly     = "dead0001:119"
+	contact      = 3 * time.Second // contact-ms
+	backAfter    = 3 * time.Second // a crashed runner
+	every        = 4 * time.Second // the request that crashes runners comes again
+	lasts        = 40 * time.Second
+	ordersPerS   = 41.2
+	statusesPerS = 16.5
+	poison       = "/status/band-4711"
 )
 
 func main() { os.Exit(stand.Main(run)) }
 
 func config() map[string]any {
+	route := func(name, prefix, kind string, attempts int) map[string]any {
+		return map[string]any{"name": name, "host": "h.example", "path-prefix": prefix, "type": kind, "service": "orders",
+			"max-attempts": attempts, "timeout-ms": 1000, "target-latency-ms": 150, "priority": 2}
+	}
 	return map[string]any{
-		"version": 1,
-		"routes": []any{map[string]any{"name": "band-spec", "host": "h.example", "path-prefix": "/chat/", "type": "streaming", "service": "model",
-			"max-attempts": 1, "timeout-ms": 10000, "target-latency-ms": 300, "target-itl-ms": 300, "priority": 1, "sticky": true}},
-		"services": []any{map[string]any{"name": "model", "max-connections": 360, "cold-start-s": 3.0, "cold-per-s": 18.0, "health-path": "/healthz",
-			"engine": map[string]any{"slots": 64, "kv-capacity": 462967, "stride": 8}}},
-		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 5000, "idle-timeout-ms": 15000, "tokens-per-s": 206000},
-		"tenants": []any{map[string]any{"name": "parish", "api-keys": []string{"key-parish"}}},
+		"version":  1,
+		"routes":   []any{route("order-lodge", "/orders/", "non_idempotent", 1), route("order-status", "/status/", "idempotent", 2)},
+		"services": []any{map[string]any{"name": "orders", "max-connections": 100, "cold-start-s": 0, "health-path": "/healthz"}},
+		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 5000, "idle-timeout-ms": 15000, "tokens-per-s": 620000},
+		"tenants":  []any{map[string]any{"name": "parish", "api-keys": []string{"key-parish"}}, map[string]any{"name": "undertaker", "api-keys": []string{"key-undertaker"}}},
 	}
 }
 
-// crashes collects the crashes and has each crashed runner start again, cold and with a
-// new id.
+// crashes collects the crashes and has each crashed runner start again, with a new id.
 type crashes struct {
 	mu     sync.Mutex
 	at     []time.Time
 	starts sync.WaitGroup
 }
 
-func (c *crashes) decide(r *stand.Runner, a stand.Arrival) bool {
-	if !strings.HasPrefix(a.Parts, deadly) {
+func (c *crashes) decide(r *stand.Runner, a stand.Arrival, runs bool) bool {
+	if !runs || a.Path != poison {
 		return false
 	}
 	c.mu.Lock()
@@ -56,7 +58,7 @@
 	c.starts.Add(1)
 	time.AfterFunc(backAfter, func() {
 		defer c.starts.Done()
-		if err := r.StartAs(fmt.Sprintf("i-%08x", rand.Uint32()), true); err != nil {
+		if err := r.StartAs(fmt.Sprintf("i-%08x", rand.Uint32()), false); err != nil {
 			r.Log.Printf("runner %s does not start: %v", r.ID, err)
 		}
 	})
@@ -76,14 +78,9 @@
 	zones := []string{"half-way-tree", "cross-roads", "downtown"}
 	var crashed crashes
 	var runners []*stand.Runner
-	for i := range 9 {
-		r := &stand.Runner{ID: fmt.Sprintf("i-%08x", 0x3f5a1c00+i*7919), Service: "model", Zone: zones[i%3], Slots: 64, Queue: 192,
-			Events: 18, EventGap: 35 * time.Millisecond, ColdFor: 3 * time.Second, Store: store, Log: log}
-		if os.Getenv("AT_ONCE") == "1" { // control: without any event the part is found out
-			r.Crashes = func(r *stand.Runner, a stand.Arrival, runs bool) bool { return runs && crashed.decide(r, a) }
-		} else {
-			r.CrashesInAnswer = crashed.decide
-		}
+	for i, zone := range zones {
+		r := &stand.Runner{ID: fmt.Sprintf("i-%08x", 0x2b8c4400+i*6007), Service: "orders", Zone: zone, Slots: 6, Queue: 24,
+			Work: 30 * time.Millisecond, Crashes: crashed.decide, Store: store, Log: log}
 		if err := r.Start(false); err != nil {
 			return 0, err
 		}
@@ -102,56 +99,73 @@
 	if err := stand.AwaitReady(routers); err != nil {
 		return 0, err
 	}
-	soundCtx, stopSound := context.WithTimeout(context.Background(), lasts+6*time.Second)
-	defer stopSound()
-	soundResults, deadlyResults := map[string]int{}, map[string]int{}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	orders, statuses := map[string]int{}, map[string]int{}
 	var loaded sync.WaitGroup
-	load := func(ctx context.Context, perSecond float64, next func(int) stand.Request, results map[string]int) {
+	load := func(perSecond float64, next func(int) stand.Request, results map[string]int) {
 		loaded.Add(1)
 		go func() {
 			defer loaded.Done()
-			stand.Load(ctx, perSecond, routers, next, func(_ stand.Request, a stand.Answer) { results[a.Outcome()]++ })
+			stand.Load(ctx, perSecond, routers, next, func(q stand.Request, a stand.Answer) {
+				results[a.Outcome()]++
+				if a.Err != nil || a.Status != 200 {
+					log.Printf("%s as %s sent at %.3f: %s", q.Path, a.Attempt, log.At(a.Sent), a.Outcome())
+				}
+			})
 		}()
 	}
-	load(soundCtx, soundPerS, sound, soundResults)
+	load(ordersPerS, order, orders)
+	load(statusesPerS, status, statuses)
 	time.Sleep(3 * time.Second)
-	deadlyCtx, stopDeadly := context.WithTimeout(context.Background(), lasts)
-	defer stopDeadly()
-	load(deadlyCtx, deadlyPerS, func(i int) stand.Request {
-		if !trouble {
-			return prompt("c0de0001:119", i) // crashes nothing
-		}
-		return prompt(deadly, i)
-	}, deadlyResults)
+	sendAgain(log, routers, trouble)
+	stop()
 	loaded.Wait()
 	crashed.starts.Wait()
-	log.Printf("answers to sound prompts: %v; to those with the part: %v", soundResults, deadlyResults)
+	log.Printf("orders of others: %v; statuses of others: %v", orders, statuses)
 	return judge(log, runners, crashed.at), nil
 }
 
-func sound(i int) stand.Request { return prompt(fmt.Sprintf("%x:119", 0x5c1e0000+i%40), i) }
+// sendAgain sends the same request again and again, each time at any of the machines.
+func sendAgain(log *stand.Record, routers []*stand.Router, trouble bool) {
+	path := poison
+	if !trouble {
+		path = "/status/band-4712" // crashes nothing
+	}
+	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(every) {
+		addresses := stand.Resolve(routers[0])
+		if len(addresses) == 0 {
+			continue
+		}
+		at := addresses[rand.IntN(len(addresses))]
+		a := stand.NewClient().Send(at, stand.Request{Method: http.MethodGet, Path: path, Key: "key-undertaker", Deadline: time.Second})
+		log.Printf("GET %s as %s at %s: %s", path, a.Attempt, at, a.Outcome())
+	}
+}
+
+func order(i int) stand.Request {
+	return stand.Request{Path: "/orders/2f", Key: "key-parish", Body: fmt.Sprintf("band order %d", 10000+i), Deadline: time.Second}
+}
 
-// prompt returns a prompt of three parts; no two of one template are alike.
-func prompt(template string, i int) stand.Request {
-	return stand.Request{Path: "/chat/2f", Key: "key-parish", Body: fmt.Sprintf("%s prompt %d", template, i), Deadline: 10 * time.Second, Tokens: 398, Output: 144,
-		Parts: fmt.Sprintf("%s,%x:79,%x:200", template, 0x91bd0000+i%411, 0xe4400000+rand.IntN(1<<24))}
+func status(i int) stand.Request {
+	return stand.Request{Method: http.MethodGet, Path: fmt.Sprintf("/status/band-%d", 10000+i), Key: "key-parish", Deadline: time.Second}
 }
 
 func judge(log *stand.Record, runners []*stand.Runner, crashedAt []time.Time) int {
 	reached, late := 0, 0
 	for _, r := range runners {
 		for _, a := range r.Arrivals() {
-			if !strings.HasPrefix(a.Parts, deadly) {
+			if a.Path != poison {
 				continue
 			}
 			reached++
-			log.Printf("%s with part %s reached a runner at %.3f", a.Attempt, deadly, log.At(a.At))
-			if len(crashedAt) >= 5 && a.At.Sub(crashedAt[4]) > contact {
+			log.Printf("%s reached a runner in %s at %.3f as %s", a.Path, r.Zone, log.At(a.At), a.Attempt)
+			if len(crashedAt) >= 3 && a.At.Sub(crashedAt[2]) > contact {
 				late++
 			}
 		}
 	}
-	log.Printf("BUDGET: %d requests with the part that crashed runners %d times reached runners, %d of them over %.0f s after the fifth crash; allowed are 3", reached, len(crashedAt), late, contact.Seconds())
+	log.Printf("BUDGET: a request that crashed runners %d times reached runners %d times, %d of them over %.0f s after the third crash; allowed are 3", len(crashedAt), reached, late, contact.Seconds())
 	if late > 3 {
 		return stand.Broken
 	}
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,11 +1,11 @@
-// Command 3 has many users upload large bodies at once and ends a router that exceeds its
-// memory, as the platform does.
+// Command 3 sends prompts with one shared part that crashes each runner which has begun to
+// write its answer.
 package main
 
 import (
 	"context"
 	"fmt"
-	"maps"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,60 +16,51 @@
 )
 
 const (
-	bodyBytes    = 4_000_000 // within max-body-bytes
-	usual        = 24        // uploads at a time at each router
-	usualTimesX  = 40        // in a burst of x = 1.7, rounded down
-	waves        = 6
-	ordersPerS   = 41.2
-	restartAfter = 500 * time.Millisecond
+	contact    = 3 * time.Second // contact-ms
+	backAfter  = 3 * time.Second // a crashed runner
+	lasts      = 20 * time.Second
+	soundPerS  = 60.0
+	deadlyPerS = 1.0
+	deadly     = "dead0001:119"
 )
 
 func main() { os.Exit(stand.Main(run)) }
 
 func config() map[string]any {
-	route := func(name, prefix string, timeout int) map[string]any {
-		return map[string]any{"name": name, "host": "h.example", "path-prefix": prefix, "type": "non_idempotent", "service": "orders",
-			"max-attempts": 1, "timeout-ms": timeout, "target-latency-ms": 150, "priority": 2}
-	}
 	return map[string]any{
-		"version":  1,
-		"routes":   []any{route("order-lodge", "/orders/", 1000), route("pattern-upload", "/patterns/", 5000)},
-		"services": []any{map[string]any{"name": "orders", "max-connections": 100, "cold-start-s": 0, "health-path": "/healthz"}},
-		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 5000, "idle-timeout-ms": 15000, "tokens-per-s": 620000},
-		"tenants":  []any{map[string]any{"name": "parish", "api-keys": []string{"key-parish"}}, map[string]any{"name": "undertaker", "api-keys": []string{"key-undertaker"}}},
+		"version": 1,
+		"routes": []any{map[string]any{"name": "band-spec", "host": "h.example", "path-prefix": "/chat/", "type": "streaming", "service": "model",
+			"max-attempts": 1, "timeout-ms": 10000, "target-latency-ms": 300, "target-itl-ms": 300, "priority": 1, "sticky": true}},
+		"services": []any{map[string]any{"name": "model", "max-connections": 360, "cold-start-s": 3.0, "cold-per-s": 18.0, "health-path": "/healthz",
+			"engine": map[string]any{"slots": 64, "kv-capacity": 462967, "stride": 8}}},
+		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 5000, "idle-timeout-ms": 15000, "tokens-per-s": 206000},
+		"tenants": []any{map[string]any{"name": "parish", "api-keys": []string{"key-parish"}}},
 	}
 }
 
-// platform ends routers that exceed their memory and starts them again.
-type platform struct {
-	mu    sync.Mutex
-	log   *stand.Record
-	root  string
-	kills map[string]int // by router
-	peaks map[string]int // in MiB, by router
+// crashes collects the crashes and has each crashed runner start again, cold and with a
+// new id.
+type crashes struct {
+	mu     sync.Mutex
+	at     []time.Time
+	starts sync.WaitGroup
 }
 
-func (p *platform) watch(ctx context.Context, r *stand.Router) {
-	for ctx.Err() == nil {
-		time.Sleep(5 * time.Millisecond)
-		mb, ok := r.PeakMB()
-		p.mu.Lock()
-		p.peaks[r.Name] = max(p.peaks[r.Name], mb)
-		p.mu.Unlock()
-		if !ok || mb <= stand.MemoryMB {
-			continue
-		}
-		r.Kill()
-		p.log.Printf("%s used %d MB of its %d: the platform ends it", r.Name, mb, stand.MemoryMB)
-		p.mu.Lock()
-		p.kills[r.Name]++
-		p.mu.Unlock()
-		time.Sleep(restartAfter)
-		if err := r.Start(p.root); err != nil {
-			p.log.Printf("%s does not start: %v", r.Name, err)
-			return
-		}
+func (c *crashes) decide(r *stand.Runner, a stand.Arrival) bool {
+	if !strings.HasPrefix(a.Parts, deadly) {
+		return false
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at = append(c.at, time.Now())
+	c.starts.Add(1)
+	time.AfterFunc(backAfter, func() {
+		defer c.starts.Done()
+		if err := r.StartAs(fmt.Sprintf("i-%08x", rand.Uint32()), true); err != nil {
+			r.Log.Printf("runner %s does not start: %v", r.ID, err)
+		}
+	})
+	return true
 }
 
 func run(log *stand.Record, dir string, trouble bool) (int, error) {
@@ -83,12 +74,20 @@
 	}
 	store.Put("config", "main", config())
 	zones := []string{"half-way-tree", "cross-roads", "downtown"}
-	for i, zone := range zones {
-		r := &stand.Runner{ID: fmt.Sprintf("i-%08x", 0x2b8c4400+i*6007), Service: "orders", Zone: zone, Slots: 6, Queue: 24,
-			Work: 30 * time.Millisecond, Store: store, Log: log}
+	var crashed crashes
+	var runners []*stand.Runner
+	for i := range 9 {
+		r := &stand.Runner{ID: fmt.Sprintf("i-%08x", 0x3f5a1c00+i*7919), Service: "model", Zone: zones[i%3], Slots: 64, Queue: 192,
+			Events: 18, EventGap: 35 * time.Millisecond, ColdFor: 3 * time.Second, Store: store, Log: log}
+		if os.Getenv("AT_ONCE") == "1" { // control: without any event the part is found out
+			r.Crashes = func(r *stand.Runner, a stand.Arrival, runs bool) bool { return runs && crashed.decide(r, a) }
+		} else {
+			r.CrashesInAnswer = crashed.decide
+		}
 		if err := r.Start(false); err != nil {
 			return 0, err
 		}
+		runners = append(runners, r)
 	}
 	routers, err := stand.NewRouters(dir, address, zones)
 	if err != nil {
@@ -103,76 +102,57 @@
 	if err := stand.AwaitReady(routers); err != nil {
 		return 0, err
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	p := &platform{log: log, root: root, kills: map[string]int{}, peaks: map[string]int{}}
-	var watched, loaded sync.WaitGroup
-	for _, r := range routers {
-		watched.Go(func() { p.watch(ctx, r) })
+	soundCtx, stopSound := context.WithTimeout(context.Background(), lasts+6*time.Second)
+	defer stopSound()
+	soundResults, deadlyResults := map[string]int{}, map[string]int{}
+	var loaded sync.WaitGroup
+	load := func(ctx context.Context, perSecond float64, next func(int) stand.Request, results map[string]int) {
+		loaded.Add(1)
+		go func() {
+			defer loaded.Done()
+			stand.Load(ctx, perSecond, routers, next, func(_ stand.Request, a stand.Answer) { results[a.Outcome()]++ })
+		}()
 	}
-	orders := map[string]int{}
-	loaded.Go(func() {
-		stand.Load(ctx, ordersPerS, routers, order, func(_ stand.Request, a stand.Answer) {
-			orders[a.Outcome()]++
-			if a.Err != nil || a.Status != 200 {
-				log.Printf("order %s sent at %.3f: %s", a.Attempt, log.At(a.Sent), a.Outcome())
-			}
-		})
-	})
-	for wave := range waves {
-		time.Sleep(3 * time.Second)
-		if err := stand.AwaitReady(routers); err != nil {
-			return 0, err
-		}
-		n := usual
-		if trouble {
-			n = usualTimesX
+	load(soundCtx, soundPerS, sound, soundResults)
+	time.Sleep(3 * time.Second)
+	deadlyCtx, stopDeadly := context.WithTimeout(context.Background(), lasts)
+	defer stopDeadly()
+	load(deadlyCtx, deadlyPerS, func(i int) stand.Request {
+		if !trouble {
+			return prompt("c0de0001:119", i) // crashes nothing
 		}
-		log.Printf("wave %d, %d uploads of %d bytes at each router: %v", wave+1, n, bodyBytes, upload(routers, n))
-	}
-	time.Sleep(time.Second)
-	stop()
+		return prompt(deadly, i)
+	}, deadlyResults)
 	loaded.Wait()
-	watched.Wait()
-	log.Printf("orders of others: %v", orders)
-	log.Printf("most memory used, in MB: %v", p.peaks)
-	return judge(log, p.kills), nil
+	crashed.starts.Wait()
+	log.Printf("answers to sound prompts: %v; to those with the part: %v", soundResults, deadlyResults)
+	return judge(log, runners, crashed.at), nil
 }
 
-// upload sends n uploads to each router at once and returns how they ended.
-func upload(routers []*stand.Router, n int) map[string]int {
-	body := strings.Repeat("x", bodyBytes)
-	results := map[string]int{}
-	var mu sync.Mutex
-	var open sync.WaitGroup
-	client := stand.NewClient()
-	for _, r := range routers {
-		for range n {
-			open.Go(func() {
-				a := client.Send(r.Front, stand.Request{Path: "/patterns/2f", Key: "key-undertaker", Body: body, Deadline: 5 * time.Second})
-				mu.Lock()
-				defer mu.Unlock()
-				results[a.Outcome()]++
-			})
-		}
-	}
-	open.Wait()
-	return results
-}
+func sound(i int) stand.Request { return prompt(fmt.Sprintf("%x:119", 0x5c1e0000+i%40), i) }
 
-func order(i int) stand.Request {
-	return stand.Request{Path: "/orders/2f", Key: "key-parish", Body: fmt.Sprintf("band order %d", 10000+i), Deadline: time.Second}
+// prompt returns a prompt of three parts; no two of one template are alike.
+func prompt(template string, i int) stand.Request {
+	return stand.Request{Path: "/chat/2f", Key: "key-parish", Body: fmt.Sprintf("%s prompt %d", template, i), Deadline: 10 * time.Second, Tokens: 398, Output: 144,
+		Parts: fmt.Sprintf("%s,%x:79,%x:200", template, 0x91bd0000+i%411, 0xe4400000+rand.IntN(1<<24))}
 }
 
-func judge(log *stand.Record, kills map[string]int) int {
-	machines := 0
-	for n := range maps.Values(kills) {
-		if n >= 3 {
-			machines++
+func judge(log *stand.Record, runners []*stand.Runner, crashedAt []time.Time) int {
+	reached, late := 0, 0
+	for _, r := range runners {
+		for _, a := range r.Arrivals() {
+			if !strings.HasPrefix(a.Parts, deadly) {
+				continue
+			}
+			reached++
+			log.Printf("%s with part %s reached a runner at %.3f", a.Attempt, deadly, log.At(a.At))
+			if len(crashedAt) >= 5 && a.At.Sub(crashedAt[4]) > contact {
+				late++
+			}
 		}
 	}
-	log.Printf("Fault: processes ended by themselves (memory over the limit) %v; on %d machines three times or more, allowed is 1", kills, machines)
-	if machines >= 2 {
+	log.Printf("BUDGET: %d requests with the part that crashed runners %d times reached runners, %d of them over %.0f s after the fifth crash; allowed are 3", reached, len(crashedAt), late, contact.Seconds())
+	if late > 3 {
 		return stand.Broken
 	}
 	return stand.Held
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -42,8 +42,11 @@
 	// CrashesInAnswer, if set, is asked after the first event of a stream; true: the
 	// runner crashes then.
 	CrashesInAnswer func(r *Runner, a Arrival) bool
-	Store           *Store
-	Log             *Record
+	// Fails, if set, is asked at the end of a plain request that has run; another status
+	// than 0 is the answer then.
+	Fails func(r *Runner, a Arrival) int
+	Store *Store
+	Log   *Record
 
 	mu       sync.Mutex
 	address  string
@@ -166,6 +169,13 @@
 	})
 }
 
+// Ran reports whether an attempt began to run here.
+func (r *Runner) Ran(attempt string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[attempt] > 0
+}
+
 // Arrivals returns the requests that reached the runner, over all its incarnations.
 func (r *Runner) Arrivals() []Arrival {
 	r.mu.Lock()
@@ -225,9 +235,17 @@
 func (r *Runner) run(w http.ResponseWriter, req *http.Request, a Arrival) {
 	w.Header().Set("X-Response-Seal", "seal."+r.ID+"."+a.Attempt)
 	if req.Header.Get("X-Model") == "" {
-		if wait(req.Context(), r.Work) {
-			io.WriteString(w, strings.Repeat("x", 800))
+		if !wait(req.Context(), r.Work) {
+			return
+		}
+		r.Log.Printf("runner %s has run %s", r.ID, a.Attempt)
+		if r.Fails != nil {
+			if status := r.Fails(r, a); status != 0 {
+				w.WriteHeader(status)
+				return
+			}
 		}
+		io.WriteString(w, strings.Repeat("x", 800))
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
