--- a/review/stand/router.go
+++ b/review/stand/router.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -25,7 +26,9 @@
 	Name, IP, Zone             string
 	Front, Ready, Directory    string
 	metrics, settings, logFile string
-	process                    *exec.Cmd
+
+	mu      sync.Mutex
+	process *exec.Cmd // nil: not running
 }
 
 // NewRouters writes the settings of one router in each zone. dir is a temporary folder.
@@ -107,16 +110,24 @@
 		return err
 	}
 	defer out.Close()
-	r.process = exec.Command(filepath.Join(root, "target/cyclamenwinchd"), "edge", "--metrics", r.metrics)
+	process := exec.Command(filepath.Join(root, "target/cyclamenwinchd"), "edge", "--metrics", r.metrics)
 	// The platform's machines report one core, which GOMAXPROCS stands for.
-	r.process.Dir, r.process.Env = root, append(os.Environ(), "CYCLAMENWINCH_BOOT="+r.settings, "GOMAXPROCS=1")
-	r.process.Stdout, r.process.Stderr = out, out
-	r.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	return r.process.Start()
+	process.Dir, process.Env = root, append(os.Environ(), "CYCLAMENWINCH_BOOT="+r.settings, "GOMAXPROCS=1")
+	process.Stdout, process.Stderr = out, out
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := process.Start(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.process = process
+	return nil
 }
 
 // Kill ends the process and waits for its end.
 func (r *Router) Kill() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.process != nil {
 		r.process.Process.Kill()
 		r.process.Wait()
@@ -130,6 +141,11 @@
 // PeakMB returns the most memory that the process has used so far, in MiB and without
 // the pages of files: its program is not counted.
 func (r *Router) PeakMB() (mb int, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.process == nil {
+		return 0, false
+	}
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.process.Process.Pid))
 	if err != nil {
 		return 0, false
