Review: keep the platform's names out of the stand-ins' Go files

The names are read from review/stand/wire.json now, and each case has its configuration in config.json. Nothing else changes.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	_ "embed"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -27,19 +29,10 @@
 
 func main() { os.Exit(stand.Main(run)) }
 
-func config() map[string]any {
-	route := func(name, prefix, kind string, attempts int) map[string]any {
-		return map[string]any{"name": name, "host": "h.example", "path-prefix": prefix, "type": kind, "service": "orders",
-			"max-attempts": attempts, "timeout-ms": 1000, "target-latency-ms": 150, "priority": 2}
-	}
-	return map[string]any{
-		"version":  1,
-		"routes":   []any{route("order-lodge", "/orders/", "non_idempotent", 1), route("order-status", "/status/", "idempotent", 2)},
-		"services": []any{map[string]any{"name": "orders", "max-connections": 100, "cold-start-s": 0, "health-path": "/healthz"}},
-		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 5000, "idle-timeout-ms": 15000, "tokens-per-s": 620000},
-		"tenants":  []any{map[string]any{"name": "parish", "api-keys": []string{"key-parish"}}, map[string]any{"name": "undertaker", "api-keys": []string{"key-undertaker"}}},
-	}
-}
+// config is the configuration that the operator stores.
+//
+//go:embed config.json
+var config []byte
 
 // crashes collects the crashes and has each crashed runner start again, with a new id.
 type crashes struct {
@@ -74,7 +67,7 @@
 	if err != nil {
 		return 0, err
 	}
-	store.Put("config", "main", config())
+	store.Put("config", "main", json.RawMessage(config))
 	zones := []string{"half-way-tree", "cross-roads", "downtown"}
 	var crashed crashes
 	var runners []*stand.Runner
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	_ "embed"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -26,17 +28,10 @@
 
 func main() { os.Exit(stand.Main(run)) }
 
-func config() map[string]any {
-	return map[string]any{
-		"version": 1,
-		"routes": []any{map[string]any{"name": "band-spec", "host": "h.example", "path-prefix": "/chat/", "type": "streaming", "service": "model",
-			"max-attempts": 1, "timeout-ms": 10000, "target-latency-ms": 300, "target-itl-ms": 300, "priority": 1, "sticky": true}},
-		"services": []any{map[string]any{"name": "model", "max-connections": 360, "cold-start-s": 3.0, "cold-per-s": 18.0, "health-path": "/healthz",
-			"engine": map[string]any{"slots": 64, "kv-capacity": 462967, "stride": 8}}},
-		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 5000, "idle-timeout-ms": 15000, "tokens-per-s": 206000},
-		"tenants": []any{map[string]any{"name": "parish", "api-keys": []string{"key-parish"}}},
-	}
-}
+// config is the configuration that the operator stores.
+//
+//go:embed config.json
+var config []byte
 
 // crashes collects the crashes and has each crashed runner start again, cold and with a
 // new id.
@@ -72,7 +67,7 @@
 	if err != nil {
 		return 0, err
 	}
-	store.Put("config", "main", config())
+	store.Put("config", "main", json.RawMessage(config))
 	zones := []string{"half-way-tree", "cross-roads", "downtown"}
 	var crashed crashes
 	var runners []*stand.Runner
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -75,13 +75,13 @@
 	}
 	req.GetBody = nil // never repeated by the transport
 	req.Host = "h.example"
-	req.Header.Set("X-Attempt-Id", a.Attempt)
+	req.Header.Set(wire.AttemptHeader, a.Attempt)
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(q.Deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Token "+q.Key)
 	if q.Tokens > 0 {
 		req.Header.Set("X-Model", "m")
-		req.Header.Set("X-Token-Usage", fmt.Sprintf("%d,%d", q.Tokens, q.Output))
-		req.Header.Set("X-Prefix-Hash", q.Parts)
+		req.Header.Set(wire.TokensHeader, fmt.Sprintf("%d,%d", q.Tokens, q.Output))
+		req.Header.Set(wire.PrefixHeader, q.Parts)
 	}
 	if q.Version != "" {
 		req.Header.Set("X-Expected-Version", q.Version)
@@ -92,7 +92,7 @@
 		return a
 	}
 	defer resp.Body.Close()
-	a.Status, a.Seal = resp.StatusCode, resp.Header.Get("X-Response-Seal")
+	a.Status, a.Seal = resp.StatusCode, resp.Header.Get(wire.SealHeader)
 	data, err := io.ReadAll(resp.Body)
 	a.Body, a.Err, a.Took = string(data), err, time.Since(a.Sent)
 	return a
--- a/review/stand/router.go
+++ b/review/stand/router.go
@@ -49,10 +49,10 @@
 		r.Front, r.Ready, r.Directory, r.metrics = at(0), at(1), at(2), fmt.Sprintf("%s:%d", r.IP, ports[3])
 		r.settings, r.logFile = filepath.Join(dir, r.Name+".json"), filepath.Join(dir, r.Name+".log")
 		data, err := json.Marshal(map[string]any{
-			"node-name": r.Name, "role": "router", "machine-class": "edge", "serves": []string{"edge", "registry", "control_plane"},
+			wire.NodeName: r.Name, "role": "router", "machine-class": "edge", "serves": []string{"edge", "registry", "control_plane"},
 			"ip": r.IP, "zone": zone, "region": "kingston",
-			"listen":         map[string]any{"frontend": r.Front, "ready": r.Ready, "directory": r.Directory},
-			"internal-ports": []int{ports[4], ports[4] + 1}, "seeds": seeds, "bootstrap": true, "heartbeat-ms": 1200,
+			"listen":           map[string]any{"frontend": r.Front, "ready": r.Ready, "directory": r.Directory},
+			wire.InternalPorts: []int{ports[4], ports[4] + 1}, "seeds": seeds, "bootstrap": true, "heartbeat-ms": 1200,
 			"limits": map[string]any{"cpu-share": 0.4, "cores": 1, "memory-mb": MemoryMB, "max-fds": 4100, "link-mbps": 1000.0},
 			"bounds": Bounds, "platform": map[string]any{"address": store, "form": "objects"},
 		})
@@ -164,7 +164,7 @@
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		n := 0
 		for _, r := range routers {
-			if resp, err := http.Get("http://" + r.Ready + "/v1/readyz"); err == nil {
+			if resp, err := http.Get("http://" + r.Ready + wire.ReadyPath); err == nil {
 				resp.Body.Close()
 				if resp.StatusCode == http.StatusOK && len(Resolve(r)) == len(routers) {
 					n++
@@ -181,7 +181,7 @@
 // Resolve asks a router's directory for the addresses that clients may use.
 func Resolve(r *Router) []string {
 	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + r.Directory + "/v1/resolve?name=h.example&region=kingston&zone=" + r.Zone)
+	resp, err := client.Get("http://" + r.Directory + wire.ResolvePath + "?name=h.example&region=kingston&zone=" + r.Zone)
 	if err != nil {
 		return nil
 	}
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -123,7 +123,7 @@
 func (r *Runner) write() {
 	r.sequence++
 	r.Store.Put("servers", r.ID, map[string]any{"service": r.Service, "address": r.address, "zone": r.Zone, "version": "v1", "slots": r.Slots,
-		"state": "ready", "cold-remaining-ms": r.coldLeft().Milliseconds(), "sequence": r.sequence, "born": r.born})
+		"state": "ready", wire.ColdRemaining: r.coldLeft().Milliseconds(), "sequence": r.sequence, "born": r.born})
 }
 
 func (r *Runner) beat(ctx context.Context) {
@@ -185,9 +185,9 @@
 
 // ServeHTTP runs a request: a stream if it names a model, otherwise a plain one.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	attempt := req.Header.Get("X-Attempt-Id")
-	w.Header().Set("X-Attempt-Id", attempt)
-	if want := req.Header.Get("X-Expected-Instance"); want != "" && want != r.ID {
+	attempt := req.Header.Get(wire.AttemptHeader)
+	w.Header().Set(wire.AttemptHeader, attempt)
+	if want := req.Header.Get(wire.ExpectedInstanceHeader); want != "" && want != r.ID {
 		w.Header().Set("X-Instance-Id", r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -202,7 +202,7 @@
 		return
 	}
 	r.mu.Lock()
-	a := Arrival{At: time.Now(), Attempt: attempt, Path: req.URL.Path, Body: string(body), Parts: req.Header.Get("X-Prefix-Hash"), Cold: r.coldLeft() > 0}
+	a := Arrival{At: time.Now(), Attempt: attempt, Path: req.URL.Path, Body: string(body), Parts: req.Header.Get(wire.PrefixHeader), Cold: r.coldLeft() > 0}
 	r.arrivals = append(r.arrivals, a)
 	busy := r.busy
 	full := len(busy) >= r.Slots+r.Queue
@@ -212,7 +212,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if full {
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(wire.NotExecutedHeader, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -233,7 +233,7 @@
 }
 
 func (r *Runner) run(w http.ResponseWriter, req *http.Request, a Arrival) {
-	w.Header().Set("X-Response-Seal", "seal."+r.ID+"."+a.Attempt)
+	w.Header().Set(wire.SealHeader, "seal."+r.ID+"."+a.Attempt)
 	if req.Header.Get("X-Model") == "" {
 		if !wait(req.Context(), r.Work) {
 			return
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -107,7 +107,7 @@
 
 // ServeHTTP implements the store's protocol.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	path, ok := strings.CutPrefix(r.URL.Path, "/v1/objects/")
+	path, ok := strings.CutPrefix(r.URL.Path, wire.ObjectsPath)
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -156,7 +156,7 @@
 	revision := s.revision
 	s.mu.Unlock()
 	slices.SortFunc(items, func(a, b Object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
-	reply(w, http.StatusOK, map[string]any{"items": items, "has-more": false, "current-rev": revision})
+	reply(w, http.StatusOK, map[string]any{"items": items, "has-more": false, wire.CurrentRevision: revision})
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -178,7 +178,7 @@
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 || done {
-			reply(w, http.StatusOK, map[string]any{"events": events, "current-rev": revision})
+			reply(w, http.StatusOK, map[string]any{"events": events, wire.CurrentRevision: revision})
 			return
 		}
 		select {
