Review: give the routers of each run addresses of their own

Five scripts that started at the same moment took each other's ports and ended with 2 (could not run). The loopback addresses now follow the id of the script's process.

All five scripts at the same time with TROUBLE=0: 0 each. Cases 1, 3 and 5 at the same time: 1 each. Cases 2 and 4 were not run again.

--- a/review/stand/router.go
+++ b/review/stand/router.go
@@ -67,7 +67,11 @@
 	return out, nil
 }
 
-func ip(i int) string { return fmt.Sprintf("127.0.0.%d", 11+i) }
+// ip returns the address of a router. Scripts that run at the same time have others.
+func ip(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/200%200, 1+pid%200, 11+i)
+}
 
 // freePorts returns ports that are free for TCP and UDP at the addresses of n routers,
 // each with the port after it.
