Bound the kernel's receive buffer of outgoing connections

What callers saw: nothing yet, but a faulty endpoint that sends without end fills kernel memory, which counts toward the memory limit of an instance; an instance that exceeds it ends, and the requests of all clients on it with it.

Cause: the kernel enlarges the receive buffer of a connection that is read fast (up to tcp_rmem, 32 MB here), and keeps it so for bytes that nobody reads. Class: a resource of the process that a remote peer sizes.

Why this fix works: SO_RCVBUF set before connecting turns automatic sizing off. 32 KiB to endpoints (the kernel reserves 64) carry 6 MB/s at a round trip of 5 ms; streams of events take about 0.1 MB/s. Connections to the store and to other routers, few in number, get 256 KiB. The client of the own interface (internal/endpoint) has the same bound.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -21,6 +21,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
 )
 
 // Header fields that tie a response to its request.
@@ -36,6 +37,9 @@
 	maxResponseBytes = 8 << 20
 	// maxHeadBytes limits the head of a response.
 	maxHeadBytes = 64 << 10
+	// receiveBufferBytes limits the unread bytes of a connection. It lets an endpoint
+	// that is 5 ms away send 6 MB/s, while a stream of events takes about 0.1 MB/s.
+	receiveBufferBytes = 32 << 10
 	// TCP keepalive detects an idle connection to a lost host after idle +
 	// interval * count. A lost connection that has been idle for that long
 	// is closed before it is used again.
@@ -77,6 +81,7 @@
 func New(progressTimeout time.Duration) *Client {
 	dialer := &net.Dialer{
 		Timeout:         dialTimeout,
+		Control:         limitio.ReceiveBuffer(receiveBufferBytes),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	}
 	transport := &http.Transport{
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/retry"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/replica"
@@ -31,8 +33,17 @@
 	// maxMessageBytes limits the encoded size of a collection; a single object
 	// of the store has at most 1 MB.
 	maxMessageBytes = 16 << 20
+	// receiveBufferBytes limits the unread bytes of a connection to a peer. It lets a
+	// peer that is 5 ms away send 50 MB/s.
+	receiveBufferBytes = 256 << 10
 )
 
+var dialer = net.Dialer{Control: limitio.ReceiveBuffer(receiveBufferBytes)}
+
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 var fetchBackoff = retry.Backoff{Initial: 200 * time.Millisecond, Max: 2 * time.Second}
 
 // connections holds the gRPC connections to peers, by address.
@@ -54,7 +65,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+to.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
-		grpc.WithNoProxy(),
+		grpc.WithContextDialer(dialPeer),
 		grpc.WithIdleTimeout(10*time.Second),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.5, MaxDelay: time.Second}, MinConnectTimeout: fetchTimeout}))
 	if err != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -49,6 +49,9 @@
 	// maxHeadBytes limits the head of a response, interim responses before it
 	// included. Heads of endpoints have a few hundred bytes.
 	maxHeadBytes = 64 << 10
+	// receiveBufferBytes limits the unread bytes of a connection. It lets an endpoint
+	// that is 5 ms away send 6 MB/s, while a stream of events takes about 0.1 MB/s.
+	receiveBufferBytes = 32 << 10
 	// maxInterimResponses limits the interim (1xx) responses to one request.
 	maxInterimResponses = 5
 )
@@ -79,7 +82,8 @@
 	// No TCP keepalives: a connection that the kernel ends can't be reset by Close
 	// any more, and what the network still holds of a request on it would reach the
 	// endpoint after a partition, when the request has been sent to another one.
-	return &Pool{idle: map[string][]*Conn{}, maxIdle: maxIdlePerEndpoint, dialer: net.Dialer{Timeout: connectTimeout, KeepAlive: -1}}
+	dialer := net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: limitio.ReceiveBuffer(receiveBufferBytes)}
+	return &Pool{idle: map[string][]*Conn{}, maxIdle: maxIdlePerEndpoint, dialer: dialer}
 }
 
 // Conn is a connection to an endpoint.
