Close idle connections on which an endpoint sends bytes

What callers saw: nothing yet. An endpoint that sends on after a sound response fills the receive buffers of up to 8 idle connections for each address, and they count toward the memory limit of the instance.

Cause: the pool looked at an idle connection only when it was used again, or when its idle limit had passed. Class: a resource held until it is needed.

Evidence: the new spec floods a kept connection whose idle limit is far away. On the code before, the connection was still open 20 s after the check of the pool ("Expected chan ... to be closed").

Why this fix works: the check of each second, and the return of a connection to the pool, apply the test that decides about reuse: unread bytes, an error or the end of the connection close it.

--- a/internal/upstream/unsolicited_test.go
+++ b/internal/upstream/unsolicited_test.go
@@ -56,4 +56,20 @@
 		Eventually(func() int { return unread(c) }).WithTimeout(hangTimeout).Should(BeNumerically(">", 8<<10))
 		Consistently(func() int { return unread(c) }).WithTimeout(time.Second).Should(BeNumerically("<", 128<<10))
 	})
+
+	It("loses its idle connection at the next check of the pool", func() {
+		begin, ended := make(chan struct{}), make(chan struct{})
+		address := serveResponse(kept+"Content-Length: 2\r\n\r\nok", func(c net.Conn) {
+			<-begin
+			for _, err := io.WriteString(c, filler); err == nil; _, err = io.WriteString(c, filler) {
+			}
+			close(ended)
+		})
+		pool := upstream.NewPool()
+		c := exchange(pool, address)
+		close(begin)
+		Eventually(c.Readable).WithTimeout(hangTimeout).Should(BeTrue())
+		pool.Prune(func(string) bool { return true })
+		Eventually(ended).WithTimeout(hangTimeout).Should(BeClosed())
+	})
 })
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -184,12 +184,12 @@
 func (p *Pool) Put(c *Conn, resp *http.Response) {
 	c.inFlight.Store(false)
 	c.WaitOn = nil
-	if resp.Close || c.bodyResult != nil || c.reader.Buffered() > 0 || !c.applyKeepAlive(resp) {
+	c.SetDeadline(time.Time{})
+	c.idleSince = time.Now()
+	if resp.Close || c.bodyResult != nil || !c.applyKeepAlive(resp) || !c.usable() {
 		c.Close()
 		return
 	}
-	c.SetDeadline(time.Time{})
-	c.idleSince = time.Now()
 	p.mu.Lock()
 	idle := p.idle[c.address]
 	full := len(idle) >= p.maxIdle
@@ -249,15 +249,15 @@
 	}
 }
 
-// Prune closes the idle connections whose address keep rejects and those whose
-// idle timeout has passed.
+// Prune closes the idle connections whose address keep rejects and those that can't be
+// used any more. Unsolicited bytes of an endpoint would take memory until then.
 func (p *Pool) Prune(keep func(address string) bool) {
 	var closing []*Conn
 	p.mu.Lock()
 	for address, conns := range p.idle {
 		remaining := conns[:0]
 		for _, c := range conns {
-			if keep(address) && time.Since(c.idleSince) <= c.idleTimeout {
+			if keep(address) && c.usable() {
 				remaining = append(remaining, c)
 			} else {
 				closing = append(closing, c)
