Withhold endpoints' statuses that promise "not run" unless they did not run

What callers saw: an endpoint that ran an order and failed it with a 503 of its own had that 503 passed on. The status promises that the request did not run, so the client sent the order again and it ran twice.

Cause: a response was forwarded as it came unless it was marked as not run; the status was never compared with what it promises. A 421 without the mark was even taken for a rejection.

Class of fault: a promise that somebody else made is passed on as if checked.

Evidence: "A status that promises that a request did not run", 32 specs (408, 421, 429 and 503; orders, both kinds of streams and idempotent requests; as the first response and after another endpoint's rejection) failed before: the client got 408, 429 or 503 where 502 was expected. On the product's own interface "doesn't pass on an endpoint's status that promises that the request did not run" failed with 421 for chat completions and 408 for plain services, and the ledger took a 408 for an executed order ("Expected an error to have occurred").

Why it works: without the mark such a status counts as a failure of an endpoint that may have run the request. The client gets the router's own 502 without the endpoint's signature, and only requests that may be repeated are sent on. What marks a rejection is still the protocol's to say; the relay no longer adds to it. It holds for idempotent requests too, whose clients can't tell who promised.

The test protocol of the relay's specs no longer marks each 421 as a rejection, so that both kinds of 421 can be tested; no spec relied on it.

--- a/core/code/code.go
+++ b/core/code/code.go
@@ -172,3 +172,14 @@
 	var coded *Error
 	return errors.As(err, &coded) && coded.Code == c
 }
+
+// PromisesNotRun reports whether an HTTP status tells callers that their request did
+// not run. An endpoint's own response with such a status may be to a request that ran,
+// so it is not forwarded.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -121,6 +121,20 @@
 		Entry("a plain service", "/stock", `{}`),
 	)
 
+	DescribeTable("doesn't pass on an endpoint's status that promises that the request did not run",
+		func(path, body string) {
+			for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+				router := newTestRouter(testTimeout, func(w http.ResponseWriter, r *http.Request) { http.Error(w, "ran and failed", status) })
+				w := router.send(path, body)
+				Expect(w.Code).To(Equal(http.StatusBadGateway), "status %d", status)
+				Expect(decodeProblem(w).NotRun).To(BeFalse())
+			}
+		},
+		Entry("a chat completion", chatPath, chatBody),
+		Entry("a chat completion in one piece", chatPath, strings.Replace(chatBody, "true", "false", 1)),
+		Entry("a plain service", "/stock", `{}`),
+	)
+
 	It("records the grant and the end of a plain request", func() {
 		router := newTestRouter(testTimeout, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "asked "+r.RequestURI) })
 		w := router.send("/stock/a%2Fb?item=low%20stool", `{}`)
--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -1,8 +1,10 @@
 package callerapi
 
 import (
+	"fmt"
 	"net/http"
 
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/pool"
@@ -51,6 +53,9 @@
 		Body:          c.body,
 		NewConnection: len(avoid) > 0,
 	})
+	if err == nil && code.PromisesNotRun(resp.Status) {
+		err = code.Fail(code.EndpointError, fmt.Sprintf("the endpoint responded with status %d", resp.Status))
+	}
 	slot.Release(a.outcome(err), 1, 0)
 	a.recordAttempt(c, slot.Endpoint, err, "")
 	return slot.Endpoint, resp, err
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -69,8 +69,7 @@
 // IsRejection reports whether a status means that the request is invalid, rather
 // than that the endpoint can't serve it now.
 func IsRejection(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusTooEarly, http.StatusTooManyRequests:
+	if code.PromisesNotRun(status) || status == http.StatusTooEarly {
 		return false
 	}
 	return status >= http.StatusBadRequest && status < http.StatusInternalServerError
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 
@@ -48,6 +50,19 @@
 }
 
 var _ = Describe("the ledger", func() {
+	It("doesn't take an endpoint's word that an order did not run from its status alone", func(ctx SpecContext) {
+		for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+			r := newRig(orders.Options{}, false)
+			failing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+			DeferCleanup(failing.Close)
+			r.endpoint.URL = failing.URL
+			r.add("a")
+			_, err := r.routers[0].Run(ctx, testOrder("k"))
+			Expect(err).To(HaveOccurred(), "status %d", status)
+			Expect(failure(err).NotRun).To(BeFalse(), "status %d", status)
+		}
+	})
+
 	It("runs an order once and replays its response at every router", func(ctx SpecContext) {
 		r := newRig(orders.Options{}, false, "a", "b")
 		first, err := r.routers[0].Run(ctx, testOrder("k"))
--- a/internal/ledger/run.go
+++ b/internal/ledger/run.go
@@ -179,7 +179,8 @@
 }
 
 // classifyDispatch returns what is known after a dispatch. An endpoint that
-// responds with a server error may have executed the order nevertheless.
+// responds with a server error, or with a status that promises otherwise, may have
+// executed the order nevertheless.
 func classifyDispatch(response endpoint.Response, err error, fence bool) (order.DispatchStatus, error) {
 	var failure *code.Error
 	switch {
@@ -189,7 +190,7 @@
 		return order.DispatchUncertain, err
 	case fence && response.Status == http.StatusPreconditionFailed:
 		return order.DispatchNotExecuted, code.Refuse(code.EndpointError, "the endpoint rejected the fencing number")
-	case response.Status >= http.StatusInternalServerError || response.Status == http.StatusTooManyRequests:
+	case response.Status >= http.StatusInternalServerError || code.PromisesNotRun(response.Status):
 		return order.DispatchUncertain, code.Fail(code.EndpointError, "the endpoint responded with "+http.StatusText(response.Status))
 	}
 	return order.DispatchCompleted, nil
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -326,13 +326,16 @@
 // kept as an endpoint failure or dropped.
 func (x *exchange) handleResponse(resp *http.Response, meta ResponseMeta, body []byte) attemptResult {
 	switch {
-	case resp.StatusCode == http.StatusMisdirectedRequest:
+	case meta.NotRun && resp.StatusCode == http.StatusMisdirectedRequest:
 		return failedAttempt(dispatch.Misdirected, false, code.Unreachable, "the address belongs to another endpoint")
 	case meta.NotRun:
 		return failedAttempt(dispatch.Rejected, false, code.Unreachable, "the endpoint rejected the request without running it")
 	case resp.Header.Get("Content-Encoding") != "":
 		return failedAttempt(dispatch.Failed, true, code.EndpointError, "the response has a Content-Encoding that was not requested")
 	}
+	if code.PromisesNotRun(resp.StatusCode) {
+		return failedAttempt(dispatch.Failed, true, code.EndpointError, "the endpoint responded with status "+resp.Status+" and may have run the request")
+	}
 	w := &bufferedResponse{status: resp.StatusCode, header: endToEndHeader(resp.Header), body: body}
 	if resp.StatusCode >= 500 && !x.streamStarted {
 		x.endpointFailure = w
--- a/internal/relay/relay_suite_test.go
+++ b/internal/relay/relay_suite_test.go
@@ -59,9 +59,9 @@
 	}
 }
 
-func (testProtocol) ReadResponse(status int, h http.Header) relay.ResponseMeta {
+func (testProtocol) ReadResponse(_ int, h http.Header) relay.ResponseMeta {
 	pause, _ := time.ParseDuration(h.Get("Test-Pause"))
-	return relay.ResponseMeta{ID: h.Get("Test-Id"), NotRun: h.Get("Test-Not-Run") != "" || status == http.StatusMisdirectedRequest,
+	return relay.ResponseMeta{ID: h.Get("Test-Id"), NotRun: h.Get("Test-Not-Run") != "",
 		Leaving: h.Get("Test-Leaving") != "", Pause: pause}
 }
 
