Say that a request did not run only if no attempt may have run it

What callers saw: an idempotent request whose first endpoint broke the connection and whose second one rejected it was answered 503 with not_run true, although the first may have run it.

Cause: the failure of the last attempt was reported as it was; earlier attempts counted for the permission to retry only.

Class of fault: a statement about one attempt is made about the whole request.

Evidence: "is not given by the router after an attempt that may have run the request" failed before with 503 where 502 was expected.

Why it works: a failed attempt is reported as not run only while no attempt may have run the request.

--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -71,11 +71,13 @@
 	return failure
 }
 
-// recordAttempt logs an attempt and adds it to the list of attempts.
+// recordAttempt logs an attempt and adds it to the list of attempts. Its failure says
+// that the request did not run only if no earlier attempt may have run it.
 func (x *exchange) recordAttempt(t *dispatch.Ticket, result attemptResult) {
 	x.mayHaveRun = x.mayHaveRun || result.mayHaveRun
 	outcome := "served"
 	if result.failure != nil {
+		result.failure.NotRun = !x.mayHaveRun
 		outcome = result.failure.Code.String() + " " + result.failure.Detail
 	}
 	x.attempts = append(x.attempts, t.Endpoint.ID+"@"+t.Endpoint.Address+": "+outcome)
--- a/internal/relay/promise_test.go
+++ b/internal/relay/promise_test.go
@@ -55,4 +55,20 @@
 			})
 		}
 	}
+
+	It("is not given by the router after an attempt that may have run the request", func() {
+		var received atomic.Int64
+		script := func(_ int, s receivedRequest) reply {
+			if received.Add(1) == 1 {
+				return reply{close: true}
+			}
+			return reply{raw: response(s, 503, "full", "Test-Not-Run: 1\r\n")}
+		}
+		server, _ := newServer(topology.Route{Kind: topology.Idempotent, MaxAttempts: 2}, newFakeEndpoint(script), newFakeEndpoint(script))
+		resp, body, err := send(server, "POST", "/p/", "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(received.Load()).To(BeEquivalentTo(2))
+		Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(body).To(ContainSubstring(`"not_run":false`))
+	})
 })
