Count the crashes of two incarnations of an endpoint as two

What callers saw: a request that crashed an endpoint again and again was not quarantined while the endpoint came back under the id that it had, and the requests beside it were lost each time.

Cause: the quarantine wants two endpoints and knew them by id alone.

Class of fault: the identity of a process is taken to be that of its name.

Evidence: "counts for a request though the endpoint has started again under its ID" failed before: the third send was answered 502, which means that it crashed the third incarnation, where 503 was expected.

Why it works: a crash names the incarnation of the endpoint, its id and its start. Prompt parts did so already. Where the platform states no start, the id alone counts as before. Heartbeats carry the name as text, which older builds compare only.

"quarantines a request that crashed endpoints used by different routers" repeated the crash by the endpoint's id; it now repeats what the router reported, which is what heartbeats do.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -2,9 +2,11 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/route"
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
 )
 
 // crashAnnouncement is a crash that is reported to the other routers in several
@@ -17,9 +19,17 @@
 
 // RecordCrash records that an endpoint crashed while it ran a request. It
 // reports whether the crash quarantines the request, so that it is refused from
-// now on.
-func (d *Dispatcher) RecordCrash(now time.Time, fingerprint uint64, endpoint string) bool {
-	return d.addCrash(now, route.Crash{Fingerprint: fingerprint, Endpoint: endpoint}, false)
+// now on. Crashes of two incarnations of an endpoint count as those of two endpoints.
+func (d *Dispatcher) RecordCrash(now time.Time, fingerprint uint64, endpoint topology.Endpoint) bool {
+	return d.addCrash(now, route.Crash{Fingerprint: fingerprint, Endpoint: incarnationName(endpoint)}, false)
+}
+
+// incarnationName names an incarnation of an endpoint in reports.
+func incarnationName(e topology.Endpoint) string {
+	if e.StartMillis == 0 {
+		return e.ID
+	}
+	return e.ID + "@" + strconv.FormatInt(e.StartMillis, 10)
 }
 
 // Quarantined reports whether a request is refused because it crashed several
--- a/core/dispatch/largefleet_test.go
+++ b/core/dispatch/largefleet_test.go
@@ -225,10 +225,12 @@
 
 	It("quarantines a request that crashed endpoints used by different routers", func() {
 		d := newLargeFleet(endpoint("e1", model, "a"))
-		d.RecordCrash(start, 5, "e1")
+		d.RecordCrash(start, 5, endpoint("e1", model, "a"))
 		Expect(d.Quarantined(start, 5)).To(BeFalse())
+		same := d.RowReport(start, nil).Crashes
+		Expect(same).To(HaveLen(1))
 		for range 3 { // several heartbeats repeat the same crash
-			d.SetRowReport(start, "row", dispatch.Report{Crashes: []route.Crash{{Fingerprint: 5, Endpoint: "e1"}}})
+			d.SetRowReport(start, "row", dispatch.Report{Crashes: same})
 		}
 		Expect(d.Quarantined(start, 5)).To(BeFalse(), "the same crash counts once")
 		d.SetRowReport(start, "row", dispatch.Report{Crashes: []route.Crash{{Fingerprint: 5, Endpoint: "e2"}}})
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -18,6 +18,26 @@
 )
 
 var _ = Describe("A crash of an endpoint", func() {
+	It("counts for a request though the endpoint has started again under its ID", func() {
+		f := newFakeEndpoint(func(int, receivedRequest) reply { return reply{close: true} })
+		server, _, dispatcher := newServerWithDispatcher(relay.Options{}, topology.Route{Kind: topology.AtMostOnce, MaxAttempts: 1}, f)
+		for i := range 4 {
+			dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
+				started := declared(f)
+				started[0].StartMillis = int64(1 + i)
+				d.SetEndpoints(now, started)
+			})
+			resp, _, err := send(server, http.MethodPost, "/p/x", "the same")
+			Expect(err).NotTo(HaveOccurred())
+			if i < 2 {
+				Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+			} else {
+				Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable), "quarantined")
+			}
+		}
+		Expect(f.requests()).To(HaveLen(2))
+	})
+
 	It("does not count against the prompt parts of a stream that had begun", func() {
 		f := newFakeEndpoint(func(n int, s receivedRequest) reply {
 			return reply{raw: streamHead(s) + chunk(event(1)), close: true}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -199,7 +199,7 @@
 		if !x.begun {
 			suspects = d.RecordPartCrash(now, t)
 		}
-		d.RecordCrash(now, fingerprint, t.Endpoint.ID)
+		d.RecordCrash(now, fingerprint, t.Endpoint)
 		quarantined = d.Quarantined(now, fingerprint)
 	})
 	x.h.opts.Log.Log(oplog.Failure, "request.broke_endpoint", x.attrs(slog.String("endpoint", t.Endpoint.ID), slog.Bool("quarantined", quarantined), slog.Any("suspect_parts", suspects))...)
