Count an endpoint that started again under its ID as cold

Cause: setEndpoint made the state of the new process from its record, then compared the record's cold time with that state's, which is the same, so the mark was never set. Marks of failed connects went with the old state. Until the record arrives, nothing tells that an endpoint has started again.

Class: state that is replaced without what still holds of it; a decision that rests on a record that comes later than what it describes.

Fix: the record of a new process marks it cold for the time that it states. The mark of failed connects and the time of the next request under the cold limit are kept at the same address. A new outcome, Broken, says that the connection failed as it does when an endpoint crashes: once two or more requests have broken and none from before is left, the endpoint counts as cold for the service's cold time, or until the record of a new process says otherwise. Breaks in more than one zone within 250 ms are those of the network or of this router, and void; other routers hear of the suspicion only after that time.

--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -27,9 +27,13 @@
 	observed time.Time // by this router
 	row      time.Time // by another router of its row
 	other    time.Time // by a router of another row
+	// suspected is set by this router while the endpoint may have started again.
+	suspected time.Time
 }
 
-func (m coldMark) until() time.Time { return later(later(m.observed, m.row), m.other) }
+func (m coldMark) until() time.Time {
+	return later(later(m.observed, m.suspected), later(m.row, m.other))
+}
 
 // markCold records that this router observed an endpoint to be cold for the given
 // time.
@@ -127,6 +131,9 @@
 	var out []ColdReport
 	for id, ep := range d.endpoints {
 		until := ep.cold.observed
+		if now.Sub(ep.breaks.allBrokenAt) > breakWindow { // no longer withdrawn
+			until = later(until, ep.cold.suspected)
+		}
 		if forOtherRows {
 			until = later(until, ep.cold.row)
 		}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -18,7 +18,8 @@
 const (
 	Completed      Outcome = iota + 1 // complete response
 	Failed                            // error response from the endpoint
-	Interrupted                       // connection lost or response cut off
+	Interrupted                       // response cut off
+	Broken                            // connection broken by the endpoint or the network
 	Unreachable                       // no connection; nothing was sent
 	ConnectTimeout                    // the same, but this router may have been too slow to connect
 	Rejected                          // the endpoint reported that it did not run the request
@@ -137,13 +138,18 @@
 
 func (d *Dispatcher) setEndpoint(now time.Time, e topology.Endpoint) {
 	ep, known := d.endpoints[e.ID]
-	if !known || ep.Incarnation() != e.Incarnation() || ep.Service != e.Service || ep.Address != e.Address {
+	started := !known || restarted(&ep.Endpoint, &e)
+	if started {
+		old := ep
 		ep = newEndpointState(e)
 		ep.readSinceReport = d.readSinceReport
 		d.endpoints[e.ID] = ep
 		ep.peerLoad = d.peerLoad(e.ID)
+		if known {
+			ep.succeedIncarnation(old)
+		}
 	}
-	if e.ColdRemaining > 0 && e.ColdRemaining != ep.ColdRemaining || !known && e.ColdRemaining > 0 {
+	if started || e.ColdRemaining != ep.ColdRemaining {
 		d.markCold(ep, now, e.ColdRemaining)
 	}
 	ep.Endpoint = e
@@ -281,6 +287,7 @@
 		return
 	}
 	t.endpoint.markPromptRead(t)
+	t.endpoint.breaks.alive(t)
 	if timed {
 		t.endpoint.observeFirstEvent(now.Sub(t.GrantedAt), t.PredictedFirstEvent)
 	}
@@ -291,6 +298,7 @@
 func (d *Dispatcher) RecordTokens(t *Ticket, tokens int, elapsed time.Duration) {
 	if t.State == Granted && t.endpoint != nil {
 		t.endpoint.observeTokens(tokens, elapsed)
+		t.endpoint.breaks.alive(t)
 	}
 }
 
@@ -327,9 +335,13 @@
 			clear(d.preferred)
 		}
 		ep.recordSuccess(now)
+		ep.breaks.alive(t)
 		s.errors.record(now, false)
 	case Failed, Interrupted:
 		d.recordTrouble(now, t)
+	case Broken:
+		d.recordTrouble(now, t)
+		d.recordBreak(now, ep, t)
 	case Unreachable:
 		d.pauseUnreachable(now, ep)
 		d.markCold(ep, now, d.coldDuration(ep)+ep.pausedUntil.Sub(now))
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -75,6 +75,7 @@
 	pausedUntil     time.Time
 	connectFailures int // consecutive failures to connect
 	misdirected     bool
+	breaks          connectionBreaks
 
 	cold          coldMark
 	nextColdGrant time.Time // when the cold limit allows the next request
@@ -99,6 +100,7 @@
 // addRequest adds a granted request to the load.
 func (ep *endpointState) addRequest(t *Ticket) {
 	t.endpoint, t.unreadTokens = ep, t.UncachedTokens
+	ep.breaks.grant(t)
 	ep.ownLoad.add(Load{Active: 1, Pending: t.UncachedTokens, Resident: t.Request.PromptTokens + t.Request.OutputTokens})
 }
 
@@ -111,6 +113,7 @@
 // release removes a finished request from the load.
 func (ep *endpointState) release(t *Ticket) {
 	ep.markPromptRead(t)
+	ep.breaks.release(t)
 	ep.ownLoad.Active--
 	ep.ownLoad.Resident -= t.Request.PromptTokens + t.Request.OutputTokens
 }
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -100,6 +100,7 @@
 
 	endpoint            *endpointState
 	troubled            bool          // counted as a failure of the endpoint
+	breakSeries         int           // series of broken connections during which it was granted
 	unreadTokens        int           // tokens counted as not yet prefilled
 	accountUsage        float64       // recent usage of the account at the last sort of the queue
 	fastestFirstEvent   time.Duration // predicted for the best endpoint at the last attempt to place it
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -237,6 +237,9 @@
 	}
 	r := failedAttempt(dispatch.Interrupted, true, c, detail)
 	r.suspectedCrash = c == code.EndpointError || c == code.Truncated
+	if r.suspectedCrash {
+		r.outcome = dispatch.Broken
+	}
 	return r
 }
 
@@ -256,6 +259,9 @@
 func (x *exchange) oversized(ctx context.Context, detail string) attemptResult {
 	r := x.interrupted(ctx, code.EndpointError, detail)
 	r.suspectedCrash = false
+	if r.outcome == dispatch.Broken {
+		r.outcome = dispatch.Interrupted
+	}
 	return r
 }
 
