Hold requests and responses within one memory budget

And a single endpoint whose responses don't end made large responses of others fail.

Cause: request bodies were read into memory without any sum, beside a number of requests that was computed as if they alone used the memory; only large responses had a budget, which one endpoint could use up. Class: a resource with several users, each of which is bounded as if it were alone.

Why this fix works: internal/memory reserves before the process allocates: a fixed amount for each request, its body and the response beyond that, until the client has taken it. What a client account or an endpoint may hold is a multiple of what it leaves free, so others always find some, and responses have a part that requests can't use. A request beyond the budget is refused at once with 503 (code 2011) and Retry-After, and has not run. Released memory counts until it has been collected, so that garbage can't add up beside what is reserved. The runtime's own limit rises to 0.9, above the budget of 0.84, since the collector would otherwise run all the time while the budget is used.

Tests changed: the specs of endless responses set the budget of 16 MiB, half of which responses may use, instead of 1 MiB for responses alone; what they demand is the same.

--- a/core/code/code.go
+++ b/core/code/code.go
@@ -41,6 +41,7 @@
 	CallerLeft   Code = 2008 // the caller disconnected
 	PlatformDown Code = 2009
 	RetryBudget  Code = 2010
+	NoMemory     Code = 2011
 
 	EndpointError Code = 3001
 	Truncated     Code = 3002
@@ -97,6 +98,7 @@
 	{CallerLeft, "CallerLeft", 499, "The caller left before the answer.", "Nothing."},
 	{PlatformDown, "PlatformDown", http.StatusServiceUnavailable, "The platform can't be reached, so the order can't be recorded.", "Send the same key again later."},
 	{RetryBudget, "RetryBudget", http.StatusBadGateway, "The request failed and the retry budget is used up.", "Wait as Retry-After says."},
+	{NoMemory, "NoMemory", http.StatusServiceUnavailable, "The router's memory for requests is in use.", "Wait as Retry-After says."},
 	{EndpointError, "EndpointError", http.StatusBadGateway, "The endpoint failed while it ran the request.", "Send the request again if it may be repeated."},
 	{Truncated, "Truncated", http.StatusBadGateway, "The answer ended before its end marker.", "Send the request again if it may be repeated."},
 	{Silent, "Silent", http.StatusGatewayTimeout, "The endpoint went silent.", "Send the request again if it may be repeated."},
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -25,6 +25,7 @@
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/mesh"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/overload"
@@ -94,9 +95,9 @@
 
 const (
 	// gcMemoryFraction is the fraction of the memory limit that is set as the
-	// soft memory limit of the Go runtime. The rest is left for stacks and kernel
-	// buffers.
-	gcMemoryFraction = 0.6
+	// soft memory limit of the Go runtime. It exceeds what requests and responses may
+	// hold, since the collector would run all the time otherwise.
+	gcMemoryFraction = 0.9
 	// Limits for client connections. The platform's configuration has the same
 	// or lower ones.
 	headerTimeout  = 5 * time.Second
@@ -110,12 +111,10 @@
 	// router refuses new requests at once. A request waits several times while it
 	// is handled; five such waits use up most of a typical latency objective.
 	maxCPULag = 40 * time.Millisecond
-	// bodyMemoryFraction is the fraction of the memory limit that responses may
-	// hold beyond what memoryPerRequest includes.
-	bodyMemoryFraction = 0.1
-	// memoryPerRequest is the memory budget of one request in progress, in bytes:
-	// buffers of two connections, stacks and body.
-	memoryPerRequest = 150 << 10
+	// requestMemoryFraction is the fraction of the memory limit that requests and
+	// responses in progress may hold. The rest is left for what the process holds
+	// without any, for garbage and for kernel buffers.
+	requestMemoryFraction = 0.84
 )
 
 // Edge is the router process on a prepared platform.
@@ -156,8 +155,8 @@
 		Self: s.Name, Zone: s.Zone, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 	}))
 	e.relay = relay.New(relay.Options{Protocol: p.Protocol, Dispatcher: e.dispatcher, Pool: e.pool, Log: log,
-		MaxConnections: int64(clientFileFraction * float64(s.MaxFiles)), MaxOpen: s.MemoryBytes / memoryPerRequest,
-		MaxBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)), Lag: e.lagMeter.Lag, MaxLag: maxCPULag})
+		MaxConnections: int64(clientFileFraction * float64(s.MaxFiles)), Memory: memory.NewBudget(int64(requestMemoryFraction * float64(s.MemoryBytes))),
+		Lag: e.lagMeter.Lag, MaxLag: maxCPULag})
 	e.replica = replica.New(e.handleChange)
 	var err error
 	e.mesh, err = mesh.New(mesh.Options{
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -284,7 +284,7 @@
 		return x.stream(ctx, conn, resp, t)
 	}
 	conn.SetReadDeadline(x.deadline.Add(deadlineGrace))
-	body, err := readBody(resp.Body, x.reserve())
+	body, err := readBody(resp.Body, resp.ContentLength, maxBufferedBytes, x.reserveResponse(t))
 	if err != nil {
 		conn.Close()
 		if meta.NotRun {
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -2,59 +2,65 @@
 
 import (
 	"io"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 )
 
-// freeBodyBytes is how much of a response each request may hold without a
-// reservation. It is part of the memory that Options.MaxOpen allows for a request.
-const freeBodyBytes = 32 << 10
-
-var errNoMemory = errors.Mark(errors.New("no memory is left for large responses"), limitio.ErrTooLarge)
+const (
+	// RequestBytes is the memory that each request in progress reserves: the buffers of
+	// two connections, stacks, and freeBodyBytes each for its body and the response.
+	RequestBytes = 112 << 10
+	// freeBodyBytes is how much of a body is part of RequestBytes.
+	freeBodyBytes = 32 << 10
+	// initialBodyBytes is the size of the first buffer of a body whose length is not
+	// known. Most bodies are smaller.
+	initialBodyBytes = 4 << 10
+)
 
-// byteBudget limits the memory that all requests together hold beyond
-// freeBodyBytes each. It is safe for concurrent use.
-type byteBudget struct {
-	limit int64 // 0: no limit
-	used  atomic.Int64
-}
+var errNoMemory = errors.Mark(errors.New("no memory is left for a large body"), limitio.ErrTooLarge)
 
-// reservation is what one request holds of a budget. Its holder must call release.
-type reservation struct {
-	budget *byteBudget
-	held   int64
+// reserveResponse returns a reservation for the response of one attempt.
+func (x *exchange) reserveResponse(t *dispatch.Ticket) *memory.Reservation {
+	return x.reserve(memory.Responses, t.Endpoint.ID, freeBodyBytes)
 }
 
-// resize reserves memory for n bytes in all, or gives back what exceeds them. It
-// returns false, without a change, if the budget does not have them.
-func (r *reservation) resize(n int) bool {
-	want := max(0, int64(n)-freeBodyBytes)
-	more := want - r.held
-	if used := r.budget.used.Add(more); more > 0 && r.budget.limit > 0 && used > r.budget.limit {
-		r.budget.used.Add(-more)
-		return false
+// readBody reads a body of at most limit bytes into memory that it reserves; length is
+// negative if it is not known. The error is limitio.ErrTooLarge if the limit is
+// exceeded, and errNoMemory, which is one, if there is no memory.
+func readBody(body io.Reader, length, limit int64, held *memory.Reservation) ([]byte, error) {
+	buf, err := readReserved(&limitio.Reader{R: body, Remaining: int(limit)}, length, limit, held)
+	if err != nil {
+		held.Release()
+		return nil, err
 	}
-	r.held = want
-	return true
+	return buf, nil
 }
 
-func (r *reservation) release() { r.resize(0) }
-
-// readBody reads a body of at most maxBufferedBytes into memory that it reserves.
-// The error is limitio.ErrTooLarge if the body or the budget is exceeded.
-func readBody(body io.Reader, held *reservation) ([]byte, error) {
-	r := &limitio.Reader{R: body, Remaining: maxBufferedBytes}
+func readReserved(r io.Reader, length, limit int64, held *memory.Reservation) ([]byte, error) {
+	if length >= 0 && length <= limit {
+		if !held.Resize(length) {
+			return nil, errNoMemory
+		}
+		buf := make([]byte, length)
+		n, err := io.ReadFull(r, buf)
+		if n == 0 && err == io.EOF {
+			return nil, nil // a response to HEAD has a length and no body
+		}
+		return buf, err
+	}
 	buf := make([]byte, 0, initialBodyBytes)
 	for {
 		if len(buf) == cap(buf) {
 			// While the bytes are copied, the old and the new buffer are in memory.
-			if !held.resize(3 * cap(buf)) {
+			if !held.Resize(3 * int64(cap(buf))) {
 				return nil, errNoMemory
 			}
 			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
+			held.Resize(int64(cap(buf)))
 		}
 		n, err := r.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
@@ -66,6 +72,3 @@
 		}
 	}
 }
-
-// initialBodyBytes is the size of a body's first buffer. Most bodies are smaller.
-const initialBodyBytes = 4 << 10
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/relay"
 )
 
@@ -20,7 +21,7 @@
 	DescribeTable("are given up at a size limit, before the deadline",
 		func(route topology.Route, raw, repeat string) {
 			f := newFakeEndpoint(func(int, receivedRequest) reply { return reply{raw: raw, repeat: repeat} })
-			server, _ := newServerWithOptions(relay.Options{MaxBodyBytes: 1 << 20}, route, f)
+			server, _ := newServerWithOptions(relay.Options{Memory: memory.NewBudget(16 << 20)}, route, f)
 			resp, _, err := send(server, "POST", "/p/", "x", "Test-Wait", "20000")
 			Expect(err).NotTo(HaveOccurred())
 			Expect(resp.StatusCode).To(Equal(502), "504 would be the deadline")
@@ -47,7 +48,7 @@
 			}
 			return reply{raw: response(s, 200, strings.Repeat("y", 100<<10))}
 		})
-		server, _ := newServerWithOptions(relay.Options{MaxBodyBytes: 1 << 20}, atMostOnce, f)
+		server, _ := newServerWithOptions(relay.Options{Memory: memory.NewBudget(16 << 20)}, atMostOnce, f)
 		for range 3 {
 			resp, _, err := send(server, "POST", "/p/", "x")
 			Expect(err).NotTo(HaveOccurred())
--- a/internal/relay/prepare.go
+++ b/internal/relay/prepare.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 )
 
 // prepare checks whether the request can be accepted, matches its route,
@@ -20,8 +21,6 @@
 	switch {
 	case x.table == nil:
 		return notRunError(code.NoManifest, notReadyRetryAfter)
-	case x.h.opts.MaxOpen > 0 && x.h.openRequests.Load() > x.h.opts.MaxOpen:
-		return notRunError(code.QueueFull, stoppingRetryAfter)
 	case x.h.rejecting.Load():
 		return notRunError(code.Stopping, stoppingRetryAfter)
 	}
@@ -38,6 +37,9 @@
 	if failure := x.authenticate(); failure != nil {
 		return failure
 	}
+	if !x.reserve(memory.Requests, x.account, 0).Resize(RequestBytes) {
+		return noMemory("for another request")
+	}
 	if failure := x.readBody(); failure != nil {
 		return failure
 	}
@@ -81,11 +83,17 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit)
+	if x.r.ContentLength > limit {
+		return code.Refuse(code.BodyTooLarge, "")
+	}
+	held := x.reserve(memory.RequestBodies, x.account, freeBodyBytes)
+	body, err := readBody(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit, held)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return code.Refuse(code.BodyTooLarge, "")
+	case errors.Is(err, errNoMemory):
+		return noMemory("for a large request body")
 	case err != nil && x.r.Context().Err() == nil && !isConnError(err):
 		x.w.Header().Set("Connection", "close") // where the next request begins is unknown
 		return code.Refuse(code.BadRequest, err.Error())
@@ -102,15 +110,11 @@
 	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.As(err, &network)
 }
 
-// readAll reads a body. If its length is known and within the limit, it
-// allocates the buffer only once.
-func readAll(r io.Reader, length, limit int64) ([]byte, error) {
-	if length <= 0 || length > limit {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
+// noMemory returns the failure of a request that exceeds the memory budget.
+func noMemory(purpose string) *code.Error {
+	failure := notRunError(code.NoMemory, memoryRetryAfter)
+	failure.Detail = "no memory is left " + purpose
+	return failure
 }
 
 func splitList(s string) []string {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/overload"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/upstream"
@@ -31,6 +32,9 @@
 	// overloadRetryAfter is the Retry-After of an overloaded router, see
 	// Options.Lag.
 	overloadRetryAfter = 300 * time.Millisecond
+	// memoryRetryAfter is the Retry-After of a router whose memory for requests is in
+	// use. A request holds it for about as long as a route's latency objective.
+	memoryRetryAfter = 300 * time.Millisecond
 	// writeGrace is how long after the request's deadline the rest of a
 	// response may still be written, and for how long one that begins later.
 	writeGrace = 500 * time.Millisecond
@@ -48,12 +52,9 @@
 	// MaxConnections is the number of client connections above which each
 	// connection is closed after its next response; 0: no limit.
 	MaxConnections int64
-	// MaxOpen is the number of requests in progress above which new ones are
-	// refused, since each takes memory; 0: no limit.
-	MaxOpen int64
-	// MaxBodyBytes is the memory for large responses of all requests together,
-	// in bytes; 0: no limit. A response that finds none is treated as failed.
-	MaxBodyBytes int64
+	// Memory limits what all requests and responses in progress hold; nil: no limit. A
+	// request that finds none is refused, and a response is treated as failed.
+	Memory *memory.Budget
 	// Lag returns how long work of this process waits for the CPU; nil: no lag
 	// is assumed. Above MaxLag, new requests are refused at once.
 	Lag    func() time.Duration
@@ -69,7 +70,6 @@
 	rejecting    atomic.Bool
 	closing      atomic.Bool // see ExpectClose
 	openRequests atomic.Int64
-	bodyBudget   byteBudget
 	open         openExchanges
 	tallies      accountTallies
 }
@@ -83,7 +83,10 @@
 // New returns a relay without a configuration. It refuses every request until
 // SetTable is called.
 func New(opts Options) *Relay {
-	return &Relay{opts: opts, bodyBudget: byteBudget{limit: opts.MaxBodyBytes}, open: openExchanges{all: map[*exchange]*attemptConn{}}}
+	if opts.Memory == nil {
+		opts.Memory = memory.NewBudget(0)
+	}
+	return &Relay{opts: opts, open: openExchanges{all: map[*exchange]*attemptConn{}}}
 }
 
 // SetTable applies a configuration.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -29,7 +29,7 @@
 // are forwarded, so that the stream can be resumed after any of them.
 func (x *exchange) stream(ctx context.Context, conn *upstream.Conn, resp *http.Response, t *dispatch.Ticket) attemptResult {
 	s := eventSplitter{resumeAfter: x.lastEventID, continues: x.streamStarted}
-	memory := x.reserve()
+	held := x.reserveResponse(t)
 	buf := make([]byte, streamBufferSize)
 	received := 0
 	progress := time.Now() // head or newest complete event
@@ -46,7 +46,7 @@
 			if s.foreign {
 				return notResumed(conn)
 			}
-			if !ok || received > maxStreamBytes || !memory.resize(s.memory()) {
+			if !ok || received > maxStreamBytes || !held.Resize(s.memory()) {
 				conn.Close()
 				return x.oversized(ctx, "an event or the stream exceeds its size limit or the memory for responses")
 			}
@@ -212,7 +212,7 @@
 
 // memory returns how many bytes the splitter holds: the buffer of the incomplete
 // event, and a copy of it while an event is completed.
-func (s *eventSplitter) memory() int { return 2 * cap(s.partial) }
+func (s *eventSplitter) memory() int64 { return 2 * int64(cap(s.partial)) }
 
 var eventEnd = []byte("\n\n")
 
