Let a router whose time of day was set back be heard again

What callers saw: a router that starts while its time of day lies before that of its last start (a step of the clock and a quick restart) is silent to all others for as long as it runs: its load, its cold endpoints and its crashes reach nobody, it isn't named to clients, and its share of every divided limit stays unused or is used twice.

Cause: the incarnation in its heartbeats is the time of day of its start, and peers ignore a lower one as a delayed datagram of an earlier process.

Class: an order of processes taken from a clock that can go back.

Fix: a peer that has heard nothing from the router for as long as a silent one counts as alive, and gets a heartbeat with a lower incarnation, answers with the incarnation that it knows (the description of a router in the list of members that heartbeats have). The router that finds itself described with a later start takes the number above it. Both ends may be of an older build: one that doesn't answer or doesn't look for itself leaves things as they were, and one answering peer is enough for all.

Evidence before: the new spec fails after its 60 s, with no router alive ("<[]string | len:0>: nil to equal [r2]"). After: it passes, and the incarnation is one above the known one.

--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -54,10 +54,10 @@
 func (m *Mesh) encode(h heartbeat, encoding uint32) *peerpb.Beat {
 	m.mu.Lock()
 	m.seq++
-	seq := m.seq
+	seq, incarnation := m.seq, m.incarnation
 	m.mu.Unlock()
 	b := &peerpb.Beat{
-		Name: m.opts.Name, Incarnation: m.opts.Incarnation, Number: seq, Front: m.opts.CallerAddress, Zone: m.opts.Zone,
+		Name: m.opts.Name, Incarnation: incarnation, Number: seq, Front: m.opts.CallerAddress, Zone: m.opts.Zone,
 		Ready: h.state.Ready, Leaving: h.state.Leaving, Reading: h.state.ReadsStore, Encoding: newestEncoding,
 		Rows: toUint32(h.rowsPerZone), WholeRow: h.wholeRow, News: h.news, Parts: h.parts, Eras: encodeEras(h.positions),
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -124,6 +124,7 @@
 	representedBy string // router of this router's row that reports the row to it
 
 	membersSentAt time.Time // when it was last sent all known routers
+	toldAt        time.Time // when it was last sent the incarnation that it is known by
 	loggedAlive   bool      // state that was last logged
 	fetching      map[replica.Kind]bool
 
@@ -140,6 +141,7 @@
 	sock *socket
 
 	mu                sync.Mutex
+	incarnation       int64 // of this router; only increases
 	peers             map[netip.Addr]*Router
 	seq               uint64
 	knownRouters      []string      // as last passed to OnRoutersChanged
@@ -169,7 +171,7 @@
 		return nil, errors.Wrap(err, "listen for heartbeats")
 	}
 	return &Mesh{
-		opts: opts, sock: sock, peers: map[netip.Addr]*Router{}, rows: map[string]rowState{}, row: grid.Grid{}.Row(opts.Zone, opts.Name),
+		opts: opts, sock: sock, incarnation: opts.Incarnation, peers: map[netip.Addr]*Router{}, rows: map[string]rowState{}, row: grid.Grid{}.Row(opts.Zone, opts.Name),
 		heartbeatInterval: minHeartbeatInterval, sendNow: make(chan struct{}, 1), connections: newConnections(),
 		activeFetches: map[replica.Kind]int{}, failedFetches: map[replica.Kind]int{}, nextFetch: map[replica.Kind]time.Time{}, lags: newLags(), pushes: newPushes(),
 	}, nil
@@ -330,7 +332,11 @@
 	m.mu.Lock()
 	p := m.peer(from)
 	if b.Incarnation < p.Incarnation || b.Incarnation == p.Incarnation && b.Number <= p.lastSeq {
+		outdated := b.Incarnation < p.Incarnation && now.Sub(p.LastHeard) >= aliveTimeout
 		m.mu.Unlock()
+		if outdated {
+			m.sendIncarnation(now, p, b)
+		}
 		return // older than one already received: datagrams can be reordered
 	}
 	p.lastSeq = b.Number
--- a/internal/mesh/mesh_suite_test.go
+++ b/internal/mesh/mesh_suite_test.go
@@ -64,11 +64,15 @@
 
 // newNode runs the mesh of router i at 127.0.0.i.
 func newNode(i int, port uint16, report dispatch.Report) *node {
+	return newNodeOfIncarnation(1, i, port, report)
+}
+
+func newNodeOfIncarnation(incarnation int64, i int, port uint16, report dispatch.Report) *node {
 	n := &node{reports: map[string]dispatch.Report{}, replica: replica.New(func(replica.Kind, replica.View) {})}
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i)}), port)
 	var err error
 	n.mesh, err = mesh.New(mesh.Options{
-		Name: fmt.Sprint("r", i), Zone: "z", Incarnation: 1, CallerAddress: address.String(), Address: address, Replica: n.replica, Log: oplog.New(io.Discard),
+		Name: fmt.Sprint("r", i), Zone: "z", Incarnation: incarnation, CallerAddress: address.String(), Address: address, Replica: n.replica, Log: oplog.New(io.Discard),
 		State: func() mesh.State { return mesh.State{Ready: true, ReadsStore: n.reading.Load(), Report: report} },
 		OnReport: func(peer string, r dispatch.Report) {
 			n.mu.Lock()
@@ -139,6 +143,20 @@
 		Expect(a.known()).To(Equal([]string{"r1", "r2"}))
 	})
 
+	It("hears a router again that starts while its time of day lies before that of its last start", func() {
+		port := freePort()
+		a, b := newNode(1, port, report), newNodeOfIncarnation(1_000, 2, port, report)
+		a.mesh.AddPeer("r2", "z", netip.MustParseAddr("127.0.0.2"), true)
+		Eventually(a.alive).Should(Equal([]string{"r2"}))
+		b.stop()
+		Eventually(a.alive).Should(BeEmpty())
+		again := newNodeOfIncarnation(10, 2, port, report)
+		again.mesh.AddPeer("r1", "z", netip.MustParseAddr("127.0.0.1"), true)
+		Eventually(again.alive).Should(Equal([]string{"r1"}))
+		Eventually(a.alive).Should(Equal([]string{"r2"}))
+		Expect(a.mesh.Alive()[0].Incarnation).To(Equal(int64(1_001)))
+	})
+
 	It("distributes state through rows in a large fleet", func() {
 		const fleet = 24
 		port := freePort()
--- a/internal/mesh/row.go
+++ b/internal/mesh/row.go
@@ -257,7 +257,11 @@
 func (m *Mesh) mergeMember(now time.Time, member *peerpb.Other) {
 	address := unpackIPv4(member.Address)
 	heard := now.Add(-time.Duration(member.AgeMs) * time.Millisecond)
-	if address == m.opts.Address.Addr() || member.Name == "" {
+	if address == m.opts.Address.Addr() {
+		m.exceedIncarnation(member)
+		return
+	}
+	if member.Name == "" {
 		return
 	}
 	p := m.peer(address)
