Tell a 421 for other weights from one of another endpoint

A stream that can't be resumed for its version is sent from endpoint to endpoint until its attempts are used up.

Cause: every 421 counted as "the address belongs to another endpoint", which leaves the endpoint out for all requests until it starts again.

Class: two reasons under one status; a mark without an end.

Fix: a 421 names the endpoint that gave it. Another one: as before, but the endpoint is tried again once its record is written anew. The expected one, for a request that names a version: the outcome is OtherWeights, which concerns no other request. Without a name, a request that names a version doesn't count as a proof against the endpoint. Which version an endpoint has is known from its record (the list of models), from responses and from such rejections. A request that names one goes to endpoints that are known to have it; to those of unknown weights only while there is none and none has rejected it; else it is refused at once (NoEndpoint, detail no_endpoint_with_weights), also when the last one goes while it waits. A version that changes in the middle of a stream is learned from the next response, not from the event.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 	ConnectTimeout                    // the same, but this router may have been too slow to connect
 	Rejected                          // the endpoint reported that it did not run the request
 	Misdirected                       // the address belongs to another endpoint
+	OtherWeights                      // the endpoint does not have the version of the weights that the request names
 	Canceled                          // the caller left or the deadline passed
 	Withdrawn                         // the endpoint may no longer receive requests; nothing was sent
 )
@@ -149,6 +150,13 @@
 			ep.succeedIncarnation(old)
 		}
 	}
+	if e.Revision != ep.Revision {
+		ep.misdirected = false
+	}
+	if started || !slices.Equal(e.Models, ep.Models) {
+		ep.Models = e.Models
+		ep.setWeights()
+	}
 	if started || e.ColdRemaining != ep.ColdRemaining {
 		d.markCold(ep, now, e.ColdRemaining)
 	}
@@ -175,7 +183,7 @@
 		s.addDemand(now, r.Account, r.cost())
 	}
 	if ok, after := d.hasEligibleEndpoint(now, t); !ok {
-		return refuse(t, NoEndpoint, after, now)
+		return refuse(t, d.noEndpointReason(&t.Request), after, now)
 	}
 	d.updateShare(now, s, t)
 	if len(s.queue) == 0 && d.place(now, s, t) {
@@ -225,6 +233,8 @@
 			decided = append(decided, refuse(t, PartQuarantined, 0, now))
 		case !now.Before(t.waitDeadline()):
 			decided = append(decided, refuse(t, WaitExpired, 0, now))
+		case t.Request.Weights.Version != "" && !d.anyEligible(&t.Request):
+			decided = append(decided, refuse(t, NoWeights, noEndpointRetryAfter, now))
 		case misses < maxMisses && d.place(now, s, t):
 			decided = append(decided, t)
 		case t.deadlineUnreachable:
@@ -352,6 +362,8 @@
 	case Misdirected:
 		ep.misdirected = true
 		clear(d.preferred)
+	case OtherWeights:
+		ep.weights.setMissing(t.Request.Weights)
 	case Canceled, Withdrawn:
 	}
 }
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -76,6 +76,7 @@
 	connectFailures int // consecutive failures to connect
 	misdirected     bool
 	breaks          connectionBreaks
+	weights         knownWeights
 
 	cold          coldMark
 	nextColdGrant time.Time // when the cold limit allows the next request
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -57,6 +57,7 @@
 // hasEligibleEndpoint reports whether any endpoint of the service may receive
 // the request, now or after a wait, and if not, when to ask again.
 func (d *Dispatcher) hasEligibleEndpoint(now time.Time, t *Ticket) (bool, time.Duration) {
+	d.requireKnownWeights(&t.Request)
 	var firstPauseEnd time.Time
 	for _, ep := range d.sortedEndpoints {
 		if !d.eligible(ep, &t.Request) {
@@ -73,9 +74,17 @@
 	return false, max(noEndpointRetryAfter, firstPauseEnd.Sub(now))
 }
 
+// noEndpointReason returns the reason for which no endpoint may receive a request.
+func (d *Dispatcher) noEndpointReason(r *Request) Reason {
+	if r.Weights.Version != "" && !d.anyEligible(r) {
+		return NoWeights
+	}
+	return NoEndpoint
+}
+
 // eligible reports whether an endpoint may receive a request once it has room.
 func (d *Dispatcher) eligible(ep *endpointState, r *Request) bool {
-	if ep.Service != r.Service || ep.Draining || ep.misdirected || d.zonesOut[ep.Zone] || d.saysLeaving(ep) {
+	if ep.Service != r.Service || ep.Draining || ep.misdirected || d.zonesOut[ep.Zone] || d.saysLeaving(ep) || !ep.mayHaveWeights(r) {
 		return false
 	}
 	for _, id := range r.ExcludedEndpoints {
@@ -95,6 +104,7 @@
 // request waits for, which lasts until the next Poll; and, by limitsFor, the
 // account's share and t.ObjectiveMissed.
 func (d *Dispatcher) place(now time.Time, s *serviceState, t *Ticket) bool {
+	d.requireKnownWeights(&t.Request)
 	engine := d.engine(t.Request.Service)
 	preferred := d.preferredEndpoint(t.Request.Service, sharedPrefix(t.Request.Parts))
 	limits := d.limitsFor(now, s, t)
@@ -184,6 +194,7 @@
 func (d *Dispatcher) grant(now time.Time, s *serviceState, t *Ticket, ep *endpointState, uncached int) {
 	t.State, t.GrantedAt, t.UncachedTokens = Granted, now, uncached
 	t.Endpoint = ep.Endpoint
+	t.EndpointWeights = ep.weights.versions[t.Request.Weights.Model]
 	t.PredictedFirstEvent = ep.predictFirstEvent(uncached)
 	d.recordColdGrant(ep, now)
 	ep.addRequest(t)
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -27,7 +27,11 @@
 	FirstEventDeadline time.Time    // the caller gives up if there is no event by then
 	Deadline           time.Time    // the response is of no use after it
 	ExcludedEndpoints  []string     // IDs of endpoints that must not receive the request again
+	Weights            Weights      // the model, and the version that the endpoint must have
+	WeightsMissed      bool         // an endpoint has rejected it for other weights
 	Retry              bool         // an endpoint may have received it before; its cost is already charged
+
+	onlyKnownWeights bool // of the endpoints, only those known to have the weights may receive it
 }
 
 // cost returns what a request charges against its account's share: 1 for each
@@ -57,6 +61,7 @@
 	WaitTooLong                           // the expected wait in the queue is too long
 	WaitExpired                           // the request reached the longest time it may wait
 	DeadlineUnreachable                   // no endpoint could complete the response by the deadline
+	NoWeights                             // no usable endpoint has the version of the weights that it names
 	PartQuarantined                       // a part of the prompt crashes endpoints
 )
 
@@ -72,6 +77,8 @@
 		return "waited_out"
 	case DeadlineUnreachable:
 		return "not_whole_in_time"
+	case NoWeights:
+		return "no_endpoint_with_weights"
 	case PartQuarantined:
 		return "part_quarantined"
 	}
@@ -88,6 +95,7 @@
 
 	GrantedAt           time.Time
 	PredictedFirstEvent time.Duration // time to the first event, as predicted at the grant
+	EndpointWeights     string        // version of the request's model at the endpoint; empty: unknown
 	UncachedTokens      int           // prompt tokens that the endpoint probably has to prefill
 	RecomputedTokens    int           // of these, tokens shared with other requests
 	OverShare           bool          // at the decision, the account had used up its share
--- a/core/topology/config_test.go
+++ b/core/topology/config_test.go
@@ -22,3 +22,14 @@
 		Expect(config(5, "c").Replaces(config(5, "b"))).To(BeTrue())
 	})
 })
+
+var _ = Describe("The record of an endpoint", func() {
+	It("states the same when it is written anew, and something else when its weights change", func() {
+		before := topology.Endpoint{ID: "e", Models: []topology.ModelWeights{{Name: "m", Version: "1"}}, Revision: 1}
+		again, changed := before, before
+		again.Revision = 2
+		changed.Models = []topology.ModelWeights{{Name: "m", Version: "2"}}
+		Expect(again.SameState(before)).To(BeTrue())
+		Expect(changed.SameState(before)).To(BeFalse())
+	})
+})
--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -143,6 +143,17 @@
 	Draining      bool
 	ColdRemaining time.Duration // rest of the time that it is cold, when it published this state
 	StartMillis   int64         // Unix time of its start in milliseconds; distinguishes incarnations with the same ID
+	Models        []ModelWeights
+	Revision      int64 // of its record
+}
+
+// ModelWeights is the version of the weights that an endpoint has of a model.
+type ModelWeights struct{ Name, Version string }
+
+// SameState reports whether two records state the same, whenever they were written.
+func (e Endpoint) SameState(other Endpoint) bool {
+	e.Revision = other.Revision
+	return reflect.DeepEqual(e, other)
 }
 
 // Incarnation identifies one run of an endpoint, from start to stop.
--- a/internal/edge/records.go
+++ b/internal/edge/records.go
@@ -201,12 +201,12 @@
 // logEndpoints logs each endpoint that was added, changed or removed.
 func (e *Edge) logEndpoints(previous, current map[string]topology.Endpoint, v replica.View) {
 	for id, endpoint := range current {
-		if before, ok := previous[id]; ok && before == endpoint {
+		if before, ok := previous[id]; ok && before.SameState(endpoint) {
 			continue
 		}
 		e.log.Log(oplog.StateChange, "endpoint.changed", slog.String("endpoint", id), slog.String("address", endpoint.Address), slog.String("service", endpoint.Service),
 			slog.String("zone", endpoint.Zone), slog.Bool("draining", endpoint.Draining), slog.Duration("cold_for", endpoint.ColdRemaining),
-			slog.Int64("born", endpoint.StartMillis), slog.Int64("revision", v.Revision), slog.String("from", v.Origin))
+			slog.Int64("born", endpoint.StartMillis), slog.Any("models", endpoint.Models), slog.Int64("revision", v.Revision), slog.String("from", v.Origin))
 	}
 	for id := range previous {
 		if _, ok := current[id]; !ok {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -277,6 +277,7 @@
 // deliver forwards a response to the client, or returns why it can't.
 func (x *exchange) deliver(ctx context.Context, conn *upstream.Conn, resp *http.Response, t *dispatch.Ticket) attemptResult {
 	meta := x.h.opts.Protocol.ReadResponse(resp.StatusCode, resp.Header)
+	x.recordWeights(meta, t)
 	if resp.StatusCode == http.StatusOK && x.route.Kind == topology.Stream && resp.Header.Get("Content-Encoding") == "" {
 		if x.streamStarted && declaresOtherType(resp) {
 			return notResumed(conn)
@@ -302,7 +303,7 @@
 		x.recordBegun(t)
 		x.putConn(conn, resp)
 	}
-	return x.handleResponse(resp, meta, body)
+	return x.handleResponse(resp, meta, body, t)
 }
 
 // recordBegun records that the endpoint has begun the response to this request, so
@@ -330,10 +331,10 @@
 
 // handleResponse decides whether a complete response is written to the client,
 // kept as an endpoint failure or dropped.
-func (x *exchange) handleResponse(resp *http.Response, meta ResponseMeta, body []byte) attemptResult {
+func (x *exchange) handleResponse(resp *http.Response, meta ResponseMeta, body []byte, t *dispatch.Ticket) attemptResult {
 	switch {
 	case meta.NotRun && resp.StatusCode == http.StatusMisdirectedRequest:
-		return failedAttempt(dispatch.Misdirected, false, code.Unreachable, "the address belongs to another endpoint")
+		return x.misdirected(meta, t)
 	case meta.NotRun:
 		return failedAttempt(dispatch.Rejected, false, code.Unreachable, "the endpoint rejected the request without running it")
 	case resp.Header.Get("Content-Encoding") != "":
@@ -354,6 +355,30 @@
 	return attemptResult{outcome: dispatch.Completed, delivered: true, mayHaveRun: true}
 }
 
+// misdirected returns the result of an attempt whose response has status 421: the
+// address belongs to another endpoint, or the endpoint that the request was meant for
+// has other weights than the request names.
+func (x *exchange) misdirected(meta ResponseMeta, t *dispatch.Ticket) attemptResult {
+	named := x.meta.Weights.Version != ""
+	switch {
+	case meta.Endpoint != t.Endpoint.ID && (meta.Endpoint != "" || !named):
+		return failedAttempt(dispatch.Misdirected, false, code.Unreachable, "the address belongs to another endpoint")
+	case named:
+		x.weightsMissed = true
+		return failedAttempt(dispatch.OtherWeights, false, code.NoEndpoint, "the endpoint has other weights than the request names")
+	}
+	return failedAttempt(dispatch.Rejected, false, code.Unreachable, "the endpoint rejected the request without running it")
+}
+
+// recordWeights records the version of the weights that an endpoint stated in its
+// response.
+func (x *exchange) recordWeights(meta ResponseMeta, t *dispatch.Ticket) {
+	if meta.Weights == "" || meta.Weights == t.EndpointWeights || meta.Endpoint != "" && meta.Endpoint != t.Endpoint.ID {
+		return
+	}
+	x.h.opts.Dispatcher.Update(func(_ time.Time, d *dispatch.Dispatcher) { d.RecordWeights(t, meta.Weights) })
+}
+
 // recordFirstEvent records that the response has started.
 func (x *exchange) recordFirstEvent(t *dispatch.Ticket) {
 	if x.firstEventAfter == 0 {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -39,6 +39,7 @@
 	unsent          int               // attempts that sent nothing
 	mayHaveRun      bool              // an endpoint may have run it
 	endpointFailure *bufferedResponse // error response of an endpoint, delivered unless a retry succeeds
+	weightsMissed   bool              // an endpoint rejected it for other weights than it names
 	streamStarted   bool              // the head of a stream has been written
 	lastEventID     string            // of the last event forwarded
 	lastEventAt     time.Time         // when it was forwarded
@@ -99,7 +100,7 @@
 		ID: x.meta.ID, Account: x.account, Service: x.service, Priority: x.priority,
 		Parts: x.meta.Parts, PromptTokens: x.meta.PromptTokens, OutputTokens: output,
 		Arrived: since, Objective: since.Add(objective), FirstEventDeadline: x.firstEventDeadline(since, objective), Deadline: x.deadline,
-		ExcludedEndpoints: x.triedEndpoints, Retry: x.sends > 0,
+		ExcludedEndpoints: x.triedEndpoints, Weights: x.meta.Weights, WeightsMissed: x.weightsMissed, Retry: x.sends > 0,
 	}
 }
 
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -26,7 +26,7 @@
 func (x *exchange) refusal(t *dispatch.Ticket) *code.Error {
 	c := code.WaitTooLong
 	switch t.Reason {
-	case dispatch.NoEndpoint:
+	case dispatch.NoEndpoint, dispatch.NoWeights:
 		c = code.NoEndpoint
 	case dispatch.PartQuarantined:
 		c = code.Quarantined
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -26,6 +26,7 @@
 	MaxOutput    int    // tokens
 	OutputHint   int    // estimated output in tokens; 0: none
 	LastEventID  string // resume the stream after this event; empty: from the start
+	Weights      dispatch.Weights
 }
 
 // ForwardMeta holds what the router adds to the header of a request that it
@@ -40,8 +41,10 @@
 // ResponseMeta holds the properties of a response that the endpoint states in
 // its header.
 type ResponseMeta struct {
-	ID     string // of the request that the response belongs to
-	NotRun bool   // the endpoint did not run the request
+	ID       string // of the request that the response belongs to
+	NotRun   bool   // the endpoint did not run the request
+	Endpoint string // ID of the endpoint that responds; empty: not stated
+	Weights  string // version of the weights of the request's model; empty: not stated
 	// Leaving says that the endpoint leaves and wants no further requests; Pause for
 	// how long it wants none of this router.
 	Leaving bool
--- a/internal/relay/relay_suite_test.go
+++ b/internal/relay/relay_suite_test.go
@@ -35,7 +35,8 @@
 type testProtocol struct{ beforeSend func(endpoint string) }
 
 func (testProtocol) ReadRequest(h http.Header) relay.RequestMeta {
-	m := relay.RequestMeta{ID: h.Get("Test-Id"), APIKey: h.Get("Test-Key"), LastEventID: h.Get("Test-Resume")}
+	m := relay.RequestMeta{ID: h.Get("Test-Id"), APIKey: h.Get("Test-Key"), LastEventID: h.Get("Test-Resume"),
+		Weights: dispatch.Weights{Model: "m", Version: h.Get("Test-Version")}}
 	ms, _ := strconv.Atoi(h.Get("Test-Wait"))
 	m.Timeout = time.Duration(ms) * time.Millisecond
 	for _, id := range strings.Fields(h.Get("Test-Parts")) {
@@ -62,7 +63,7 @@
 func (testProtocol) ReadResponse(_ int, h http.Header) relay.ResponseMeta {
 	pause, _ := time.ParseDuration(h.Get("Test-Pause"))
 	return relay.ResponseMeta{ID: h.Get("Test-Id"), NotRun: h.Get("Test-Not-Run") != "",
-		Leaving: h.Get("Test-Leaving") != "", Pause: pause}
+		Endpoint: h.Get("Test-From"), Weights: h.Get("Test-Weights"), Leaving: h.Get("Test-Leaving") != "", Pause: pause}
 }
 
 // receivedRequest is a request as an endpoint received it.
