Forward a path that begins with two slashes as it is

What callers saw: a request for "//..." on a route with the prefix "/" is answered 502. Endpoints receive the request target "://...", which is none; the closed connection or the 400 that follows counts as a failure, or a crash, of a sound endpoint.

Cause: the request target was passed to net/http as an opaque URL. http.Request.Write puts the scheme, which is empty, and a colon before one that begins with two slashes.

Class: a value handed to a library under an assumption that holds for most values.

Fix: such a target is passed as its path, as the client encoded it, and query. One with bytes that no URI may contain (a quotation mark, say) reaches the endpoint with these percent-encoded; with any other path they are still sent as they came.

The product's own interface redirects such paths to clean ones (http.ServeMux) and forwards none.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -7,6 +7,7 @@
 	"mime"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -148,10 +149,19 @@
 	})
 	return &http.Request{
 		Method: x.r.Method, Host: x.r.Host, Header: header,
-		URL: &url.URL{Opaque: x.r.RequestURI}, ProtoMajor: 1, ProtoMinor: 1,
+		URL: outgoingURL(x.r), ProtoMajor: 1, ProtoMinor: 1,
 	}
 }
 
+// outgoingURL returns the URL that net/http writes as the client sent it. It writes a
+// scheme before an opaque one that begins with two slashes, even if there is none.
+func outgoingURL(r *http.Request) *url.URL {
+	if !strings.HasPrefix(r.RequestURI, "//") {
+		return &url.URL{Opaque: r.RequestURI}
+	}
+	return &url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
+}
+
 // receiveHead reads the head of the response to this request. It skips late
 // responses to earlier requests on the connection.
 func (x *exchange) receiveHead(ctx context.Context, conn *upstream.Conn, req *http.Request, t *dispatch.Ticket) (*http.Response, *attemptResult) {
--- /dev/null
+++ b/internal/relay/path_test.go
@@ -0,0 +1,31 @@
+package relay_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+)
+
+var _ = DescribeTable("The path of a request is not changed on its way",
+	func(path, route string) {
+		f := newFakeEndpoint(func(_ int, s receivedRequest) reply { return reply{raw: response(s, 200, s.uri)} })
+		server, h := newServer(topology.Route{}, f)
+		routes := []topology.Route{{Name: "all", Prefix: "/"}, {Name: "p", Prefix: "/p/"}, {Name: "deep", Prefix: "/p/q/"}}
+		for i := range routes {
+			routes[i].Host, routes[i].Kind, routes[i].MaxAttempts = "127.0.0.1", topology.Idempotent, 1
+			routes[i].Targets = []topology.Target{{Service: "none", Weight: 1}}
+			if routes[i].Name == route {
+				routes[i].Targets[0].Service = "s"
+			}
+		}
+		h.SetTable(topology.NewTable(topology.Config{Routes: routes, Services: []topology.Service{{Name: "s"}, {Name: "none"}}}))
+		resp, body, err := send(server, "GET", path, "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(body).To(Equal(path))
+	},
+	Entry("two slashes at its beginning", "//p/x?y=%20&z", "all"),
+	Entry("three slashes", "///p//x", "all"),
+	Entry("two slashes and an encoded one", "//p%2Fx/?", "all"),
+)
