Memory: don't collect garbage for requests without large bodies

What callers saw: nothing yet. Every thousand requests or so, however small, one of them and those behind it waited for a forced collection.

Cause: what a request reserves for stacks and connection buffers counted as garbage once it was released, although the runtime uses these again and collects the rest itself.

Evidence: TestRequestsWithoutLargeBodiesAreNotHeldUpByCollections failed before ("collected", for 3,000 requests one after another in a budget of 100 MiB).

Why it works: only large bodies and responses, which the reservation is made for, count as garbage; they are what can add up beside the budget before the runtime collects.

--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -123,7 +123,9 @@
 		delete(use.holders, holder)
 	}
 	if n < 0 {
-		b.garbage -= n
+		if c != Requests { // buffers and stacks are used again
+			b.garbage -= n
+		}
 	} else if b.mustCollect() {
 		b.mu.Unlock()
 		b.collectGarbage()
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -101,6 +101,18 @@
 	}
 }
 
+func TestRequestsWithoutLargeBodiesAreNotHeldUpByCollections(t *testing.T) {
+	b := NewBudget(100 * mib)
+	b.collect = func() { t.Error("collected") }
+	for range 3000 {
+		r, ok := hold(b, Requests, "account", mib/8)
+		if !ok {
+			t.Fatal("no memory")
+		}
+		r.Release()
+	}
+}
+
 func TestTheFirstBytesAreFree(t *testing.T) {
 	b := NewBudget(mib)
 	r := b.Reserve(Responses, "endpoint", 32<<10)
