Quarantine requests without a body that crash endpoints

What callers saw: a status read that crashes each endpoint that runs it came again and again, and the requests beside it were lost each time.

Cause: the fingerprint of a request without a body was 0, which the quarantine ignores, since unrelated requests may look the same.

Class of fault: an identity that may be shared is taken for none.

Evidence: "counts for requests without a body that ask for the same" failed before (run with resource() returning 0, as the fingerprint did): [502 502 502 502 502 502] where [502 502 503 503 503 503] was expected. On the product's own interface plain requests were never quarantined, with a body or without; "plain requests that crash endpoints" failed before with 60 crashes, 5 are allowed.

Why it works: method, host, path with query and account identify the request. It is tracked like a prompt part that several requests have in common: a complete response clears the crashes before it, at all routers by the heartbeats' reports of sound parts, and after three crashes without one such requests are refused. "does not count for requests without a body while others that ask for the same are served" plays both kinds on one path; all sound ones are served (without RecordCompleted it fails).

--- a/core/dispatch/parts.go
+++ b/core/dispatch/parts.go
@@ -48,12 +48,38 @@
 // none of the parts that it shares with others crashes endpoints.
 func (d *Dispatcher) RecordBegun(now time.Time, t *Ticket) {
 	for _, p := range sharedPartIDs(t.Request.Parts) {
-		if d.parts.RecordBegun(now, p) {
-			d.soundParts[p] = soundAnnouncement{begun: now, at: now}
-		}
+		d.recordSound(now, p)
+	}
+}
+
+// RecordCompleted records that the response to the request of a ticket is complete, so
+// a request without a body that asks for the same does not crash endpoints.
+func (d *Dispatcher) RecordCompleted(now time.Time, t *Ticket) {
+	if t.Request.Resource != 0 {
+		d.recordSound(now, t.Request.Resource)
+	}
+}
+
+func (d *Dispatcher) recordSound(now time.Time, part uint64) {
+	if d.parts.RecordBegun(now, part) {
+		d.soundParts[part] = soundAnnouncement{begun: now, at: now}
 	}
 }
 
+// RecordResourceCrash records that an endpoint crashed while it ran a request without a
+// body, whose response was not complete.
+func (d *Dispatcher) RecordResourceCrash(now time.Time, t *Ticket) {
+	if t.Request.Resource != 0 {
+		d.parts.RecordCrash(now, route.PartCrash{Part: t.Request.Resource, Endpoint: incarnationKey(t.Endpoint)})
+	}
+}
+
+// ResourceQuarantined reports whether requests without a body that ask for the resource
+// are refused because they crashed several endpoints.
+func (d *Dispatcher) ResourceQuarantined(now time.Time, resource uint64) bool {
+	return resource != 0 && d.parts.ResourceQuarantined(now, resource)
+}
+
 // RecordPartCrash records that the endpoint of a ticket crashed before it had begun
 // the response. It returns the parts of the prompt that may be the cause.
 func (d *Dispatcher) RecordPartCrash(now time.Time, t *Ticket) (suspects []uint64) {
@@ -71,9 +97,12 @@
 	return d.parts.Blocked(now, sharedPartIDs(parts))
 }
 
-// hasQuarantinedPart reports whether no request with one of the shared parts of this
-// one is sent.
+// hasQuarantinedPart reports whether no request like this one, or with one of its shared
+// parts, is sent.
 func (d *Dispatcher) hasQuarantinedPart(now time.Time, r *Request) bool {
+	if d.ResourceQuarantined(now, r.Resource) {
+		return true
+	}
 	for i := 0; i+1 < len(r.Parts); i++ {
 		if d.parts.Quarantined(now, r.Parts[i].ID) {
 			return true
--- a/core/dispatch/parts_test.go
+++ b/core/dispatch/parts_test.go
@@ -112,3 +112,51 @@
 		t.Errorf("a sound request is %v", sound.State)
 	}
 }
+
+// statusRead returns a request without a body.
+func statusRead(now time.Time, resource uint64) dispatch.Request {
+	return dispatch.Request{Service: model, Resource: resource, Arrived: now, Objective: now.Add(time.Second), Deadline: now.Add(4 * time.Second), FirstEventDeadline: now.Add(4 * time.Second)}
+}
+
+// TestCrashesOfRequestsWithoutBodyAddUpOverRouters guards against each router of a fleet
+// losing endpoints to the same request.
+func TestCrashesOfRequestsWithoutBodyAddUpOverRouters(t *testing.T) {
+	all := newRouters(20)
+	for i := range route.ResourceQuarantineCrashes {
+		d := all[i*7%len(all)]
+		d.SetEndpoints(start, []topology.Endpoint{endpoint(fmt.Sprint("e", i), model, "a")})
+		d.RecordResourceCrash(start, d.Submit(start, statusRead(start, 5)))
+	}
+	exchangeReports(all, start.Add(500*time.Millisecond), 100*time.Millisecond, 15*time.Millisecond)
+	now := start.Add(time.Minute)
+	for i, d := range all {
+		if !d.ResourceQuarantined(now, 5) {
+			t.Errorf("router %d sends the request", i)
+		}
+		if d.ResourceQuarantined(now, 6) || d.ResourceQuarantined(now, 0) {
+			t.Errorf("router %d refuses other requests", i)
+		}
+	}
+}
+
+// TestCompletedRequestWithoutBodySpeaksForItsLikes guards against refusing sound requests
+// because another one that looked the same, or ran beside a cause, was interrupted.
+func TestCompletedRequestWithoutBodySpeaksForItsLikes(t *testing.T) {
+	all := newRouters(20)
+	crashed := start.Add(-100 * time.Millisecond)
+	for i := range 2 * route.ResourceQuarantineCrashes {
+		d := all[0]
+		d.SetEndpoints(crashed, []topology.Endpoint{endpoint(fmt.Sprint("e", i), model, "a")})
+		d.RecordResourceCrash(crashed, d.Submit(crashed, statusRead(crashed, 5)))
+	}
+	last := all[len(all)-1]
+	last.SetEndpoints(start, []topology.Endpoint{endpoint("e9", model, "a")})
+	last.RecordCompleted(start, last.Submit(start, statusRead(start, 5)))
+	now := start.Add(time.Second)
+	exchangeReports(all, now, 100*time.Millisecond, 15*time.Millisecond)
+	for i, d := range all {
+		if d.ResourceQuarantined(now, 5) {
+			t.Errorf("router %d still refuses the request", i)
+		}
+	}
+}
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -19,6 +19,7 @@
 	Account            string // empty: no client account
 	Service            string
 	Priority           int          // 0 is the highest
+	Resource           uint64       // what a request without a body asks for; 0: it has a body
 	Parts              []PromptPart // shared parts, then one that only this request has; empty: not a model request
 	PromptTokens       int          // in all parts together
 	OutputTokens       int          // expected tokens in the response
--- a/core/route/parts.go
+++ b/core/route/parts.go
@@ -14,6 +14,10 @@
 	// PartQuarantineCrashes is the number of crashes after which no request with the
 	// part is sent.
 	PartQuarantineCrashes = 5
+	// ResourceQuarantineCrashes is the number of crashes after which a request without a
+	// body is refused. It is not tried again, since no request would ever prove that
+	// those that look the same are sound but one that was sent before.
+	ResourceQuarantineCrashes = 3
 	// PartTrialInterval is the time between two trials of a suspect part at one
 	// router. A sound part is cleared by its first trial that gets a response.
 	PartTrialInterval = 2 * time.Second
@@ -252,6 +256,13 @@
 	return ok && s.atLeast(PartQuarantineCrashes, now)
 }
 
+// ResourceQuarantined reports whether requests without a body that ask for the same
+// resource are refused. They are tracked as a part that they have in common.
+func (q *PartQuarantine) ResourceQuarantined(now time.Time, resource uint64) bool {
+	s, ok := q.suspects[resource]
+	return ok && s.atLeast(ResourceQuarantineCrashes, now)
+}
+
 // StoppedSince reports whether a request with these parts that was allowed at a
 // time must not be sent any more.
 func (q *PartQuarantine) StoppedSince(now, allowed time.Time, parts []uint64) bool {
--- a/internal/callerapi/parts_test.go
+++ b/internal/callerapi/parts_test.go
@@ -39,3 +39,26 @@
 		Expect(refusal.Detail).To(ContainSubstring("prompt part"))
 	})
 })
+
+var _ = Describe("plain requests that crash endpoints", func() {
+	for name, body := range map[string]string{"with": `{"item":"deadly"}`, "without": ""} {
+		It("are refused after some crashes, "+name+" a body, unlike others", func() {
+			var crashes atomic.Int64
+			router := newTestRouterWith(testTimeout, testTimeout, 8, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.RawQuery == "id=deadly" {
+					crashes.Add(1)
+					panic(http.ErrAbortHandler)
+				}
+				io.WriteString(w, "ok")
+			})
+			for range 20 {
+				Expect(router.send("/stock?id=sound", body).Code).To(Equal(http.StatusOK))
+				Expect(router.send("/stock?id=deadly", body).Code).NotTo(Equal(http.StatusOK))
+			}
+			Expect(crashes.Load()).To(BeNumerically("<=", route.PartQuarantineCrashes))
+			refusal := decodeProblem(router.send("/stock?id=deadly", body))
+			Expect(refusal.Code).To(Equal(int(code.Quarantined)))
+			Expect(refusal.NotRun).To(BeTrue())
+		})
+	}
+})
--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -39,9 +39,16 @@
 // attemptPlain acquires a slot and sends the request to its endpoint, whose
 // name it returns too.
 func (a *API) attemptPlain(r *http.Request, c call, p manifest.Pool, avoid []string) (string, endpoint.Response, error) {
-	slot, err := a.opts.Pools.Acquire(r.Context(), p.Name, pool.Request{Account: c.account.Name, Estimate: 1, Avoid: avoid})
+	req := pool.Request{Account: c.account.Name, Estimate: 1, Avoid: avoid}
+	identity := fingerprint(r.Method, r.URL.RequestURI(), c.account.Name, string(c.body))
+	if len(c.body) > 0 {
+		req.Fingerprint = identity
+	} else {
+		req.Parts = []uint64{identity} // unrelated requests may look the same
+	}
+	slot, err := a.opts.Pools.Acquire(r.Context(), p.Name, req)
 	if err != nil {
-		return "", endpoint.Response{}, err
+		return "", endpoint.Response{}, addFingerprint(err, identity)
 	}
 	a.recordGrant(c, slot.Endpoint)
 	url, _ := a.endpointURL(slot.Endpoint)
@@ -53,6 +60,9 @@
 		Body:          c.body,
 		NewConnection: len(avoid) > 0,
 	})
+	if err == nil {
+		slot.RecordBegun()
+	}
 	if err == nil && code.PromisesNotRun(resp.Status) {
 		err = code.Fail(code.EndpointError, fmt.Sprintf("the endpoint responded with status %d", resp.Status))
 	}
--- a/internal/pool/client.go
+++ b/internal/pool/client.go
@@ -33,8 +33,10 @@
 	Estimate    fair.Cost // hint of the expected cost
 	Prefix      uint64    // hash of the start of the prompt, for prefix affinity
 	Fingerprint uint64    // hash that identifies the request in the quarantine
-	Parts       []uint64  // hashes of the parts of the prompt that other requests may have
-	Avoid       []string  // endpoints at which earlier attempts failed
+	// Parts are hashes of what other requests may have too: parts of the prompt, or all
+	// that a request without a body asks for.
+	Parts []uint64
+	Avoid []string // endpoints at which earlier attempts failed
 }
 
 // Slot permits running one request at one endpoint. Release must be called once.
@@ -71,7 +73,7 @@
 		return nil, code.Refuse(code.Quarantined, "")
 	}
 	if part, blocked := c.host.partBlocked(req.Parts); blocked {
-		return nil, code.Refuse(code.Quarantined, fmt.Sprintf("prompt part %016x seems to crash endpoints", part))
+		return nil, code.Refuse(code.Quarantined, fmt.Sprintf("prompt part, or request without a body, %016x seems to crash endpoints", part))
 	}
 	p := &pendingRequest{seq: c.seq.Add(1), req: req, suspect: suspect, allowedAt: time.Now(), result: make(chan result, 1)}
 	return c.scopeClient(scope).acquire(ctx, p, c.maxWait(req.Account))
--- a/internal/pool/parts.go
+++ b/internal/pool/parts.go
@@ -177,7 +177,7 @@
 		return nil
 	}
 	sc.release(p.seq, admission.Canceled, 0, 0)
-	return code.Refuse(code.Quarantined, "a part of the prompt seems to crash endpoints")
+	return code.Refuse(code.Quarantined, "a part of the prompt, or the request without a body, seems to crash endpoints")
 }
 
 func partCrashToProto(c route.PartCrash) *peerpb.PartCrash {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -311,6 +311,7 @@
 		conn.Close() // a faulty endpoint may write the same rejection again
 	} else {
 		x.recordBegun(t)
+		x.h.opts.Dispatcher.RecordCompleted(t)
 		x.putConn(conn, resp)
 	}
 	return x.handleResponse(resp, meta, body, t)
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -56,6 +56,64 @@
 		}
 	})
 
+	It("counts for requests without a body that ask for the same", func() {
+		crash := func(_ int, s receivedRequest) reply {
+			if strings.HasPrefix(s.uri, "/p/deadly") {
+				return reply{close: true}
+			}
+			return reply{raw: response(s, 200, "ok")}
+		}
+		endpoints := []*fakeEndpoint{newFakeEndpoint(crash), newFakeEndpoint(crash), newFakeEndpoint(crash), newFakeEndpoint(crash), newFakeEndpoint(crash)}
+		server, _, dispatcher := newServerWithDispatcher(relay.Options{}, topology.Route{Kind: topology.Idempotent, MaxAttempts: 2}, endpoints...)
+		var status []int
+		for i := range 6 {
+			dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
+				started := declared(endpoints...)
+				for e := range started {
+					started[e].StartMillis = int64(1 + i)
+				}
+				d.SetEndpoints(now, started)
+			})
+			resp, _, err := send(server, http.MethodGet, "/p/deadly?id=1", "")
+			Expect(err).NotTo(HaveOccurred())
+			status = append(status, resp.StatusCode)
+			for _, other := range []string{"/p/sound", "/p/sound?id=1"} {
+				resp, _, err = send(server, http.MethodGet, other, "")
+				Expect(err).NotTo(HaveOccurred())
+				Expect(resp.StatusCode).To(Equal(http.StatusOK))
+			}
+		}
+		Expect(status).To(Equal([]int{502, 502, 503, 503, 503, 503}))
+		reached := 0
+		for _, f := range endpoints {
+			for _, r := range f.requests() {
+				if strings.HasPrefix(r.uri, "/p/deadly") {
+					reached++
+				}
+			}
+		}
+		Expect(reached).To(Equal(route.ResourceQuarantineCrashes))
+	})
+
+	It("does not count for requests without a body while others that ask for the same are served", func() {
+		script := func(_ int, s receivedRequest) reply {
+			if s.header.Get("Test-Kind") == "deadly" {
+				return reply{close: true}
+			}
+			return reply{raw: response(s, 200, "ok")}
+		}
+		endpoints := []*fakeEndpoint{newFakeEndpoint(script), newFakeEndpoint(script), newFakeEndpoint(script)}
+		server, _ := newServer(topology.Route{Kind: topology.Idempotent, MaxAttempts: 2}, endpoints...)
+		for range 10 {
+			resp, _, err := send(server, http.MethodGet, "/p/x", "", "Test-Kind", "deadly")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+			resp, _, err = send(server, http.MethodGet, "/p/x", "", "Test-Kind", "sound")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		}
+	})
+
 	It("is recognised by the prompt part that the requests have in common", func() {
 		const deadly = "2"
 		var crashes atomic.Int64
--- a/internal/relay/dispatcher.go
+++ b/internal/relay/dispatcher.go
@@ -126,6 +126,13 @@
 	d.dispatcher.RecordBegun(time.Now(), t)
 }
 
+// RecordCompleted records that the endpoint has sent the complete response.
+func (d *SharedDispatcher) RecordCompleted(t *dispatch.Ticket) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dispatcher.RecordCompleted(time.Now(), t)
+}
+
 // RecordSilence records that the endpoint has sent nothing for too long.
 func (d *SharedDispatcher) RecordSilence(t *dispatch.Ticket) {
 	d.mu.Lock()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -71,11 +71,24 @@
 
 // fingerprint identifies a request that its client sends again: the request ID
 // differs then, but method, host, URI, account and body are the same. It is 0 for
-// a request without a body, since unrelated requests would share a fingerprint.
+// a request without a body, see resource.
 func (x *exchange) fingerprint() uint64 {
 	if len(x.body) == 0 {
 		return 0
 	}
+	return x.identity()
+}
+
+// resource identifies what a request without a body asks for. Unrelated requests may
+// ask for the same. It is 0 for a request with a body.
+func (x *exchange) resource() uint64 {
+	if len(x.body) > 0 {
+		return 0
+	}
+	return x.identity()
+}
+
+func (x *exchange) identity() uint64 {
 	h := xxhash.New()
 	for _, part := range []string{x.r.Method, x.r.Host, x.r.RequestURI, x.account} {
 		h.WriteString(part)
@@ -97,7 +110,7 @@
 	}
 	since := x.waitingSince()
 	return dispatch.Request{
-		ID: x.meta.ID, Account: x.account, Service: x.service, Priority: x.priority,
+		ID: x.meta.ID, Account: x.account, Service: x.service, Priority: x.priority, Resource: x.resource(),
 		Parts: x.meta.Parts, PromptTokens: x.meta.PromptTokens, OutputTokens: output,
 		Arrived: since, Objective: since.Add(objective), FirstEventDeadline: x.firstEventDeadline(since, objective), Deadline: x.deadline,
 		ExcludedEndpoints: x.triedEndpoints, Weights: x.meta.Weights, WeightsMissed: x.weightsMissed, Retry: x.sends > 0,
@@ -175,6 +188,8 @@
 	x.h.opts.Dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
 		if part, ok := d.PartBlocked(now, x.meta.Parts); ok {
 			detail, blocked = fmt.Sprintf("prompt part %x seems to crash endpoints", part), true
+		} else if d.ResourceQuarantined(now, x.resource()) {
+			detail, blocked = "requests without a body that ask for the same seem to crash endpoints", true
 		} else if !x.mayHaveRun && d.Quarantined(now, x.fingerprint()) {
 			blocked = true
 		}
@@ -203,7 +218,8 @@
 			suspects = d.RecordPartCrash(now, t)
 		}
 		d.RecordCrash(now, fingerprint, t.Endpoint)
-		quarantined = d.Quarantined(now, fingerprint)
+		d.RecordResourceCrash(now, t)
+		quarantined = d.Quarantined(now, fingerprint) || d.ResourceQuarantined(now, t.Request.Resource)
 	})
 	x.h.opts.Log.Log(oplog.Failure, "request.broke_endpoint", x.attrs(slog.String("endpoint", t.Endpoint.ID), slog.Bool("quarantined", quarantined), slog.Any("suspect_parts", suspects))...)
 	return quarantined
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -71,7 +71,7 @@
 		case err == io.EOF && s.continues && !s.hasID:
 			return notResumed(conn)
 		case err == io.EOF && len(s.partial) == 0:
-			return x.finishStream(conn, resp)
+			return x.finishStream(conn, resp, t)
 		case isTimeout(err):
 			conn.Close()
 			return x.silent(ctx, t, "the stream delivered nothing for too long")
@@ -107,10 +107,11 @@
 }
 
 // finishStream ends a stream that arrived completely.
-func (x *exchange) finishStream(conn *upstream.Conn, resp *http.Response) attemptResult {
+func (x *exchange) finishStream(conn *upstream.Conn, resp *http.Response, t *dispatch.Ticket) attemptResult {
 	if !x.streamStarted {
 		x.writeStreamHead(resp)
 	}
+	x.h.opts.Dispatcher.RecordCompleted(t)
 	x.putConn(conn, resp)
 	return attemptResult{outcome: dispatch.Completed, delivered: true, mayHaveRun: true}
 }
