Match routes and pools by the path as it was sent

What callers saw: a request for "/x%2Fy/..." is handled by the route with the prefix "/x/y/" (its service, whether it needs a key, whether it may run twice), though its path has one segment there and endpoints get it as it was sent. The product's own interface finds the pool of "/stock" for "/stock%2Fa".

Cause: the decoded path was compared, in which an encoded slash can't be told from one.

Class: a decision on another form of the input than the one that is passed on.

Fix: the encoded path is compared, with percent-encoded letters, digits and "-._~" decoded (RFC 3986, 6.2.2.2: those are the same path, so "/%6c" still finds "/l") and the rest as sent. A declared path may have letters that requests can only have in percent-encoding. core/urlpath has both, for topology and manifest.

Evidence before: of the new entries of internal/relay two fail ("/p/q%2Fx" and "/p%2Fq/x": 503, expected 200), in internal/callerapi one (200, expected 404). The test of a declared path with other letters fails if only the request's form is changed.

--- a/core/manifest/index.go
+++ b/core/manifest/index.go
@@ -1,6 +1,10 @@
 package manifest
 
-import "strings"
+import (
+	"strings"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/urlpath"
+)
 
 // index maps the keys that requests are looked up by to positions in the lists
 // of a manifest.
@@ -34,7 +38,7 @@
 }
 
 // PoolForPath returns the pool whose path is the longest prefix of path, by
-// whole segments.
+// whole segments. The path is as urlpath.Normalize returns it.
 func (m *Manifest) PoolForPath(path string) (Pool, bool) {
 	paths := m.lookup().paths
 	for prefix := path; prefix != ""; prefix = parent(prefix) {
@@ -76,7 +80,7 @@
 		digests:   positions(m.Accounts, func(a Account) []string { return a.KeyDigests }),
 		pools:     positions(m.Pools, func(p Pool) []string { return []string{p.Name} }),
 		models:    positions(m.Pools, func(p Pool) []string { return p.Models }),
-		paths:     positions(m.Pools, func(p Pool) []string { return []string{p.Path} }),
+		paths:     positions(m.Pools, func(p Pool) []string { return []string{urlpath.Declared(p.Path)} }),
 		endpoints: positions(m.Endpoints, func(e Endpoint) []string { return []string{e.Name} }),
 	}
 	delete(x.paths, "")
--- a/core/manifest/manifest_test.go
+++ b/core/manifest/manifest_test.go
@@ -145,7 +145,7 @@
 var _ = Describe("Lookups", func() {
 	It("give the same results with and without an index", func() {
 		m := newManifest(3, 3)
-		m.Pools = append(m.Pools, manifest.Pool{Name: "o", Kind: manifest.Order, Path: "/v1/orders"})
+		m.Pools = append(m.Pools, manifest.Pool{Name: "o", Kind: manifest.Order, Path: "/v1/orders"}, manifest.Pool{Name: "e", Kind: manifest.Service, Path: "/v1/entwürfe"})
 		for range 2 {
 			account, ok := m.AccountByKeyDigest(manifest.KeyDigest("account-00001"))
 			Expect(ok).To(BeTrue())
@@ -154,6 +154,8 @@
 			Expect(endpoint.URL).To(Equal("http://10.0.0.3:8000"))
 			pool, _ := m.PoolForPath("/v1/orders/7")
 			Expect(pool.Name).To(Equal("o"))
+			pool, _ = m.PoolForPath("/v1/entw%C3%BCrfe")
+			Expect(pool.Name).To(Equal("e"), "a declared path may have letters that requests can't have")
 			_, ok = m.PoolForPath("/v1/ordersX")
 			Expect(ok).To(BeFalse())
 			pool, _ = m.PoolForModel("m")
--- a/core/topology/table.go
+++ b/core/topology/table.go
@@ -4,27 +4,35 @@
 	"net"
 	"slices"
 	"strings"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/urlpath"
 )
 
 // Table is an immutable index of a Config.
 type Table struct {
 	Config   Config
-	hosts    map[string][]*Route // by host name; longest prefix first
+	hosts    map[string][]hostRoute // by host name; longest prefix first
 	services map[string]*Service
 	accounts map[string]*Account // by API key
 }
 
+// hostRoute is a route of a host, with its prefix as urlpath.Normalize returns paths.
+type hostRoute struct {
+	prefix string
+	*Route
+}
+
 // NewTable builds the table of a configuration, which must not be changed
 // afterwards.
 func NewTable(c Config) *Table {
-	t := &Table{Config: c, hosts: map[string][]*Route{}, services: map[string]*Service{}, accounts: map[string]*Account{}}
+	t := &Table{Config: c, hosts: map[string][]hostRoute{}, services: map[string]*Service{}, accounts: map[string]*Account{}}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
-		t.hosts[host] = append(t.hosts[host], r)
+		t.hosts[host] = append(t.hosts[host], hostRoute{urlpath.Declared(r.Prefix), r})
 	}
 	for _, routes := range t.hosts {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+		slices.SortStableFunc(routes, func(a, b hostRoute) int { return len(b.prefix) - len(a.prefix) })
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
@@ -37,8 +45,8 @@
 	return t
 }
 
-// Match returns the route for a host and path: the one with the longest
-// matching prefix. A port in host is ignored, as in a Host header.
+// Match returns the route for a host and a path as the client sent it: the one with
+// the longest matching prefix. A port in host is ignored, as in a Host header.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	routes, ok := t.hosts[strings.ToLower(host)]
 	if !ok {
@@ -48,9 +56,10 @@
 		}
 		routes = t.hosts[strings.ToLower(name)]
 	}
+	path = urlpath.Normalize(path)
 	for _, r := range routes {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, true
+		if strings.HasPrefix(path, r.prefix) {
+			return r.Route, true
 		}
 	}
 	return nil, false
--- a/core/topology/topology_suite_test.go
+++ b/core/topology/topology_suite_test.go
@@ -21,6 +21,7 @@
 			{Name: "all", Host: "a.example", Prefix: "/"},
 			{Name: "deep", Host: "a.example", Prefix: "/x/y/"},
 			{Name: "x", Host: "A.example", Prefix: "/x/"},
+			{Name: "marked", Host: "a.example", Prefix: "/é b/"},
 		},
 		Accounts: []topology.Account{{Name: "one", Keys: []string{"k1", "k2"}}},
 	})
@@ -40,6 +41,11 @@
 		Entry("host with a port", "a.example:8080", "/x/", "x"),
 		Entry("host in another case", "A.EXAMPLE", "/x/", "x"),
 		Entry("other host", "b.example", "/x/", ""),
+		Entry("a letter in percent-encoding, which is the same path", "a.example", "/%78/z", "x"),
+		Entry("an encoded slash, which is another path", "a.example", "/x%2Fy/z", "all"),
+		Entry("an encoded slash in a longer prefix", "a.example", "/x/y%2f", "x"),
+		Entry("an incomplete escape", "a.example", "/x/%7", "x"),
+		Entry("a letter that requests can't contain", "a.example", "/%c3%A9%20b/z", "marked"),
 	)
 
 	It("finds an account by each of its keys", func() {
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -27,6 +27,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/core/retry"
+	"github.com/cyclamenwinch/cyclamenwinch/core/urlpath"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/ledger"
@@ -155,7 +156,7 @@
 // service serves orders and plain services. The pool is found by the path
 // that it declares.
 func (a *API) service(w http.ResponseWriter, r *http.Request, c call) {
-	p, ok := a.opts.Fleet.Manifest().PoolForPath(r.URL.Path)
+	p, ok := a.opts.Fleet.Manifest().PoolForPath(urlpath.Normalize(r.URL.EscapedPath()))
 	if !ok {
 		a.refuse(w, c, code.Refuse(code.UnknownPath, r.URL.Path))
 		return
--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -146,6 +146,15 @@
 		Expect(router.eventKinds(w.Header().Get(endpoint.RequestIDHeader))).To(Equal([]eventlog.Kind{eventlog.RequestGranted, eventlog.RequestEnded}))
 	})
 
+	DescribeTable("finds the pool of a plain service by the path as it was sent",
+		func(path string, want int) {
+			router := newTestRouter(testTimeout, func(http.ResponseWriter, *http.Request) {})
+			Expect(router.send(path, `{}`).Code).To(Equal(want))
+		},
+		Entry("a letter in percent-encoding", "/%73tock/a", http.StatusOK),
+		Entry("an encoded slash, which doesn't end a segment", "/stock%2Fa", http.StatusNotFound),
+	)
+
 	It("stops retrying once the retry budget is exhausted", func() {
 		var attempts atomic.Int32
 		router := newTestRouterWith(testTimeout, testTimeout, manyEndpoints, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/relay/path_test.go
+++ b/internal/relay/path_test.go
@@ -7,7 +7,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
 )
 
-var _ = DescribeTable("The path of a request is not changed on its way",
+var _ = DescribeTable("The path of a request is not changed on its way, nor its route chosen by another one",
 	func(path, route string) {
 		f := newFakeEndpoint(func(_ int, s receivedRequest) reply { return reply{raw: response(s, 200, s.uri)} })
 		server, h := newServer(topology.Route{}, f)
@@ -28,4 +28,7 @@
 	Entry("two slashes at its beginning", "//p/x?y=%20&z", "all"),
 	Entry("three slashes", "///p//x", "all"),
 	Entry("two slashes and an encoded one", "//p%2Fx/?", "all"),
+	Entry("a letter in percent-encoding", "/%70/x", "p"),
+	Entry("an encoded slash, which doesn't end a segment", "/p/q%2Fx", "p"),
+	Entry("an encoded slash in place of one", "/p%2Fq/x", "all"),
 )
--- a/internal/relay/prepare.go
+++ b/internal/relay/prepare.go
@@ -29,7 +29,7 @@
 		failure.Detail = "this router is overloaded; work waits for the CPU for " + lag.Round(time.Millisecond).String()
 		return failure
 	}
-	route, ok := x.table.Match(x.r.Host, x.r.URL.Path)
+	route, ok := x.table.Match(x.r.Host, x.r.URL.EscapedPath())
 	if !ok {
 		return code.Refuse(code.UnknownPath, "no route matches host and path")
 	}
