Callers' API: hold requests and responses within one memory budget

What callers saw: nothing yet. The product's own interface had the same fault as the router on a prepared platform: 1,000 open requests of each client account, with bodies up to max_body_bytes and responses up to 8 MB, had no common limit, so a process could run out of memory with all its requests.

Responses are read into a reservation that the call brings with it and that lasts until the caller has taken them. The new setting request_memory_bytes has a default of 512 MiB. The reading of bodies and the collection of reservations move to internal/memory, which both interfaces use.

Not covered: what the order ledger holds of an order whose caller has left, and of its response.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -12,7 +12,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -31,6 +30,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/ledger"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/overload"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/pool"
 )
@@ -52,6 +52,8 @@
 	// MaxAccountRequests limits the open requests of one client account at
 	// this router, so that one account can't use up the router's memory.
 	MaxAccountRequests int
+	// Memory limits what all requests and responses in progress hold; nil: no limit.
+	Memory *memory.Budget
 	// Lag returns how long work of this process waits for the CPU. Nil: not at all.
 	Lag func() time.Duration
 }
@@ -72,10 +74,19 @@
 	id      string
 	account manifest.Account
 	body    []byte
+	memory  *memory.Scope
+}
+
+// reserveResponse returns a reservation for the response of an endpoint.
+func (c call) reserveResponse(endpoint string) *memory.Reservation {
+	return c.memory.Reserve(memory.Responses, endpoint, memory.FreeBodyBytes)
 }
 
 // New returns an API.
 func New(opts Options) *API {
+	if opts.Memory == nil {
+		opts.Memory = memory.NewBudget(0)
+	}
 	return &API{opts: opts, openByAccount: map[string]int{}, retries: map[string]*retry.Budget{}}
 }
 
@@ -122,8 +133,9 @@
 			return
 		}
 		defer a.endRequest(account.Name)
-		c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, a.opts.MaxBodyBytes))
-		if err != nil {
+		c.memory = &memory.Scope{Budget: a.opts.Memory}
+		defer c.memory.Release()
+		if c.body, err = a.readBody(w, r, c); err != nil {
 			a.refuse(w, c, bodyError(err))
 			return
 		}
@@ -242,11 +254,32 @@
 	a.opts.Events.Add(eventlog.Event{Kind: eventlog.RequestRefused, Request: c.id, Account: c.account.Name, Code: int(failure.Code), Detail: failure.Detail})
 }
 
+// readBody reads the body of a request into memory that it reserves.
+func (a *API) readBody(w http.ResponseWriter, r *http.Request, c call) ([]byte, error) {
+	limit := a.opts.MaxBodyBytes
+	if r.ContentLength > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	if !c.memory.Reserve(memory.Requests, c.account.Name, 0).Resize(memory.RequestBytes) {
+		return nil, memory.ErrNoMemory
+	}
+	held := c.memory.Reserve(memory.RequestBodies, c.account.Name, memory.FreeBodyBytes)
+	return memory.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, held)
+}
+
+// memoryRetryAfter is the Retry-After of a router whose memory for requests is in use.
+const memoryRetryAfter = time.Second
+
 func bodyError(err error) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return code.Refuse(code.BodyTooLarge, "")
 	}
+	if errors.Is(err, memory.ErrNoMemory) {
+		failure := code.Refuse(code.NoMemory, "")
+		failure.RetryAfter = memoryRetryAfter
+		return failure
+	}
 	return code.Refuse(code.BadRequest, err.Error())
 }
 
--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -54,6 +54,11 @@
 // newTestRouterWith is newTestRouter with the given number of endpoints of each
 // kind. An attempt fails if its endpoint sends nothing for progressTimeout.
 func newTestRouterWith(wait, progressTimeout time.Duration, endpoints int, handle http.HandlerFunc) testRouter {
+	return newTestRouterOptions(wait, progressTimeout, endpoints, handle, func(*callerapi.Options) {})
+}
+
+// newTestRouterOptions is newTestRouterWith with a change of the API's options.
+func newTestRouterOptions(wait, progressTimeout time.Duration, endpoints int, handle http.HandlerFunc, change func(*callerapi.Options)) testRouter {
 	server := httptest.NewServer(handle)
 	DeferCleanup(server.Close)
 	zone := manifest.Zone{Name: "z", Region: "r", State: manifest.In}
@@ -79,10 +84,12 @@
 		client.Close()
 		stop()
 	})
-	return testRouter{events: events, api: callerapi.New(callerapi.Options{
+	opts := callerapi.Options{
 		Fleet: fleet, Pools: client, Endpoints: endpoint.New(progressTimeout), Events: events,
 		Addresses: http.NotFoundHandler(), MaxBodyBytes: 4096, MaxAccountRequests: 1,
-	})}
+	}
+	change(&opts)
+	return testRouter{events: events, api: callerapi.New(opts)}
 }
 
 func (router testRouter) send(path, body string) *httptest.ResponseRecorder {
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -152,6 +152,7 @@
 		ContentType:   "application/json",
 		Body:          c.call.body,
 		NewConnection: newConnection,
+		Memory:        c.call.reserveResponse(name),
 	}
 	if !c.req.Stream {
 		return c.relayResponse(out)
--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -59,6 +59,7 @@
 		ContentType:   r.Header.Get("Content-Type"),
 		Body:          c.body,
 		NewConnection: len(avoid) > 0,
+		Memory:        c.reserveResponse(slot.Endpoint),
 	})
 	if err == nil {
 		slot.RecordBegun()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/fleet"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/ledger"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/opsapi"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/overload"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peer"
@@ -88,7 +89,8 @@
 		Fleet: d.fleet, Pools: d.pools, Endpoints: endpoints, Ledger: d.ledger, Events: d.events,
 		Addresses:    addresses.New(d.fleet, time.Duration(s.AddressSeconds)*time.Second),
 		MaxBodyBytes: int64(s.MaxBodyBytes), MaxAccountRequests: s.MaxAccountOpen,
-		Lag: d.lagMeter.Lag,
+		Memory: memory.NewBudget(int64(s.RequestMemory)),
+		Lag:    d.lagMeter.Lag,
 	})
 	d.ops = opsapi.New(opsapi.Options{Fleet: d.fleet, Events: d.events, Token: s.OpsToken, OpenRequests: d.callers.OpenRequests, Usage: d.host.Usage, Pools: d.ownedPools, Orders: d.ledger, Quarantine: d.host})
 	d.callerWeb = newWebServer("callers", s.CallerTLS, d.callerHandler())
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -22,6 +22,7 @@
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 )
 
 // Header fields that tie a response to its request.
@@ -64,8 +65,9 @@
 	Fence         int64  // fencing number, for orders
 	ContentType   string
 	Body          []byte
-	NewConnection bool // do not reuse a connection
-	ResumeFrom    int  // number of stream events already received
+	NewConnection bool                // do not reuse a connection
+	ResumeFrom    int                 // number of stream events already received
+	Memory        *memory.Reservation // for the response; nil: no limit of all responses together
 }
 
 // Response is a complete response.
@@ -110,22 +112,22 @@
 	if err := checkIdentity(resp, call); err != nil {
 		return Response{}, err
 	}
-	return readResponse(ctx, watch, resp)
+	return readResponse(ctx, watch, resp, call.Memory)
 }
 
 // readResponse reads the body. A body without a length or chunked encoding is an
 // error, since its end can't be distinguished from a lost connection.
-func readResponse(ctx context.Context, watch *progressWatch, resp *http.Response) (Response, error) {
+func readResponse(ctx context.Context, watch *progressWatch, resp *http.Response, held *memory.Reservation) (Response, error) {
 	if resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return Response{}, code.Fail(code.Truncated, "the response has no length")
 	}
-	body, err := io.ReadAll(io.LimitReader(watch.reader(resp.Body), maxResponseBytes+1))
-	if err != nil {
+	body, err := memory.ReadBody(watch.reader(resp.Body), resp.ContentLength, maxResponseBytes, held)
+	switch {
+	case errors.Is(err, limitio.ErrTooLarge):
+		return Response{}, code.Fail(code.EndpointError, err.Error())
+	case err != nil:
 		return Response{}, classifyError(ctx, err)
 	}
-	if len(body) > maxResponseBytes {
-		return Response{}, code.Fail(code.EndpointError, "the response exceeds "+strconv.Itoa(maxResponseBytes)+" bytes")
-	}
 	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -103,7 +103,7 @@
 		return err
 	}
 	if IsRejection(resp.StatusCode) {
-		rejection, err := readResponse(s.ctx, s.watch, resp)
+		rejection, err := readResponse(s.ctx, s.watch, resp, call.Memory)
 		if err != nil {
 			return err
 		}
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -76,7 +76,7 @@
 }
 
 // Reservation is what one request or response holds. Its holder must call Release. It
-// is not safe for concurrent use.
+// is not safe for concurrent use. A nil one reserves nothing.
 type Reservation struct {
 	budget *Budget
 	class  Class
@@ -94,6 +94,9 @@
 // Resize reserves memory for n bytes in all, or gives back what exceeds them. It
 // returns false, without a change, if the budget does not have them.
 func (r *Reservation) Resize(n int64) bool {
+	if r == nil {
+		return true
+	}
 	want := max(0, n-r.free)
 	if !r.budget.add(r.class, r.holder, want-r.held) {
 		refusals.Inc()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/upstream"
 )
@@ -295,7 +296,7 @@
 		return x.stream(ctx, conn, resp, t)
 	}
 	conn.SetReadDeadline(x.deadline.Add(deadlineGrace))
-	body, err := readBody(resp.Body, resp.ContentLength, maxBufferedBytes, x.reserveResponse(t))
+	body, err := memory.ReadBody(resp.Body, resp.ContentLength, maxBufferedBytes, x.reserveResponse(t))
 	if err != nil {
 		conn.Close()
 		if meta.NotRun {
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -1,74 +1,11 @@
 package relay
 
 import (
-	"io"
-
-	"github.com/cockroachdb/errors"
-
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
-	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 )
 
-const (
-	// RequestBytes is the memory that each request in progress reserves: the buffers of
-	// two connections, stacks, and freeBodyBytes each for its body and the response.
-	RequestBytes = 112 << 10
-	// freeBodyBytes is how much of a body is part of RequestBytes.
-	freeBodyBytes = 32 << 10
-	// initialBodyBytes is the size of the first buffer of a body whose length is not
-	// known. Most bodies are smaller.
-	initialBodyBytes = 4 << 10
-)
-
-var errNoMemory = errors.Mark(errors.New("no memory is left for a large body"), limitio.ErrTooLarge)
-
 // reserveResponse returns a reservation for the response of one attempt.
 func (x *exchange) reserveResponse(t *dispatch.Ticket) *memory.Reservation {
-	return x.reserve(memory.Responses, t.Endpoint.ID, freeBodyBytes)
-}
-
-// readBody reads a body of at most limit bytes into memory that it reserves; length is
-// negative if it is not known. The error is limitio.ErrTooLarge if the limit is
-// exceeded, and errNoMemory, which is one, if there is no memory.
-func readBody(body io.Reader, length, limit int64, held *memory.Reservation) ([]byte, error) {
-	buf, err := readReserved(&limitio.Reader{R: body, Remaining: int(limit)}, length, limit, held)
-	if err != nil {
-		held.Release()
-		return nil, err
-	}
-	return buf, nil
-}
-
-func readReserved(r io.Reader, length, limit int64, held *memory.Reservation) ([]byte, error) {
-	if length >= 0 && length <= limit {
-		if !held.Resize(length) {
-			return nil, errNoMemory
-		}
-		buf := make([]byte, length)
-		n, err := io.ReadFull(r, buf)
-		if n == 0 && err == io.EOF {
-			return nil, nil // a response to HEAD has a length and no body
-		}
-		return buf, err
-	}
-	buf := make([]byte, 0, initialBodyBytes)
-	for {
-		if len(buf) == cap(buf) {
-			// While the bytes are copied, the old and the new buffer are in memory.
-			if !held.Resize(3 * int64(cap(buf))) {
-				return nil, errNoMemory
-			}
-			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
-			held.Resize(int64(cap(buf)))
-		}
-		n, err := r.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if err == io.EOF {
-			return buf, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
+	return x.memory.Reserve(memory.Responses, t.Endpoint.ID, memory.FreeBodyBytes)
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -48,25 +48,16 @@
 	lastTicket      *dispatch.Ticket  // of the latest decision
 	firstEventAfter time.Duration     // from arrival to the start of the response
 	sendDelay       time.Duration     // of the latest attempt, from the decision until it was sent
-	memory          []*memory.Reservation
+	memory          memory.Scope
 	attemptConn     *attemptConn // of the latest attempt
 	begun           bool         // the response of the latest attempt has begun
 	standby         standby      // place at another endpoint while the latest is silent
 	clientLeft      func()       // ends the request's context, as the HTTP server does when the client disconnects
 }
 
-// reserve returns a reservation that is released when the exchange ends.
-func (x *exchange) reserve(class memory.Class, holder string, free int64) *memory.Reservation {
-	r := x.h.opts.Memory.Reserve(class, holder, free)
-	x.memory = append(x.memory, r)
-	return r
-}
-
 func (x *exchange) releaseMemory() {
 	x.body, x.endpointFailure = nil, nil
-	for _, r := range x.memory {
-		r.Release()
-	}
+	x.memory.Release()
 }
 
 // fingerprint identifies a request that its client sends again: the request ID
--- a/internal/relay/prepare.go
+++ b/internal/relay/prepare.go
@@ -37,7 +37,7 @@
 	if failure := x.authenticate(); failure != nil {
 		return failure
 	}
-	if !x.reserve(memory.Requests, x.account, 0).Resize(RequestBytes) {
+	if !x.memory.Reserve(memory.Requests, x.account, 0).Resize(memory.RequestBytes) {
 		return noMemory("for another request")
 	}
 	if failure := x.readBody(); failure != nil {
@@ -86,13 +86,13 @@
 	if x.r.ContentLength > limit {
 		return code.Refuse(code.BodyTooLarge, "")
 	}
-	held := x.reserve(memory.RequestBodies, x.account, freeBodyBytes)
-	body, err := readBody(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit, held)
+	held := x.memory.Reserve(memory.RequestBodies, x.account, memory.FreeBodyBytes)
+	body, err := memory.ReadBody(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit, held)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return code.Refuse(code.BodyTooLarge, "")
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, memory.ErrNoMemory):
 		return noMemory("for a large request body")
 	case err != nil && x.r.Context().Err() == nil && !isConnError(err):
 		x.w.Header().Set("Connection", "close") // where the next request begins is unknown
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -142,7 +142,7 @@
 	if h.noKeepAlives.Load() || h.opts.MaxConnections > 0 && h.conns.Load() > h.opts.MaxConnections {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), meta: h.opts.Protocol.ReadRequest(r.Header)}
+	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), memory: memory.Scope{Budget: h.opts.Memory}, meta: h.opts.Protocol.ReadRequest(r.Header)}
 	defer x.recordPanic()
 	defer x.releaseMemory()
 	clientCtx, clientLeft := context.WithCancel(r.Context())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,7 @@
 	ProgressMillis  int       `json:"progress_millis"`
 	MaxBodyBytes    int       `json:"max_body_bytes"`
 	MaxAccountOpen  int       `json:"max_account_open"`
+	RequestMemory   int       `json:"request_memory_bytes"`
 	Verbosity       int       `json:"verbosity"`
 }
 
@@ -75,6 +76,7 @@
 		ProgressMillis:  5000,
 		MaxBodyBytes:    1 << 20,
 		MaxAccountOpen:  1000,
+		RequestMemory:   512 << 20,
 	}
 }
 
