Refuse a request target that can't be forwarded as it is

What callers saw: a target that begins with two slashes and has a character that no URI may have ("//a\"b") reached the endpoint with that character percent-encoded, so the endpoint ran another path than the client asked for.

Cause: net/http encodes such a path itself, and the URL was not compared with what the client had sent. Class: a value handed to a library under an assumption.

Evidence: "A request target that can't be forwarded as it is reaches no endpoint changed" failed before (200 instead of 400).

Why it works: what would be written is compared with the target first; only such a target differs, and it is no proper request.

--- a/internal/relay/path_test.go
+++ b/internal/relay/path_test.go
@@ -1,6 +1,12 @@
 package relay_test
 
 import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -32,3 +38,24 @@
 	Entry("an encoded slash, which doesn't end a segment", "/p/q%2Fx", "p"),
 	Entry("an encoded slash in place of one", "/p%2Fq/x", "all"),
 )
+
+var _ = It("A request target that can't be forwarded as it is reaches no endpoint changed", func() {
+	f := newFakeEndpoint(func(_ int, s receivedRequest) reply { return reply{raw: response(s, 200, s.uri)} })
+	server, h := newServer(topology.Route{}, f)
+	h.SetTable(topology.NewTable(topology.Config{
+		Routes:   []topology.Route{{Host: "a", Prefix: "/", Kind: topology.Idempotent, MaxAttempts: 1, Targets: []topology.Target{{Service: "s", Weight: 1}}}},
+		Services: []topology.Service{{Name: "s"}},
+	}))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+	Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	for target, status := range map[string]int{"//a\"b": http.StatusBadRequest, "/a\"b": http.StatusOK} {
+		_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a\r\n\r\n", target)
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(status), target)
+	}
+	Expect(f.requests()).To(HaveLen(1))
+	Expect(f.requests()[0].uri).To(Equal("/a\"b"))
+})
--- a/internal/relay/prepare.go
+++ b/internal/relay/prepare.go
@@ -33,6 +33,9 @@
 	if !ok {
 		return code.Refuse(code.UnknownPath, "no route matches host and path")
 	}
+	if outgoingURL(x.r).RequestURI() != x.r.RequestURI {
+		return code.Refuse(code.BadRequest, "the request target has characters that no URI may have")
+	}
 	x.route, x.priority = route, route.Priority
 	if failure := x.authenticate(); failure != nil {
 		return failure
