Find prompt parts whose endpoints crash after the first event

What callers saw: a prompt part crashed one endpoint after the other as long as requests with it came, and the sound streams at these endpoints were cut.

Cause: the part was cleared by each response that began, and crashes after that were not counted against it.

Class of fault: evidence against one thing is taken as evidence against another. That a response begins says nothing about crashes later in it.

Evidence: "after the first event is put down to the prompt part that the requests have in common" failed before for streams that can be resumed and others: the sixth request was cut in the answer ("Unexpected error") where a refusal was expected.

Why it works: crashes before and after the begin of a response count apart, under two IDs of the part. A response that begins clears the first, only a complete one the second, at all routers. Crashes within 100 ms count once against a part that was sound, as one cause outside the requests may crash many endpoints.

"does not count against the prompt parts of a stream that had begun" asserted the fault: it refused to count such crashes even if no stream with the part was ever complete. In its place such crashes don't count while other streams with the same parts are complete, over twice as many crashes, and the report has to be empty after each complete one.

--- a/core/dispatch/parts.go
+++ b/core/dispatch/parts.go
@@ -45,7 +45,7 @@
 }
 
 // RecordBegun records that the response to the request of a ticket has begun, so
-// none of the parts that it shares with others crashes endpoints.
+// none of the parts that it shares with others crashes endpoints before.
 func (d *Dispatcher) RecordBegun(now time.Time, t *Ticket) {
 	for _, p := range sharedPartIDs(t.Request.Parts) {
 		d.recordSound(now, p)
@@ -53,8 +53,12 @@
 }
 
 // RecordCompleted records that the response to the request of a ticket is complete, so
-// a request without a body that asks for the same does not crash endpoints.
+// neither a part that it shares with others nor, without a body, the request itself
+// crashes endpoints.
 func (d *Dispatcher) RecordCompleted(now time.Time, t *Ticket) {
+	for _, p := range sharedPartIDs(t.Request.Parts) {
+		d.recordSound(now, route.AfterBegin(p))
+	}
 	if t.Request.Resource != 0 {
 		d.recordSound(now, t.Request.Resource)
 	}
@@ -80,11 +84,16 @@
 	return resource != 0 && d.parts.ResourceQuarantined(now, resource)
 }
 
-// RecordPartCrash records that the endpoint of a ticket crashed before it had begun
-// the response. It returns the parts of the prompt that may be the cause.
-func (d *Dispatcher) RecordPartCrash(now time.Time, t *Ticket) (suspects []uint64) {
+// RecordPartCrash records that the endpoint of a ticket crashed before or, if the
+// response had begun, while it wrote the rest. It returns the parts of the prompt that
+// may be the cause.
+func (d *Dispatcher) RecordPartCrash(now time.Time, t *Ticket, begun bool) (suspects []uint64) {
 	for _, p := range sharedPartIDs(t.Request.Parts) {
-		if d.parts.RecordCrash(now, route.PartCrash{Part: p, Endpoint: incarnationKey(t.Endpoint)}) {
+		id := p
+		if begun {
+			id = route.AfterBegin(p)
+		}
+		if d.parts.RecordCrash(now, route.PartCrash{Part: id, Endpoint: incarnationKey(t.Endpoint)}) {
 			suspects = append(suspects, p)
 		}
 	}
@@ -94,7 +103,9 @@
 // PartBlocked returns a part of the prompt that seems to crash endpoints, because of
 // which a request may not be sent now.
 func (d *Dispatcher) PartBlocked(now time.Time, parts []PromptPart) (part uint64, blocked bool) {
-	return d.parts.Blocked(now, sharedPartIDs(parts))
+	shared := sharedPartIDs(parts)
+	id, blocked := d.parts.Blocked(now, route.BothStages(shared))
+	return route.PartOf(id, shared), blocked
 }
 
 // hasQuarantinedPart reports whether no request like this one, or with one of its shared
@@ -104,7 +115,7 @@
 		return true
 	}
 	for i := 0; i+1 < len(r.Parts); i++ {
-		if d.parts.Quarantined(now, r.Parts[i].ID) {
+		if p := r.Parts[i].ID; d.parts.Quarantined(now, p) || d.parts.Quarantined(now, route.AfterBegin(p)) {
 			return true
 		}
 	}
--- a/core/dispatch/parts_test.go
+++ b/core/dispatch/parts_test.go
@@ -27,7 +27,7 @@
 		d := all[i*7%len(all)]
 		d.SetEndpoints(now, []topology.Endpoint{e})
 		ticket := d.Submit(now, tainted(now, uint64(100+i)))
-		if suspects := d.RecordPartCrash(now, ticket); len(suspects) == 0 {
+		if suspects := d.RecordPartCrash(now, ticket, false); len(suspects) == 0 {
 			t.Fatalf("crash %d names no part", i)
 		}
 		sound := d.Submit(now, chatRequest(now, "x", uint64(200+i)))
@@ -45,6 +45,37 @@
 	}
 }
 
+// TestCrashesAfterTheFirstEventAddUpOverRouters guards against a part whose endpoints
+// crash while they write the response: each response that begins seems to prove that the
+// part is sound.
+func TestCrashesAfterTheFirstEventAddUpOverRouters(t *testing.T) {
+	all := newRouters(20)
+	now := start
+	for i := range route.PartQuarantineCrashes {
+		now = start.Add(time.Duration(i) * 250 * time.Millisecond)
+		d := all[i*7%len(all)]
+		d.SetEndpoints(now, []topology.Endpoint{endpoint(fmt.Sprint("e", i), model, "a")})
+		ticket, beside := d.Submit(now, tainted(now, uint64(100+i))), d.Submit(now, chatRequest(now, "x", uint64(200+i)))
+		d.RecordBegun(now, ticket)
+		d.RecordBegun(now, beside)
+		if suspects := d.RecordPartCrash(now, ticket, true); len(suspects) == 0 {
+			t.Fatalf("crash %d names no part", i)
+		}
+		d.RecordPartCrash(now, beside, true)
+		d.RecordCompleted(now, d.Submit(now, chatRequest(now, "x", uint64(300+i))))
+		exchangeReports(all, now.Add(200*time.Millisecond), 100*time.Millisecond, 15*time.Millisecond)
+	}
+	now = now.Add(time.Minute)
+	for i, d := range all {
+		if _, blocked := d.PartBlocked(now, tainted(now, 300).Parts); !blocked {
+			t.Errorf("router %d sends a request with the part", i)
+		}
+		if part, blocked := d.PartBlocked(now, chatRequest(now, "x", 300).Parts); blocked {
+			t.Errorf("router %d refuses part %d, which streams beside the cause have", i, part)
+		}
+	}
+}
+
 // TestRouterThatKnowsBetterClearsPart guards against a fleet that refuses a part of
 // which one router knows that it is sound.
 func TestRouterThatKnowsBetterClearsPart(t *testing.T) {
@@ -53,7 +84,7 @@
 	for i := range route.PartQuarantineCrashes {
 		d := all[0]
 		d.SetEndpoints(crashed, []topology.Endpoint{endpoint(fmt.Sprint("e", i), model, "a")})
-		d.RecordPartCrash(crashed, d.Submit(crashed, tainted(crashed, uint64(100+i))))
+		d.RecordPartCrash(crashed, d.Submit(crashed, tainted(crashed, uint64(100+i))), false)
 	}
 	last := all[len(all)-1]
 	last.SetEndpoints(start, []topology.Endpoint{endpoint("e9", model, "a")})
@@ -77,7 +108,7 @@
 		if i%2 == 0 {
 			d.RecordBegun(crashed.Add(-time.Minute), d.Submit(crashed, chatRequest(crashed, "x", 50)))
 		}
-		d.RecordPartCrash(crashed, d.Submit(crashed, chatRequest(crashed, "x", uint64(100+i))))
+		d.RecordPartCrash(crashed, d.Submit(crashed, chatRequest(crashed, "x", uint64(100+i))), false)
 	}
 	all[3].RecordBegun(start, all[3].Submit(start, chatRequest(start, "x", 60)))
 	now := start.Add(500 * time.Millisecond)
--- a/core/route/parts.go
+++ b/core/route/parts.go
@@ -25,21 +25,53 @@
 	// sound before. Several endpoints may crash at once under a popular part, which
 	// the next response clears.
 	soundPartGrace = time.Second
+	// soundPartSpacing is the time within which crashes count once against a part that
+	// was sound before: one cause outside the requests may crash many endpoints.
+	soundPartSpacing = 100 * time.Millisecond
 	// maxPartCrashes limits the crashes kept for one part, the newest ones.
 	maxPartCrashes = 2 * PartQuarantineCrashes
 	// maxParts limits the parts tracked, of each kind.
 	maxParts = 16384
 )
 
-// PartCrash records that an endpoint crashed before it had begun the response to a
-// request with a prompt part.
+// afterBeginMask tells the two IDs of a part apart.
+const afterBeginMask = 0x9e3779b97f4a7c15
+
+// AfterBegin returns the ID by which crashes count against a part that followed the
+// begin of a response. A response that has begun speaks against crashes before it
+// begins; against these only a complete one does, which is a SoundPart with this ID.
+func AfterBegin(part uint64) uint64 { return part ^ afterBeginMask }
+
+// BothStages returns the IDs of parts for crashes before and after the begin of a
+// response.
+func BothStages(parts []uint64) []uint64 {
+	ids := make([]uint64, 0, 2*len(parts))
+	for _, p := range parts {
+		ids = append(ids, p, AfterBegin(p))
+	}
+	return ids
+}
+
+// PartOf returns the part, one of parts, that an ID of BothStages belongs to, or 0.
+func PartOf(id uint64, parts []uint64) uint64 {
+	for _, p := range parts {
+		if id == p || id == AfterBegin(p) {
+			return p
+		}
+	}
+	return 0
+}
+
+// PartCrash records that an endpoint crashed while it ran a request with a prompt part,
+// before it had begun the response or, with the ID of AfterBegin, later.
 type PartCrash struct {
 	Part     uint64
 	Endpoint uint64        // identifies the incarnation of the endpoint
 	Age      time.Duration // time since the crash, when it is passed on
 }
 
-// SoundPart records that a response to a request with a prompt part began.
+// SoundPart records that a response to a request with a prompt part began or, with the
+// ID of AfterBegin, that it is complete.
 type SoundPart struct {
 	Part uint64
 	Age  time.Duration // time since then, when it is passed on
@@ -136,8 +168,8 @@
 	}
 }
 
-// RecordCrash adds a crash and reports whether it is new. A crash before the last
-// response with the part is not.
+// RecordCrash adds a crash and reports whether it counts. A known one does not, nor one
+// before the last response with the part.
 func (q *PartQuarantine) RecordCrash(now time.Time, c PartCrash) bool {
 	at := now.Add(-c.Age)
 	b, sound := q.begun[c.Part]
@@ -154,12 +186,16 @@
 	return s.add(partCrash{c.Endpoint, at})
 }
 
-// add adds a crash and reports whether it is new. A known crash keeps its time:
+// add adds a crash and reports whether it counts. A known crash keeps its time:
 // reports come late, so a later time would be further off.
 func (s *suspectPart) add(c partCrash) bool {
 	if slices.ContainsFunc(s.crashes, func(known partCrash) bool { return known.endpoint == c.endpoint }) {
 		return false
 	}
+	sameCause := func(known partCrash) bool { return c.at.Sub(known.at).Abs() < soundPartSpacing }
+	if s.wasSound && slices.ContainsFunc(s.crashes, sameCause) {
+		return false
+	}
 	if len(s.crashes) >= maxPartCrashes {
 		if !c.at.After(s.crashes[0].at) {
 			return false
--- a/core/route/parts_test.go
+++ b/core/route/parts_test.go
@@ -72,6 +72,24 @@
 	}
 }
 
+// TestEndpointsThatCrashTogetherCountOnceAgainstSoundPart guards against refusing what
+// most requests have because a cause outside the requests crashed many endpoints.
+func TestEndpointsThatCrashTogetherCountOnceAgainstSoundPart(t *testing.T) {
+	for _, part := range []uint64{1, route.AfterBegin(1)} {
+		q := route.NewPartQuarantine()
+		now := time.Unix(1_000_000, 0)
+		q.RecordBegun(now, part)
+		now = now.Add(time.Second)
+		for i := range 4 * route.PartQuarantineCrashes {
+			q.RecordCrash(now.Add(time.Duration(i%90)*time.Millisecond), crashOf(part, i))
+		}
+		now = now.Add(2 * time.Second)
+		if _, blocked := q.Blocked(now, []uint64{part}); blocked {
+			t.Error("blocked after crashes at one moment")
+		}
+	}
+}
+
 // TestPartIsQuarantinedAgain guards against a part that is free for good once its
 // quarantine has ended.
 func TestPartIsQuarantinedAgain(t *testing.T) {
--- a/internal/pool/host.go
+++ b/internal/pool/host.go
@@ -84,8 +84,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	wasSuspect := h.parts.RecordBegun(now, fingerprint)
-	return h.quarantine.Lift(now, fingerprint) || wasSuspect
+	begun, completed := h.parts.RecordBegun(now, fingerprint), h.parts.RecordBegun(now, route.AfterBegin(fingerprint))
+	return h.quarantine.Lift(now, fingerprint) || begun || completed
 }
 
 // RecordCrashes adds crashes that another router has on record.
--- a/internal/pool/parts.go
+++ b/internal/pool/parts.go
@@ -33,7 +33,8 @@
 func (h *Host) partBlocked(parts []uint64) (part uint64, blocked bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.parts.Blocked(time.Now(), parts)
+	id, blocked := h.parts.Blocked(time.Now(), route.BothStages(parts))
+	return route.PartOf(id, parts), blocked
 }
 
 // partStopped reports whether a request that was allowed at a time may no longer be
@@ -41,12 +42,12 @@
 func (h *Host) partStopped(allowed time.Time, parts []uint64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.parts.StoppedSince(time.Now(), allowed, parts)
+	return h.parts.StoppedSince(time.Now(), allowed, route.BothStages(parts))
 }
 
-// recordBegun records that a response to a request with these parts began. It
-// returns those that were suspects.
-func (h *Host) recordBegun(parts []uint64) (cleared []*peerpb.SoundPart) {
+// recordSound records that a response speaks for these parts. It returns those that
+// were suspects.
+func (h *Host) recordSound(parts []uint64) (cleared []*peerpb.SoundPart) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, p := range parts {
@@ -142,8 +143,8 @@
 	return c
 }
 
-// RecordBegun records that the response has begun, so that a later crash of the
-// endpoint is not put down to what the prompt shares with others.
+// RecordBegun records that the response has begun, which speaks for what the prompt
+// shares with others. Only a complete response speaks against crashes after that.
 func (s *Slot) RecordBegun() { s.scope.recordBegun(s.seq) }
 
 func (sc *scopeClient) recordBegun(seq uint64) {
@@ -155,7 +156,23 @@
 	}
 	h.begun = true
 	sc.mu.Unlock()
-	if cleared := sc.client.host.recordBegun(h.parts); len(cleared) > 0 {
+	sc.recordSound(h.parts)
+}
+
+// recordCompleted records that the response to the request of a slot is complete.
+func (sc *scopeClient) recordCompleted(seq uint64) {
+	sc.mu.Lock()
+	h := sc.held[seq]
+	sc.mu.Unlock()
+	if h != nil {
+		sc.recordSound(afterBegin(h.parts))
+	}
+}
+
+// recordSound records that a response speaks for these parts, and tells the owner of
+// those that were suspects.
+func (sc *scopeClient) recordSound(parts []uint64) {
+	if cleared := sc.client.host.recordSound(parts); len(cleared) > 0 {
 		sc.mu.Lock()
 		defer sc.mu.Unlock()
 		sc.send(&peerpb.AdmitRequest{SoundParts: cleared})
@@ -165,9 +182,18 @@
 // addCrash adds to a release what the owner has to know of a crash.
 func (h *heldSlot) addCrash(r *peerpb.Release) {
 	r.Fingerprint = h.fingerprint
-	if !h.begun {
-		r.Endpoint, r.Parts = h.endpoint, h.parts
+	r.Endpoint, r.Parts = h.endpoint, h.parts
+	if h.begun {
+		r.Parts = afterBegin(h.parts)
+	}
+}
+
+func afterBegin(parts []uint64) []uint64 {
+	ids := make([]uint64, 0, len(parts))
+	for _, p := range parts {
+		ids = append(ids, route.AfterBegin(p))
 	}
+	return ids
 }
 
 // dropQuarantined gives up a slot whose request may no longer be sent because of a
--- a/internal/pool/scope_client.go
+++ b/internal/pool/scope_client.go
@@ -222,6 +222,9 @@
 }
 
 func (sc *scopeClient) release(seq uint64, o admission.Outcome, cost fair.Cost, ttft time.Duration) {
+	if o == admission.Completed {
+		sc.recordCompleted(seq)
+	}
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	h := sc.held[seq]
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -38,24 +38,70 @@
 		Expect(f.requests()).To(HaveLen(2))
 	})
 
-	It("does not count against the prompt parts of a stream that had begun", func() {
+	It("does not count against the prompt parts of interrupted streams while others with the same parts are complete", func() {
 		f := newFakeEndpoint(func(n int, s receivedRequest) reply {
-			return reply{raw: streamHead(s) + chunk(event(1)), close: true}
+			if n%2 == 1 {
+				return reply{raw: streamHead(s) + chunk(event(1)), close: true}
+			}
+			return reply{raw: streamHead(s) + chunk(event(1)) + chunk("")}
 		})
 		server, _, dispatcher := newServerWithDispatcher(relay.Options{}, topology.Route{Kind: topology.Stream, MaxAttempts: 1}, f)
-		for i := range 2 * route.PartQuarantineCrashes {
+		for i := range 4 * route.PartQuarantineCrashes {
 			dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
 				started := declared(f)
-				started[0].StartMillis = int64(i)
+				started[0].StartMillis = int64(1 + i)
 				d.SetEndpoints(now, started)
 			})
 			_, _, err := send(server, http.MethodPost, "/p/x", fmt.Sprint("body ", i), "Test-Parts", fmt.Sprint("1 2 ", 100+i))
-			Expect(err).To(HaveOccurred(), "the stream is incomplete")
 			Expect(f.requests()).To(HaveLen(i + 1))
+			if i%2 == 0 {
+				Expect(err).To(HaveOccurred(), "the stream is incomplete")
+				continue
+			}
+			Expect(err).NotTo(HaveOccurred())
 			dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) { Expect(d.Report(now).PartCrashes).To(BeEmpty()) })
 		}
 	})
 
+	for name, streams := range map[string]topology.Route{
+		"streams that can't be resumed": {Kind: topology.Stream, MaxAttempts: 1},
+		"streams that can be resumed":   {Kind: topology.Stream, Resumable: true, MaxAttempts: 2},
+	} {
+		It("after the first event is put down to the prompt part that the requests have in common: "+name, func() {
+			var crashes atomic.Int64
+			var endpoints []*fakeEndpoint
+			for range 8 {
+				endpoints = append(endpoints, newFakeEndpoint(func(_ int, s receivedRequest) reply {
+					if slices.Contains(strings.Fields(s.header.Get("Test-Parts")), "2") {
+						crashes.Add(1)
+						return reply{raw: streamHead(s) + chunk(event(1)), close: true}
+					}
+					return reply{raw: streamHead(s) + chunk(event(1)) + chunk("")}
+				}))
+			}
+			server, _, dispatcher := newServerWithDispatcher(relay.Options{}, streams, endpoints...)
+			for i := range 20 {
+				dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
+					started := declared(endpoints...)
+					for e := range started {
+						started[e].StartMillis = 1 + crashes.Load()
+					}
+					d.SetEndpoints(now, started)
+				})
+				resp, body, err := send(server, http.MethodPost, "/p/x", fmt.Sprint("body ", i), "Test-Parts", fmt.Sprint("1 2 3 ", 100+i))
+				if i >= route.PartQuarantineCrashes {
+					Expect(err).NotTo(HaveOccurred())
+					Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+					Expect(body).To(ContainSubstring("prompt part 2"))
+				}
+				resp, _, err = send(server, http.MethodPost, "/p/x", fmt.Sprint("sound ", i), "Test-Parts", fmt.Sprint("1 3 ", 200+i))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(resp.StatusCode).To(Equal(http.StatusOK), "shares the other parts and the account")
+			}
+			Expect(crashes.Load()).To(BeNumerically("<=", route.PartQuarantineCrashes))
+		})
+	}
+
 	It("counts for requests without a body that ask for the same", func() {
 		crash := func(_ int, s receivedRequest) reply {
 			if strings.HasPrefix(s.uri, "/p/deadly") {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -205,9 +205,7 @@
 	fingerprint := x.fingerprint()
 	var suspects []uint64
 	x.h.opts.Dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
-		if !x.begun {
-			suspects = d.RecordPartCrash(now, t)
-		}
+		suspects = d.RecordPartCrash(now, t, x.begun)
 		d.RecordCrash(now, fingerprint, t.Endpoint)
 		d.RecordResourceCrash(now, t)
 		quarantined = d.Quarantined(now, fingerprint) || d.ResourceQuarantined(now, t.Request.Resource)
