Close only those client connections on which no request was read or waits

What callers saw: at the end of a stop, or as an idle limit ended, a request that was sent on a kept connection got neither a response nor a refusal, and left no line in the log.

Cause: net/http takes a connection for idle until the head of the next request has been parsed. Shutdown closes it then, with a request that was read, in part or whole, or that waits in the socket of a router without CPU time. A read deadline ends a read also if bytes wait in the socket, because the process was suspended while the deadline passed. A head that was read in part was dropped without a response, or refused with 400, after which clients don't retry.

Class of fault: an owner that does not know what its resource holds; a limit for the client applied to the time for which the process itself stood still.

Why it works: closing.Conns owns the connections. To close idle ones it sets a read deadline that has passed, so the goroutine that reads closes the connection itself, and does not if it has read a request. A read whose deadline has passed first takes what waits in the socket. A head that stays incomplete gets 408, or 503 with Retry-After in a stop, and is counted and logged as request.incomplete.

--- /dev/null
+++ b/internal/closing/conn.go
@@ -0,0 +1,309 @@
+package closing
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// responseWriteTime limits how long a response to an incomplete request may take to
+// write. It fits into the socket buffer unless the client has stopped reading.
+const responseWriteTime = 50 * time.Millisecond
+
+// Responses to requests of which only a part of the head has arrived. Both statuses
+// say that the request was not run.
+const (
+	timeoutResponse  = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	stoppingResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.050\r\nContent-Length: 0\r\n\r\n"
+)
+
+// Incomplete describes a request of which only a part of the head had arrived when its
+// connection was closed.
+type Incomplete struct {
+	Status   int  // of the response
+	Answered bool // the response was written
+}
+
+// Conns owns the HTTP/1.1 connections of a server. net/http takes a connection for idle
+// until the head of its next request has been parsed, so its Shutdown and its deadlines
+// close connections with requests that were read or wait in the socket. Conns closes
+// only those without. It is safe for concurrent use.
+type Conns struct {
+	onIncomplete func(Incomplete)
+
+	mu      sync.Mutex
+	open    map[*conn]struct{}
+	ending  bool // see CloseIdle
+	aborted bool // see Abort
+}
+
+// NewConns returns a Conns. onIncomplete is called for each request whose connection is
+// closed before its head was complete, unless the client closed it.
+func NewConns(onIncomplete func(Incomplete)) *Conns {
+	return &Conns{onIncomplete: onIncomplete, open: map[*conn]struct{}{}}
+}
+
+// Listener returns a listener whose connections belong to s. The server that accepts
+// from it must call s.ConnState.
+func (s *Conns) Listener(l net.Listener) net.Listener { return &listener{Listener: l, conns: s} }
+
+// ConnState is meant for http.Server.ConnState.
+func (s *Conns) ConnState(c net.Conn, state http.ConnState) {
+	if c, ok := c.(*conn); ok {
+		c.setState(state)
+	}
+}
+
+// CloseIdle closes the connections without a request, and the others once they have
+// none. It does not wait.
+func (s *Conns) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ending = true
+	for c := range s.open {
+		c.expireIfIdle()
+	}
+}
+
+// Open returns the number of connections.
+func (s *Conns) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// Abort makes all closes immediate. It is called before http.Server.Close, which closes
+// one connection after the other.
+func (s *Conns) Abort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.aborted = true
+}
+
+func (s *Conns) isEnding() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ending
+}
+
+func (s *Conns) isAborted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.aborted
+}
+
+type listener struct {
+	net.Listener
+	conns *Conns
+}
+
+// Accept returns the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	socket, ok := accepted.(socketConn)
+	if !ok {
+		return accepted, nil // not a TCP connection
+	}
+	c := &conn{socketConn: socket, conns: l.conns}
+	l.conns.mu.Lock()
+	defer l.conns.mu.Unlock()
+	l.conns.open[c] = struct{}{}
+	if l.conns.ending {
+		c.expireIfIdle()
+	}
+	return c, nil
+}
+
+// socketConn is a TCP connection or wraps one.
+type socketConn interface {
+	net.Conn
+	syscall.Conn
+	CloseWrite() error
+}
+
+// conn is a connection of an HTTP/1.1 server.
+type conn struct {
+	socketConn
+	conns *Conns
+	once  sync.Once // for Close
+
+	mu         sync.Mutex
+	active     bool // a handler runs, or has run and its response is being written
+	incomplete bool // bytes were read since the last response, and no handler has run
+	expired    bool // the latest read ended with its deadline
+	left       bool // the client has closed the connection
+	deadlines  int  // read deadlines set since the last response
+}
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// Read reads from the connection. Bytes that wait in the socket are returned even if
+// the read deadline has passed, since this process was late then, not the client.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.socketConn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if waiting := readWaiting(c, p); waiting > 0 {
+			n, err = waiting, nil
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 && !c.active {
+		c.incomplete = true
+	}
+	c.expired = errors.Is(err, os.ErrDeadlineExceeded)
+	c.left = c.left || err != nil && !c.expired
+	return n, err
+}
+
+// readWaiting reads what waits in a socket and returns the number of bytes.
+func readWaiting(c syscall.Conn, p []byte) (n int) {
+	control(c, func(fd int) {
+		got, _, err := unix.Recvfrom(fd, p, unix.MSG_DONTWAIT)
+		if err == nil {
+			n = got
+		}
+	})
+	return n
+}
+
+// hasUnread reports whether bytes wait in a socket.
+func hasUnread(c syscall.Conn) (unread bool) {
+	control(c, func(fd int) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return unread
+}
+
+// control calls f with the descriptor of a connection, unless it is closed.
+func control(c syscall.Conn, f func(fd int)) {
+	if raw, err := c.SyscallConn(); err == nil {
+		// An error means that the connection is closed.
+		_ = raw.Control(func(fd uintptr) { f(int(fd)) })
+	}
+}
+
+// Write writes to the connection. net/http takes a part of a request line for a
+// malformed one, so its response is replaced if the rest has not arrived.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	cut := !c.active && c.expired
+	c.incomplete = cut
+	c.mu.Unlock()
+	if cut {
+		c.respondIfIncomplete()
+		return len(p), nil
+	}
+	return c.socketConn.Write(p)
+}
+
+// SetReadDeadline sets the read deadline. While the server ends, that of a connection
+// without a request has always passed.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	ending := c.conns.isEnding()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadlines++
+	if c.deadlines > 1 && !c.active {
+		// net/http sets one to wait for a request, and another once it has a part,
+		// which it may have read with the request before.
+		c.incomplete = true
+	}
+	if ending && !c.active {
+		t = past
+	}
+	return c.socketConn.SetReadDeadline(t)
+}
+
+// expireIfIdle ends the wait for a request, so that the goroutine which reads from the
+// connection closes it unless it has read one.
+func (c *conn) expireIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.active {
+		// An error means that the connection is closed.
+		_ = c.socketConn.SetReadDeadline(past)
+	}
+}
+
+// setState records a change of the state that net/http keeps.
+func (c *conn) setState(state http.ConnState) {
+	ending := c.conns.isEnding()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == http.StateActive && c.expired {
+		return // net/http counts a request as active also if reading its head failed
+	}
+	c.active = state == http.StateActive
+	if c.active || state == http.StateIdle {
+		c.incomplete, c.expired, c.deadlines = false, false, 0
+	}
+	if c.active && ending {
+		// The deadline that expireIfIdle set must not end the request. An error means
+		// that the connection is closed.
+		_ = c.socketConn.SetReadDeadline(time.Time{})
+	}
+}
+
+// Close closes the connection. It responds to a request whose head is incomplete, and
+// reads what the client still sends, since a close with unread bytes resets the
+// connection and may destroy the response.
+func (c *conn) Close() (err error) {
+	c.once.Do(func() {
+		defer c.remove()
+		if !c.conns.isAborted() {
+			c.respondIfIncomplete()
+			c.readRest()
+		}
+		err = c.socketConn.Close()
+	})
+	return err
+}
+
+func (c *conn) remove() {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	delete(c.conns.open, c)
+}
+
+func (c *conn) respondIfIncomplete() {
+	ending := c.conns.isEnding()
+	c.mu.Lock()
+	incomplete := c.incomplete && !c.left
+	c.incomplete = false
+	c.mu.Unlock()
+	if !incomplete {
+		return
+	}
+	r, response := Incomplete{Status: http.StatusRequestTimeout}, timeoutResponse
+	if ending {
+		r, response = Incomplete{Status: http.StatusServiceUnavailable}, stoppingResponse
+	}
+	if c.SetWriteDeadline(time.Now().Add(responseWriteTime)) == nil {
+		_, err := io.WriteString(c.socketConn, response)
+		r.Answered = err == nil
+	}
+	c.conns.onIncomplete(r)
+}
+
+// readRest reads what the client still sends if bytes wait in the socket.
+func (c *conn) readRest() {
+	if !hasUnread(c) || c.CloseWrite() != nil || c.socketConn.SetReadDeadline(time.Now().Add(maxRestTime)) != nil {
+		return
+	}
+	// An error means that the client has closed the connection or is too slow.
+	_, _ = io.CopyN(io.Discard, c.socketConn, maxRestBytes)
+}
--- /dev/null
+++ b/internal/closing/export_test.go
@@ -0,0 +1,6 @@
+package closing
+
+import "syscall"
+
+// HasUnread reports whether bytes wait in the socket of a connection.
+func HasUnread(c syscall.Conn) bool { return hasUnread(c) }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -268,7 +268,7 @@
 	case err := <-ended:
 		return errors.Wrap(err, "supervisor ended")
 	}
-	e.drain(servers[0].server)
+	e.drain(servers[0])
 	stop()
 	<-ended
 	return nil
--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,6 +25,8 @@
 	name     string
 	server   *http.Server
 	listener net.Listener
+	conns    *closing.Conns
+	stopped  *atomic.Bool // the listener was closed for a stop
 }
 
 func (s webServer) serve(ctx context.Context) error {
@@ -32,8 +36,8 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return suture.ErrDoNotRestart // the router is stopping
+	if s.stopped.Load() || errors.Is(err, http.ErrServerClosed) {
+		return suture.ErrDoNotRestart
 	}
 	return errors.Wrap(err, "serve "+s.name)
 }
@@ -63,18 +67,36 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "listen for "+l.name)
 		}
-		out = append(out, webServer{name: l.name, listener: listener, server: &http.Server{
-			Handler: closing.ReadRest(l.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: log.New(errorLogWriter{e.log, l.name}, "", 0),
-		}})
+		out = append(out, e.newWebServer(l.name, listener, l.handler))
 	}
 	e.front.OnReset(func(r overload.Resets) {
 		e.log.Log(oplog.StateChange, "connections.reset", slog.Int("count", r.Count), slog.Duration("waited", r.Waited), slog.Duration("gap", r.Gap))
 	})
-	out[0].server.ConnState, out[0].server.ConnContext = e.relay.ConnState, e.relay.ConnContext
+	front := out[0]
+	front.server.ConnContext = e.relay.ConnContext
+	front.server.ConnState = func(c net.Conn, state http.ConnState) {
+		front.conns.ConnState(c, state)
+		e.relay.ConnState(c, state)
+	}
 	return out, nil
 }
 
+func (e *Edge) newWebServer(name string, l net.Listener, h http.Handler) webServer {
+	conns := closing.NewConns(func(r closing.Incomplete) { e.recordIncomplete(name, r) })
+	return webServer{name: name, listener: conns.Listener(l), conns: conns, stopped: new(atomic.Bool), server: &http.Server{
+		Handler: closing.ReadRest(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: log.New(errorLogWriter{e.log, name}, "", 0), ConnState: conns.ConnState,
+	}}
+}
+
+// recordIncomplete counts and logs a request whose connection was closed before its head
+// was complete.
+func (e *Edge) recordIncomplete(server string, r closing.Incomplete) {
+	metrics.GetOrCreateCounter(`cyclamenwinch_requests_incomplete_total{status="` + strconv.Itoa(r.Status) +
+		`",answered="` + strconv.FormatBool(r.Answered) + `"}`).Inc()
+	e.log.Log(oplog.Failure, "request.incomplete", slog.String("server", server), slog.Int("status", r.Status), slog.Bool("answered", r.Answered))
+}
+
 // listen opens a listener with TCP keepalives, which detect clients that are
 // gone.
 func listen(address string) (net.Listener, error) {
@@ -107,11 +129,14 @@
 	// refuseWaitingBefore is how long before that requests that still wait for an
 	// endpoint are refused, so that their clients can go elsewhere.
 	refuseWaitingBefore = 300 * time.Millisecond
+	// maxSettleTime limits, at the end of a stop, the time for responses to requests
+	// that are already read or wait in a socket. It fits into exitMargin.
+	maxSettleTime = 200 * time.Millisecond
 )
 
-// awaitRequests waits until no request is in progress, or until a time.
-func (e *Edge) awaitRequests(until time.Time) {
-	for e.relay.OpenRequests() > 0 && time.Now().Before(until) {
+// awaitNone waits until count returns 0, or until a time.
+func awaitNone[N int | int64](count func() N, until time.Time) {
+	for count() > 0 && time.Now().Before(until) {
 		time.Sleep(drainPollInterval)
 	}
 }
@@ -119,7 +144,7 @@
 // drain stops the router gracefully. The router leaves the directory, accepts
 // requests until clients use other routers, waits for the requests in progress
 // and closes the server.
-func (e *Edge) drain(front *http.Server) {
+func (e *Edge) drain(front webServer) {
 	started := time.Now()
 	end := started.Add(e.settings.StopGrace - exitMargin)
 	e.leaving.Store(true)
@@ -128,13 +153,30 @@
 	e.log.Log(oplog.StateChange, "router.stopping", slog.Int64("open", e.relay.OpenRequests()))
 	time.Sleep(min(drainAcceptPeriod, time.Until(end)))
 	e.relay.RejectRequests()
-	e.awaitRequests(end.Add(-refuseWaitingBefore))
+	awaitNone(e.relay.OpenRequests, end.Add(-refuseWaitingBefore))
 	e.relay.RefuseWaiting()
-	e.awaitRequests(end)
-	left := e.relay.OpenRequests()
-	e.relay.ExpectClose()
-	limit, cancel := context.WithDeadline(context.Background(), end.Add(drainPollInterval))
-	defer cancel()
-	err := front.Shutdown(limit)
-	e.log.Log(oplog.StateChange, "router.stopped", slog.Int64("cut", left), slog.Duration("took", time.Since(started)), slog.Any("error", err))
+	awaitNone(e.relay.OpenRequests, end)
+	cut, err := front.close(e.relay)
+	e.log.Log(oplog.StateChange, "router.stopped", slog.Int64("cut", cut),
+		slog.Duration("took", time.Since(started)), slog.Any("error", err))
+}
+
+// requestCounter knows the requests in progress; the relay is one.
+type requestCounter interface {
+	OpenRequests() int64
+	ExpectClose()
+}
+
+// close closes the listener, the connections without a request and, once the others had
+// time for their responses, these too. It returns how many requests were cut.
+func (s webServer) close(requests requestCounter) (cut int64, err error) {
+	s.stopped.Store(true)
+	err = s.listener.Close()
+	s.conns.CloseIdle()
+	awaitNone(s.conns.Open, time.Now().Add(maxSettleTime))
+	cut = requests.OpenRequests()
+	requests.ExpectClose()
+	s.conns.Abort()
+	err = errors.CombineErrors(err, s.server.Close())
+	return cut, err
 }
