--- a/internal/closing/closing_test.go
+++ b/internal/closing/closing_test.go
@@ -22,26 +22,30 @@
 	})
 	server := httptest.NewServer(closing.ReadRest(refuse))
 	defer server.Close()
-	for _, header := range []string{"", "Connection: close\r\n"} {
+	for _, c := range []struct {
+		header string
+		half   int // of the body, in bytes
+	}{{"", 32 << 10}, {"Connection: close\r\n", 32 << 10}, {"", 512 << 10}, {"Connection: close\r\n", 512 << 10}} {
+		header := c.header
 		client, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer client.Close()
-		half := strings.Repeat("x", 32<<10)
+		half := strings.Repeat("x", c.half)
 		if _, err := fmt.Fprintf(client, "POST / HTTP/1.1\r\nHost: a\r\n%sContent-Length: %d\r\n\r\n%s", header, 2*len(half), half); err != nil {
 			t.Fatal(err)
 		}
 		r := bufio.NewReader(client)
 		resp, err := http.ReadResponse(r, nil)
 		if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
-			t.Fatalf("header %q: response %v, %v", header, resp, err)
+			t.Fatalf("header %q, %d bytes: response %v, %v", header, 2*c.half, resp, err)
 		}
 		if _, err := io.WriteString(client, half); err != nil {
-			t.Errorf("header %q: the rest of the body: %v", header, err)
+			t.Errorf("header %q, %d bytes: the rest of the body: %v", header, 2*c.half, err)
 		}
 		if _, err := io.Copy(io.Discard, r); err != nil {
-			t.Errorf("header %q: end of the connection: %v", header, err)
+			t.Errorf("header %q, %d bytes: end of the connection: %v", header, 2*c.half, err)
 		}
 	}
 }
