Let the requests that a stop cuts end before the process exits

What callers saw: nothing else than before; operators found no line for requests that were cut at the end of a stop.

Cause: the process exited as soon as the connections were closed, before the handlers had noticed. A request that ended after the log was closed made the process panic.

Class of fault: an owner that ends before its parts have.

Evidence: without the wait TestStopWaitsForTheHandlersOfRequestsThatItCuts fails: "cut 1, unended 1, error <nil>, handler ended: false". TestLogAfterClose failed before: "send on closed channel".

Why it works: after the connections are closed the stop waits for the handlers, for 200 ms at most, which fits into exitMargin. router.stopped says how many had not ended. The log drops lines after its close instead of panicking.

--- a/internal/edge/close_test.go
+++ b/internal/edge/close_test.go
@@ -43,6 +43,33 @@
 	return front, client, logger
 }
 
+// TestStopWaitsForTheHandlersOfRequestsThatItCuts guards against requests that a stopping
+// router cuts without a line in the log.
+func TestStopWaitsForTheHandlersOfRequestsThatItCuts(t *testing.T) {
+	const cleanup = 20 * time.Millisecond // of a handler whose connection was closed
+	requests, ended := &testRequests{}, atomic.Bool{}
+	front, client, _ := newTestFront(t, io.Discard, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		requests.open.Add(1)
+		defer requests.open.Add(-1)
+		<-r.Context().Done()
+		if !requests.expected.Load() {
+			t.Error("the request ended before the close was announced")
+		}
+		time.Sleep(cleanup)
+		ended.Store(true)
+	}))
+	if _, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for requests.OpenRequests() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cut, unended, err := front.close(requests)
+	if cut != 1 || unended != 0 || err != nil || !ended.Load() {
+		t.Errorf("cut %d, unended %d, error %v, handler ended: %v", cut, unended, err, ended.Load())
+	}
+}
+
 // TestStopLogsIncompleteRequests guards against requests of which a stopping router has
 // read a part, and which end without a response or a line in the log.
 func TestStopLogsIncompleteRequests(t *testing.T) {
@@ -76,7 +103,7 @@
 			t.Fatal(err)
 		}
 	}
-	if _, err := front.close(&testRequests{}); err != nil {
+	if _, _, err := front.close(&testRequests{}); err != nil {
 		t.Error(err)
 	}
 	resp, err = http.ReadResponse(responses, nil)
--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -130,7 +130,8 @@
 	// endpoint are refused, so that their clients can go elsewhere.
 	refuseWaitingBefore = 300 * time.Millisecond
 	// maxSettleTime limits, at the end of a stop, the time for responses to requests
-	// that are already read or wait in a socket. It fits into exitMargin.
+	// that are already read or wait in a socket, and then the time for the handlers to
+	// end after their connections were closed. Both fit into exitMargin.
 	maxSettleTime = 200 * time.Millisecond
 )
 
@@ -156,8 +157,8 @@
 	awaitNone(e.relay.OpenRequests, end.Add(-refuseWaitingBefore))
 	e.relay.RefuseWaiting()
 	awaitNone(e.relay.OpenRequests, end)
-	cut, err := front.close(e.relay)
-	e.log.Log(oplog.StateChange, "router.stopped", slog.Int64("cut", cut),
+	cut, unended, err := front.close(e.relay)
+	e.log.Log(oplog.StateChange, "router.stopped", slog.Int64("cut", cut), slog.Int64("unended", unended),
 		slog.Duration("took", time.Since(started)), slog.Any("error", err))
 }
 
@@ -168,8 +169,9 @@
 }
 
 // close closes the listener, the connections without a request and, once the others had
-// time for their responses, these too. It returns how many requests were cut.
-func (s webServer) close(requests requestCounter) (cut int64, err error) {
+// time for their responses, these too. It returns how many requests were cut and how
+// many handlers had not ended after that, so that their requests are not in the log.
+func (s webServer) close(requests requestCounter) (cut, unended int64, err error) {
 	s.stopped.Store(true)
 	err = s.listener.Close()
 	s.conns.CloseIdle()
@@ -178,5 +180,6 @@
 	requests.ExpectClose()
 	s.conns.Abort()
 	err = errors.CombineErrors(err, s.server.Close())
-	return cut, err
+	awaitNone(requests.OpenRequests, time.Now().Add(maxSettleTime))
+	return cut, requests.OpenRequests(), err
 }
--- a/internal/oplog/oplog.go
+++ b/internal/oplog/oplog.go
@@ -59,13 +59,14 @@
 	dropped  [numClasses]*metrics.Counter
 	base     []slog.Attr
 	out      io.Writer
+	stop     chan struct{} // closed by Close
 	done     chan struct{}
 }
 
 // New returns a logger and starts its writer goroutine, which Close stops. Every
 // line carries attrs.
 func New(out io.Writer, attrs ...slog.Attr) *Logger {
-	l := &Logger{queue: make(chan []byte, queueCapacity), base: attrs, out: out, done: make(chan struct{})}
+	l := &Logger{queue: make(chan []byte, queueCapacity), base: attrs, out: out, stop: make(chan struct{}), done: make(chan struct{})}
 	for c := range numClasses {
 		l.limiters[c] = rate.NewLimiter(classRates[c].perSecond, classRates[c].burst)
 		l.dropped[c] = metrics.GetOrCreateCounter(`cyclamenwinch_log_lines_dropped_total{class="` + classNames[c] + `"}`)
@@ -126,11 +127,10 @@
 	reportDue, last := report.Next(), uint64(0)
 	for {
 		select {
-		case line, ok := <-l.queue:
-			if !ok {
-				l.out.Write(batch)
-				return
-			}
+		case <-l.stop:
+			l.writeRest(batch)
+			return
+		case line := <-l.queue:
 			batch = append(batch, line...)
 			if len(batch) < flushBytes {
 				if due == nil {
@@ -153,6 +153,19 @@
 	}
 }
 
+// writeRest writes a batch and the lines that are queued.
+func (l *Logger) writeRest(batch []byte) {
+	for {
+		select {
+		case line := <-l.queue:
+			batch = append(batch, line...)
+		default:
+			l.out.Write(batch)
+			return
+		}
+	}
+}
+
 func (l *Logger) droppedLines() uint64 {
 	total := uint64(0)
 	for _, c := range l.dropped {
@@ -162,9 +175,9 @@
 }
 
 // Close writes the queued lines and stops the writer. It returns when the context
-// ends, even if lines are left. Log must not be called afterwards: it panics.
+// ends, even if lines are left. Later lines are lost. It must be called only once.
 func (l *Logger) Close(ctx context.Context) {
-	close(l.queue)
+	close(l.stop)
 	select {
 	case <-l.done:
 	case <-ctx.Done():
--- a/internal/oplog/oplog_test.go
+++ b/internal/oplog/oplog_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"testing"
 	"testing/synctest"
@@ -72,3 +73,11 @@
 		}
 	})
 }
+
+// TestLogAfterClose guards against a process that panics at its exit because a request
+// ends after the log was closed.
+func TestLogAfterClose(t *testing.T) {
+	l := New(io.Discard)
+	l.Close(context.Background())
+	l.Log(StateChange, "late")
+}
