Bound the kernel's receive buffer of client connections

What callers saw: nothing yet. A client that sends a large body and then more, before its request is answered, fills kernel memory that counts toward the memory limit of the instance, which every other client shares.

Cause: the kernel enlarges the receive buffer of a connection that is read fast, as a large body is, and net/http reads no further until the request has been answered. Class: a resource of the process that a remote peer sizes, as with connections to endpoints.

Evidence: the new spec of test/prepared (bytes after a body of 4 MiB whose request waits) failed before with 1,510,926 unread bytes on one connection at its first look, where 524,288 are allowed; a run earlier saw 5,342,010.

Why this fix works: the listeners for clients, of both interfaces, set SO_RCVBUF, which accepted connections inherit and which turns automatic sizing off. 64 KiB let a client that is 5 ms away send 13 MB/s.

--- a/internal/daemon/supervise.go
+++ b/internal/daemon/supervise.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peer"
 )
 
@@ -83,6 +84,10 @@
 	d.events.Add(eventlog.Event{Kind: eventlog.PartRestarted, Detail: name + " " + cause})
 }
 
+// receiveBufferBytes limits the unread bytes of a caller's connection. It lets a caller
+// that is 5 ms away send 13 MB/s.
+const receiveBufferBytes = 64 << 10
+
 // listeners stay open for the lifetime of the process; restarted parts use them
 // again.
 type listeners struct{ callers, peers, ops net.Listener }
@@ -91,7 +96,8 @@
 	s := d.current()
 	var l listeners
 	var err error
-	if l.callers, err = net.Listen("tcp", s.CallerListen); err != nil {
+	callers := net.ListenConfig{Control: limitio.ReceiveBuffer(receiveBufferBytes)}
+	if l.callers, err = callers.Listen(context.Background(), "tcp", s.CallerListen); err != nil {
 		return l, errors.Wrap(err, "caller_listen")
 	}
 	if l.peers, err = net.Listen("tcp", s.PeerListen); err != nil {
--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -16,6 +16,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/cyclamenwinch/cyclamenwinch/internal/closing"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/overload"
 )
@@ -97,10 +98,15 @@
 	e.log.Log(oplog.Failure, "request.incomplete", slog.String("server", server), slog.Int("status", r.Status), slog.Bool("answered", r.Answered))
 }
 
+// receiveBufferBytes limits the unread bytes of a client's connection. It lets a client
+// that is 5 ms away send 13 MB/s.
+const receiveBufferBytes = 64 << 10
+
 // listen opens a listener with TCP keepalives, which detect clients that are
 // gone.
 func listen(address string) (net.Listener, error) {
-	c := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}}
+	c := net.ListenConfig{Control: limitio.ReceiveBuffer(receiveBufferBytes),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}}
 	return c.Listen(context.Background(), "tcp", address)
 }
 
--- a/test/prepared/memory_test.go
+++ b/test/prepared/memory_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"bufio"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -37,6 +40,27 @@
 	return (kb["VmHWM:"] - kb["RssFile:"] - kb["RssShmem:"]) / 1024
 }
 
+// unreadBytes returns how many bytes the kernel holds for the process that listens at an
+// IPv4 address.
+func unreadBytes(address string) (sum int64) {
+	a := netip.MustParseAddrPort(address)
+	ip := a.Addr().As4()
+	local := fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(ip[:]), a.Port())
+	data, err := os.ReadFile("/proc/net/tcp")
+	Expect(err).NotTo(HaveOccurred())
+	for line := range strings.Lines(string(data)) {
+		f := strings.Fields(line)
+		if f[1] != local {
+			continue
+		}
+		_, queue, _ := strings.Cut(f[4], ":") // tx_queue:rx_queue
+		n, err := strconv.ParseInt(queue, 16, 64)
+		Expect(err).NotTo(HaveOccurred())
+		sum += n
+	}
+	return sum
+}
+
 // beginUpload sends a request to the end of its body, except for the last bytes.
 func beginUpload(frontend, path, key, attempt string, size, missing int) net.Conn {
 	c, err := net.Dial("tcp", frontend)
@@ -214,6 +238,20 @@
 		Expect(peak).To(BeNumerically("<", memoryMB))
 	})
 
+	It("is not taken by bytes that a client sends before its request is answered", func() {
+		waiting := make(chan struct{}, 1)
+		newFlood(store, "n1", "none", prepared.Flood{Started: waiting}) // never responds
+		front := r.listenAddress("frontend")
+		var c net.Conn
+		Eventually(func() chan struct{} { // refused until the router knows the endpoint
+			c = beginUpload(front, "/none/x", "key-large", "waiting", maxBodyBytes, 0)
+			return waiting
+		}).WithPolling(time.Second).Should(Receive())
+		go func() { _, _ = c.Write(make([]byte, 64<<20)) }()
+		Eventually(func() int64 { return unreadBytes(front) }).Should(BeNumerically(">", 0))
+		Consistently(func() int64 { return unreadBytes(front) }).WithTimeout(time.Second).Should(BeNumerically("<", 512<<10))
+	})
+
 	It("is left for large responses while an endpoint does not end its own", func() {
 		const size = 5 << 20
 		start := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: ATTEMPT\r\n%s%x\r\n%s", chunked, 2*size, strings.Repeat("x", size))
