Try again what was sound before it was quarantined

What callers saw: requests with a sound prompt part, or without a body, that were interrupted by several crashes one after the other, with no complete response between them, would be refused for an hour.

Cause: only a response clears what is quarantined, and no request is sent for one.

Class of fault: a state that only ends by what it prevents.

Evidence: TestSoundPartIsTriedAgainInQuarantine failed before (with ResourceQuarantined, as there was no ResourceBlocked): 0 trials in an hour, 3 expected, for a part and for a resource.

Why it works: what a response had spoken for before is tried again, one request at a router, a minute after the last crash, and after each further crash four times as long. What never was complete stays refused for the hour, so a part or request that is deadly from its first request on gets no trial.

--- a/core/dispatch/parts.go
+++ b/core/dispatch/parts.go
@@ -78,8 +78,14 @@
 	}
 }
 
-// ResourceQuarantined reports whether requests without a body that ask for the resource
-// are refused because they crashed several endpoints.
+// ResourceBlocked reports whether requests without a body that ask for the resource may
+// not be sent now because they crashed several endpoints.
+func (d *Dispatcher) ResourceBlocked(now time.Time, resource uint64) bool {
+	return resource != 0 && d.parts.ResourceBlocked(now, resource)
+}
+
+// ResourceQuarantined reports whether no request without a body that asks for the
+// resource is sent.
 func (d *Dispatcher) ResourceQuarantined(now time.Time, resource uint64) bool {
 	return resource != 0 && d.parts.ResourceQuarantined(now, resource)
 }
--- a/core/route/parts.go
+++ b/core/route/parts.go
@@ -15,9 +15,13 @@
 	// part is sent.
 	PartQuarantineCrashes = 5
 	// ResourceQuarantineCrashes is the number of crashes after which a request without a
-	// body is refused. It is not tried again, since no request would ever prove that
-	// those that look the same are sound but one that was sent before.
+	// body is refused, without the trials before that.
 	ResourceQuarantineCrashes = 3
+	// soundPartRetry is how long after its last crash a part that was sound before is
+	// tried again at each router though it is quarantined. Each crash that follows after
+	// such a time makes it soundPartRetryGrowth times as long.
+	soundPartRetry       = time.Minute
+	soundPartRetryGrowth = 4
 	// PartTrialInterval is the time between two trials of a suspect part at one
 	// router. A sound part is cleared by its first trial that gets a response.
 	PartTrialInterval = 2 * time.Second
@@ -266,8 +270,8 @@
 }
 
 // Blocked returns a part because of which a request with these parts may not be
-// sent now. A suspect that is not quarantined may be tried, at most once in
-// PartTrialInterval.
+// sent now. A suspect may be tried, at most once in PartTrialInterval or, once it is
+// quarantined, if it was sound before, after soundPartRetry or longer.
 func (q *PartQuarantine) Blocked(now time.Time, parts []uint64) (part uint64, blocked bool) {
 	var trials []*suspectPart
 	for _, p := range parts {
@@ -275,7 +279,11 @@
 		if !ok || !s.atLeast(PartSuspectCrashes, now) {
 			continue
 		}
-		if s.atLeast(PartQuarantineCrashes, now) || now.Sub(later(s.lastCrash(), s.lastTrial)) < PartTrialInterval {
+		pause := PartTrialInterval
+		if s.atLeast(PartQuarantineCrashes, now) {
+			pause = s.quarantinePause()
+		}
+		if s.pausedFor(pause, now) {
 			return p, true
 		}
 		trials = append(trials, s)
@@ -286,17 +294,54 @@
 	return 0, false
 }
 
+// pausedFor reports whether the last crash or trial was less than a pause ago.
+func (s *suspectPart) pausedFor(pause time.Duration, now time.Time) bool {
+	return now.Sub(later(s.lastCrash(), s.lastTrial)) < pause
+}
+
+// quarantinePause returns the time from the last crash or trial to the next trial of a
+// part in quarantine.
+func (s *suspectPart) quarantinePause() time.Duration {
+	if !s.wasSound {
+		return QuarantineDuration
+	}
+	pause := soundPartRetry
+	for i, c := range s.crashes[1:] {
+		if c.at.Sub(s.crashes[i].at) >= soundPartRetry {
+			pause *= soundPartRetryGrowth
+		}
+	}
+	return min(pause, QuarantineDuration)
+}
+
 // Quarantined reports whether no request with the part is sent.
 func (q *PartQuarantine) Quarantined(now time.Time, part uint64) bool {
+	return q.quarantined(now, part, PartQuarantineCrashes)
+}
+
+func (q *PartQuarantine) quarantined(now time.Time, part uint64, crashes int) bool {
 	s, ok := q.suspects[part]
-	return ok && s.atLeast(PartQuarantineCrashes, now)
+	return ok && s.atLeast(crashes, now) && now.Sub(s.lastCrash()) < s.quarantinePause()
 }
 
-// ResourceQuarantined reports whether requests without a body that ask for the same
-// resource are refused. They are tracked as a part that they have in common.
-func (q *PartQuarantine) ResourceQuarantined(now time.Time, resource uint64) bool {
+// ResourceBlocked reports whether requests without a body that ask for the same
+// resource may not be sent now. They are tracked as a part that they have in common.
+func (q *PartQuarantine) ResourceBlocked(now time.Time, resource uint64) bool {
 	s, ok := q.suspects[resource]
-	return ok && s.atLeast(ResourceQuarantineCrashes, now)
+	if !ok || !s.atLeast(ResourceQuarantineCrashes, now) {
+		return false
+	}
+	if s.pausedFor(s.quarantinePause(), now) {
+		return true
+	}
+	s.lastTrial = now
+	return false
+}
+
+// ResourceQuarantined reports whether no request without a body that asks for the
+// resource is sent.
+func (q *PartQuarantine) ResourceQuarantined(now time.Time, resource uint64) bool {
+	return q.quarantined(now, resource, ResourceQuarantineCrashes)
 }
 
 // StoppedSince reports whether a request with these parts that was allowed at a
@@ -304,7 +349,7 @@
 func (q *PartQuarantine) StoppedSince(now, allowed time.Time, parts []uint64) bool {
 	for _, p := range parts {
 		s, ok := q.suspects[p]
-		if ok && (s.atLeast(PartQuarantineCrashes, now) || s.atLeast(PartSuspectCrashes, now) && s.lastCrash().After(allowed)) {
+		if q.Quarantined(now, p) || ok && s.atLeast(PartSuspectCrashes, now) && s.lastCrash().After(allowed) {
 			return true
 		}
 	}
--- a/core/route/parts_test.go
+++ b/core/route/parts_test.go
@@ -90,6 +90,57 @@
 	}
 }
 
+// TestSoundPartIsTriedAgainInQuarantine guards against refusing for an hour what was only
+// interrupted by crashes one after the other, and against frequent trials of what was
+// sound once and crashes endpoints since.
+func TestSoundPartIsTriedAgainInQuarantine(t *testing.T) {
+	for _, resource := range []bool{false, true} {
+		for _, wasSound := range []bool{false, true} {
+			q := route.NewPartQuarantine()
+			now := time.Unix(1_000_000, 0)
+			blocked := func() bool {
+				if resource {
+					return q.ResourceBlocked(now, 1)
+				}
+				_, b := q.Blocked(now, []uint64{1})
+				return b
+			}
+			if wasSound {
+				q.RecordBegun(now, 1)
+			}
+			crashes := 0
+			crash := func() { crashes++; q.RecordCrash(now, crashOf(1, crashes)) }
+			for range route.PartQuarantineCrashes {
+				now = now.Add(time.Second)
+				crash()
+			}
+			trials := 0
+			for end := now.Add(route.QuarantineDuration - time.Second); now.Before(end); now = now.Add(time.Second) {
+				if !blocked() {
+					trials++
+					if q.Quarantined(now, 1) || q.ResourceQuarantined(now, 1) || q.StoppedSince(now, now, []uint64{1}) {
+						t.Error("the trial is stopped before it is sent")
+					}
+					crash()
+				}
+			}
+			if want := map[bool]int{false: 0, true: 3}[wasSound]; trials != want {
+				t.Errorf("resource %v, sound before %v: %d trials in an hour, want %d", resource, wasSound, trials, want)
+			}
+			if !wasSound {
+				continue
+			}
+			now = now.Add(route.QuarantineDuration)
+			if blocked() {
+				t.Error("not tried after an hour")
+			}
+			if !q.RecordBegun(now, 1) || blocked() || blocked() {
+				t.Error("still held back after a response")
+			}
+		}
+	}
+}
+
 // TestPartIsQuarantinedAgain guards against a part that is free for good once its
 // quarantine has ended.
 func TestPartIsQuarantinedAgain(t *testing.T) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -179,7 +179,7 @@
 	x.h.opts.Dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) {
 		if part, ok := d.PartBlocked(now, x.meta.Parts); ok {
 			detail, blocked = fmt.Sprintf("prompt part %x seems to crash endpoints", part), true
-		} else if d.ResourceQuarantined(now, x.resource()) {
+		} else if d.ResourceBlocked(now, x.resource()) {
 			detail, blocked = "requests without a body that ask for the same seem to crash endpoints", true
 		} else if !x.mayHaveRun && d.Quarantined(now, x.fingerprint()) {
 			blocked = true
