Count crashes before the first event among later ones of the same part

What callers saw: a prompt part whose endpoints crash now before, now after the first event was found late, as each response that began cleared the crashes before it.

Cause: the crashes before and after the begin of a response were added up apart.

Class of fault: evidence of one cause is split by how it shows.

Why it works: once crashes after the begin are on record that no complete response has cleared, a crash before it counts among them too, so nothing but a complete response clears it.

--- a/core/dispatch/deadlypart_test.go
+++ b/core/dispatch/deadlypart_test.go
@@ -24,19 +24,20 @@
 	crashesPerS float64 // of endpoints, for other reasons
 	stream      time.Duration // from the first event to the last
 	zoneCrashes bool          // all endpoints of a zone crash together every 5 s
-	begins      bool          // endpoints crash after the first event of a deadly request
+	begins      float64       // share of deadly requests whose endpoint crashes after the first event
 }
 
 var partLoads = []partLoad{
-	{name: "many templates", endpoints: 9, templates: 40, soundPerS: 60, deadlyPerS: 1, stream: 630 * time.Millisecond, begins: true},
+	{name: "many templates", endpoints: 9, templates: 40, soundPerS: 60, deadlyPerS: 1, stream: 630 * time.Millisecond, begins: 1},
 	{name: "many templates, crash before the first event", endpoints: 9, templates: 40, soundPerS: 60, deadlyPerS: 1, stream: 630 * time.Millisecond},
-	{name: "one template", endpoints: 9, templates: 1, soundPerS: 60, deadlyPerS: 1, stream: 630 * time.Millisecond, begins: true},
-	{name: "many deadly requests", endpoints: 9, templates: 40, soundPerS: 60, deadlyPerS: 10, stream: 630 * time.Millisecond, begins: true},
-	{name: "long streams", endpoints: 9, templates: 40, soundPerS: 60, deadlyPerS: 1, stream: 6 * time.Second, begins: true},
-	{name: "long streams, one template", endpoints: 9, templates: 1, soundPerS: 60, deadlyPerS: 1, stream: 6 * time.Second, begins: true},
+	{name: "many templates, crash before the first event or after it", endpoints: 9, templates: 40, soundPerS: 60, deadlyPerS: 1, stream: 630 * time.Millisecond, begins: 0.5},
+	{name: "one template", endpoints: 9, templates: 1, soundPerS: 60, deadlyPerS: 1, stream: 630 * time.Millisecond, begins: 1},
+	{name: "many deadly requests", endpoints: 9, templates: 40, soundPerS: 60, deadlyPerS: 10, stream: 630 * time.Millisecond, begins: 1},
+	{name: "long streams", endpoints: 9, templates: 40, soundPerS: 60, deadlyPerS: 1, stream: 6 * time.Second, begins: 1},
+	{name: "long streams, one template", endpoints: 9, templates: 1, soundPerS: 60, deadlyPerS: 1, stream: 6 * time.Second, begins: 1},
 	{name: "other crashes", endpoints: 9, templates: 40, soundPerS: 60, crashesPerS: 1, stream: 630 * time.Millisecond},
 	{name: "other crashes, long streams", endpoints: 9, templates: 40, soundPerS: 60, crashesPerS: 1, stream: 6 * time.Second},
-	{name: "other crashes beside deadly requests", endpoints: 30, templates: 40, soundPerS: 60, deadlyPerS: 1, crashesPerS: 2, stream: 2 * time.Second, begins: true},
+	{name: "other crashes beside deadly requests", endpoints: 30, templates: 40, soundPerS: 60, deadlyPerS: 1, crashesPerS: 2, stream: 2 * time.Second, begins: 1},
 	{name: "zones crash", endpoints: 24, templates: 40, soundPerS: 60, stream: 2 * time.Second, zoneCrashes: true},
 }
 
@@ -130,7 +131,7 @@
 	var crashed []int
 	kept := s.runs[:0]
 	for _, r := range s.runs {
-		if !r.begun && !now.Before(r.begins) && (!r.deadly || s.begins) {
+		if !r.begun && !now.Before(r.begins) && (!r.deadly || s.rng.Float64() < s.begins) {
 			r.begun = true
 			r.router.RecordBegun(now, r.ticket)
 		}
@@ -201,7 +202,7 @@
 func TestDeadlyPartIsFoundAndSoundOnesServed(t *testing.T) {
 	for _, load := range partLoads {
 		t.Run(load.name, func(t *testing.T) {
-			for seed := range uint64(2) {
+			for seed := range uint64(4) {
 				s := &partSim{partLoad: load, rng: rand.New(rand.NewPCG(seed, 1)), routers: newRouters(6), upAt: make([]time.Time, load.endpoints),
 					soundByTemplate: map[int]int{}, refusedByTemplate: map[int]int{}}
 				for e := range s.upAt {
--- a/core/dispatch/parts.go
+++ b/core/dispatch/parts.go
@@ -91,15 +91,20 @@
 }
 
 // RecordPartCrash records that the endpoint of a ticket crashed before or, if the
-// response had begun, while it wrote the rest. It returns the parts of the prompt that
-// may be the cause.
+// response had begun, while it wrote the rest. A crash before the response counts among
+// those after it began too, once there is one: the responses that began since clear
+// nothing then. It returns the parts of the prompt that may be the cause.
 func (d *Dispatcher) RecordPartCrash(now time.Time, t *Ticket, begun bool) (suspects []uint64) {
 	for _, p := range sharedPartIDs(t.Request.Parts) {
-		id := p
-		if begun {
-			id = route.AfterBegin(p)
+		later := route.AfterBegin(p)
+		counts := false
+		if !begun {
+			counts = d.parts.RecordCrash(now, route.PartCrash{Part: p, Endpoint: incarnationKey(t.Endpoint)})
 		}
-		if d.parts.RecordCrash(now, route.PartCrash{Part: id, Endpoint: incarnationKey(t.Endpoint)}) {
+		if begun || d.parts.HasCrashes(later) {
+			counts = d.parts.RecordCrash(now, route.PartCrash{Part: later, Endpoint: incarnationKey(t.Endpoint)}) || counts
+		}
+		if counts {
 			suspects = append(suspects, p)
 		}
 	}
--- a/core/route/parts.go
+++ b/core/route/parts.go
@@ -344,6 +344,9 @@
 	return q.quarantined(now, resource, ResourceQuarantineCrashes)
 }
 
+// HasCrashes reports whether crashes that nothing has cleared are on record for a part.
+func (q *PartQuarantine) HasCrashes(part uint64) bool { return q.suspects[part] != nil }
+
 // StoppedSince reports whether a request with these parts that was allowed at a
 // time must not be sent any more.
 func (q *PartQuarantine) StoppedSince(now, allowed time.Time, parts []uint64) bool {
