Log the models of endpoints with the names that logs use

endpoint.changed wrote "Name" and "Version", as the struct has them; all other log fields are lower-case.

--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -148,7 +148,10 @@
 }
 
 // ModelWeights is the version of the weights that an endpoint has of a model.
-type ModelWeights struct{ Name, Version string }
+type ModelWeights struct {
+	Name    string `json:"name"` // the tags are for logs
+	Version string `json:"version"`
+}
 
 // SameState reports whether two records state the same, whenever they were written.
 func (e Endpoint) SameState(other Endpoint) bool {
