Soak: endpoints that crash, restart, fail, differ or flood, large and slow clients

The soak drew its faults among the processes' signals, the store and the network.

Class of fault: gaps of a test (not the product's).

A stream of the stand-in whose context ended was closed as if it were complete; it is now aborted. CYCLAMENWINCH_SOAK_KINDS switches on single kinds.

--- /dev/null
+++ b/standin/prepared/host_test.go
@@ -0,0 +1,95 @@
+package prepared_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cyclamenwinch/cyclamenwinch/standin/prepared"
+)
+
+var _ = Describe("A host", func() {
+	var host *prepared.Host
+	BeforeEach(func() {
+		var err error
+		host, err = prepared.NewHost(&prepared.Runner{ID: "e1", EventCount: 3})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(host.Crash)
+	})
+	// send returns the status and the body; the status is 0 if there was no response.
+	send := func(header ...string) (int, string, error) {
+		req, err := http.NewRequest("POST", "http://"+host.Address()+"/x", strings.NewReader("hello"))
+		Expect(err).NotTo(HaveOccurred())
+		req.Close = true
+		req.Header.Set("X-Attempt-Id", "a1")
+		for i := 0; i+1 < len(header); i += 2 {
+			req.Header.Set(header[i], header[i+1])
+		}
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			return 0, "", err
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(body), err
+	}
+
+	It("refuses connections after a crash until it is started at the same address", func() {
+		host.Crash()
+		_, _, err := send()
+		Expect(err).To(MatchError(ContainSubstring("connection refused")))
+		address := host.Address()
+		Expect(host.Start()).To(Succeed())
+		Expect(host.Address()).To(Equal(address))
+		status, body, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(200))
+		Expect(body).To(Equal("done hello"))
+	})
+
+	It("does not run requests for another version of the weights", func() {
+		host.SetVersion(2)
+		status, _, _ := send("X-Expected-Version", "1")
+		Expect(status).To(Equal(421))
+		Expect(host.Runner.Requests()).To(BeEmpty())
+		status, _, _ = send("X-Expected-Version", "2")
+		Expect(status).To(Equal(200))
+	})
+
+	It("crashes after the first event and does not end the response", func() {
+		host.SetHandler(host.CrashAfterFirstEvent())
+		status, body, err := send("X-Model", "m")
+		Expect(status).To(Equal(200))
+		Expect(err).To(HaveOccurred())
+		Expect(body).To(Equal("id: 1\ndata: piece 1 of a1\n\n"))
+		Expect(host.Running()).To(BeFalse())
+	})
+
+	It("does not end the responses that a crash interrupts", func() {
+		host.Runner.EventCount = 1_000_000
+		ended := make(chan error, 1)
+		go func() { defer GinkgoRecover(); _, _, err := send("X-Model", "m"); ended <- err }()
+		Eventually(host.Runner.Requests).Should(HaveLen(1))
+		host.Crash()
+		Eventually(ended).Should(Receive(HaveOccurred()))
+	})
+
+	It("runs a request before it fails with a status", func() {
+		host.SetHandler(host.Runner.FailAfterRun(503))
+		status, _, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(503))
+		Expect(host.Runner.Requests()).To(HaveLen(1))
+	})
+
+	It("sends a complete response before bytes that belong to no request", func() {
+		host.SetHandler(host.Runner.FloodAfterResponse())
+		status, body, err := send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(200))
+		Expect(body).To(Equal("done hello"))
+	})
+})
--- a/standin/prepared/runner.go
+++ b/standin/prepared/runner.go
@@ -27,6 +27,7 @@
 	ID            string
 	EventCount    int           // number of events of a stream
 	EventInterval time.Duration // between two events
+	RecordedBytes int           // recorded of each body; 0: all
 
 	mu       sync.Mutex
 	requests []*RecordedRequest
@@ -85,7 +86,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	recorded := &RecordedRequest{Attempt: attempt, Tenant: req.Header.Get("X-Tenant"), Method: req.Method, URI: req.RequestURI, Body: string(body), LastEventID: req.Header.Get("Last-Event-Id")}
+	recorded := &RecordedRequest{Attempt: attempt, Tenant: req.Header.Get("X-Tenant"), Method: req.Method, URI: req.RequestURI, Body: r.recordedPart(body), LastEventID: req.Header.Get("Last-Event-Id")}
 	r.requests = append(r.requests, recorded)
 	breakAt := r.breakAt
 	r.breakAt = 0
@@ -98,6 +99,13 @@
 	r.stream(w, req, recorded, breakAt)
 }
 
+func (r *Runner) recordedPart(body []byte) string {
+	if r.RecordedBytes > 0 {
+		body = body[:min(len(body), r.RecordedBytes)]
+	}
+	return string(body)
+}
+
 func (r *Runner) stream(w http.ResponseWriter, req *http.Request, recorded *RecordedRequest, breakAt int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(recorded.LastEventID) // empty or not a number: from the start
@@ -117,7 +125,7 @@
 			r.mu.Lock()
 			recorded.Disconnected = true
 			r.mu.Unlock()
-			return
+			panic(http.ErrAbortHandler) // returning would end the response as if it were complete
 		case <-time.After(r.EventInterval):
 		}
 	}
--- a/test/prepared/harness_test.go
+++ b/test/prepared/harness_test.go
@@ -1,6 +1,7 @@
 package prepared_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -76,6 +78,7 @@
 	settings map[string]any
 	file     string
 	session  *gexec.Session
+	pid      atomic.Int64 // of the last process started
 }
 
 func (r *router) listenAddress(listener string) string {
@@ -117,6 +120,7 @@
 	session, err := gexec.Start(command, gbytes.NewBuffer(), GinkgoWriter)
 	Expect(err).NotTo(HaveOccurred())
 	r.session = session
+	r.pid.Store(int64(session.Command.Process.Pid))
 }
 
 // printOutput prints the end of what a router has printed, once the spec has failed.
@@ -159,31 +163,58 @@
 // runner is a stand-in for an endpoint, with its record in the store.
 type runner struct {
 	*prepared.Runner
+	host    *prepared.Host
 	store   *prepared.Store
 	address string
 
-	mu     sync.Mutex // guards the writes of record to the store
-	record map[string]any
+	mu        sync.Mutex // guards the writes of record to the store
+	record    map[string]any
+	coldUntil time.Time
 }
 
 func newRunner(store *prepared.Store, id, service, zone string) *runner {
 	r := &runner{Runner: &prepared.Runner{ID: id, EventCount: 6, EventInterval: 10 * time.Millisecond}, store: store}
-	server := httptest.NewServer(r.Runner)
-	DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
-	r.address = strings.TrimPrefix(server.URL, "http://")
+	host, err := prepared.NewHost(r.Runner)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(host.Crash)
+	r.host, r.address = host, host.Address()
 	r.record = map[string]any{"service": service, "address": r.address, "zone": zone, "version": "v1", "sequence": 0, "slots": 8, "state": "ready", "cold-remaining-ms": 0, "born": 1}
 	r.publish()
 	return r
 }
 
-// publish writes the record, with the next sequence number.
+// publish writes the record, with the next sequence number. A runner that has
+// crashed writes nothing.
 func (r *runner) publish() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.host.Running() {
+		return
+	}
+	if !r.coldUntil.IsZero() {
+		r.record["cold-remaining-ms"] = max(0, time.Until(r.coldUntil).Milliseconds())
+	}
+	r.record["models"] = []any{map[string]any{"name": "m", "version": r.host.Version(), "adapters": []any{}}}
 	r.record["sequence"] = r.record["sequence"].(int) + 1
 	r.store.Put("servers", r.ID, r.record)
 }
 
+// restart starts a crashed runner under its id, cold for a time. A runner that is
+// running goes on.
+func (r *runner) restart(cold time.Duration) {
+	r.mu.Lock()
+	if r.host.Running() {
+		r.mu.Unlock()
+		return
+	}
+	r.coldUntil = time.Now().Add(cold)
+	r.record["born"], r.record["sequence"] = time.Now().UnixMilli(), 0
+	err := r.host.Start()
+	r.mu.Unlock()
+	Expect(err).NotTo(HaveOccurred())
+	r.publish()
+}
+
 // objectRevisions returns the revisions of all objects of a kind in the store, by
 // name.
 func objectRevisions(store *prepared.Store, kind string) map[string]int64 {
@@ -209,24 +240,37 @@
 	return out
 }
 
+// requestDeadline is how long clients wait for a response, as they tell the
+// router.
+const requestDeadline = 10 * time.Second
+
 // call sends a request as a client does. An error means that there was no
-// response or that its body was interrupted.
+// response or that its body was interrupted; it is context.DeadlineExceeded if
+// neither the response nor the connection ended long after the deadline.
 func call(frontend, method, path, key, attempt, body string, header ...string) (int, string, http.Header, error) {
-	req, err := http.NewRequest(method, "http://"+frontend+path, strings.NewReader(body))
+	return callWith(http.DefaultTransport, frontend, method, path, key, attempt, strings.NewReader(body), io.ReadAll, header...)
+}
+
+// callWith is call with a transport, a body that is sent as it is read, and a
+// function that reads the response.
+func callWith(transport http.RoundTripper, frontend, method, path, key, attempt string, body io.Reader, read func(io.Reader) ([]byte, error), header ...string) (int, string, http.Header, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline+hangTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+frontend+path, body)
 	Expect(err).NotTo(HaveOccurred())
 	req.Host = "h.example"
 	req.Header.Set("X-Attempt-Id", attempt)
-	req.Header.Set("X-Deadline-Ms", "10000")
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(requestDeadline.Milliseconds()))
 	req.Header.Set("Authorization", "Token "+key)
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return 0, "", nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
+	data, err := read(resp.Body)
 	return resp.StatusCode, string(data), resp.Header, err
 }
 
--- a/test/prepared/memory_test.go
+++ b/test/prepared/memory_test.go
@@ -40,9 +40,9 @@
 	return (kb["VmHWM:"] - kb["RssFile:"] - kb["RssShmem:"]) / 1024
 }
 
-// unreadBytes returns how many bytes the kernel holds for the process that listens at an
+// unreadBytesAt returns how many bytes the kernel holds for the process that listens at an
 // IPv4 address.
-func unreadBytes(address string) (sum int64) {
+func unreadBytesAt(address string) (sum int64) {
 	a := netip.MustParseAddrPort(address)
 	ip := a.Addr().As4()
 	local := fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(ip[:]), a.Port())
@@ -248,8 +248,8 @@
 			return waiting
 		}).WithPolling(time.Second).Should(Receive())
 		go func() { _, _ = c.Write(make([]byte, 64<<20)) }()
-		Eventually(func() int64 { return unreadBytes(front) }).Should(BeNumerically(">", 0))
-		Consistently(func() int64 { return unreadBytes(front) }).WithTimeout(time.Second).Should(BeNumerically("<", 512<<10))
+		Eventually(func() int64 { return unreadBytesAt(front) }).Should(BeNumerically(">", 0))
+		Consistently(func() int64 { return unreadBytesAt(front) }).WithTimeout(time.Second).Should(BeNumerically("<", 512<<10))
 	})
 
 	It("is left for large responses while an endpoint does not end its own", func() {
--- a/test/prepared/soak_faults_test.go
+++ b/test/prepared/soak_faults_test.go
@@ -45,7 +45,9 @@
 }
 
 func (o *operator) putConfig() {
-	o.store.Put("config", "main", config(o.version, []string{"key-1", o.key()}))
+	c := config(o.version, []string{"key-1", o.key()})
+	c["limits"].(map[string]any)["max-body-bytes"] = soakMaxBodyBytes
+	o.store.Put("config", "main", c)
 }
 
 func (o *operator) putZone() {
@@ -78,6 +80,7 @@
 			i := rng.IntN(len(s.routers))
 			s.faultLocks[i].Lock()
 			defer s.faultLocks[i].Unlock()
+			s.checkProcess(s.routers[i])
 			inject(s.routers[i], s.storeProxies[i], duration)
 		}
 	}
@@ -102,10 +105,8 @@
 		})},
 		{"router restarted gracefully", atRouter(func(r *router, _ *netproxy.Proxy, _ time.Duration) {
 			awaitFirstOutput(r)
-			r.session.Terminate().Wait(hangTimeout)
-			if r.session.ExitCode() != 0 {
-				s.results.addViolation("%s: exit code %d after SIGTERM", r.name, r.session.ExitCode())
-			}
+			r.session.Terminate()
+			s.awaitStop(r)
 			r.start()
 		})},
 		{"router suspended", atRouter(func(r *router, _ *netproxy.Proxy, duration time.Duration) {
--- a/test/prepared/soak_test.go
+++ b/test/prepared/soak_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,7 +22,9 @@
 // what clients and endpoints observe. Environment variables override the
 // defaults of the short run: CYCLAMENWINCH_SOAK_SEEDS the seeds, as "1,2,3" or
 // "1-50", CYCLAMENWINCH_SOAK_FAULTS the number of faults for each seed, and
-// CYCLAMENWINCH_SOAK_ROUTERS the number of routers.
+// CYCLAMENWINCH_SOAK_ROUTERS the number of routers. CYCLAMENWINCH_SOAK_KINDS names
+// the kinds of endpointFaults, routerFaults and laterClients to use, separated by
+// commas; "all" stands for all of them.
 const (
 	soakSeeds   = "1,3"
 	soakFaults  = 12
@@ -83,36 +86,14 @@
 	storeProxies    []*netproxy.Proxy // one between each router and the store
 	runners         []*runner
 	endpointProxies []*netproxy.Proxy // one between the routers and each runner
+	restartable     []*runner         // endpoints without a proxy, for endpointFaults
 	operator        operator
 	faultLocks      []sync.Mutex // by router; allow one fault at a time
 	results         *soakResults
 }
 
-// soakResults collects violated guarantees, injected faults and request counts.
-type soakResults struct {
-	mu         sync.Mutex
-	violations []string
-	faults     []string
-	sent       int
-	served     int
-
-	refused map[string]int // by attempt ID of an order: the status which guarantees that it has not run
-}
-
-func (n *soakResults) addViolation(format string, args ...any) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.violations = append(n.violations, fmt.Sprintf(format, args...))
-}
-
-func (n *soakResults) addFault(format string, args ...any) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.faults = append(n.faults, fmt.Sprintf(format, args...))
-}
-
 func newSoak(seed uint64) *soak {
-	s := &soak{store: prepared.NewStore(), results: &soakResults{refused: map[string]int{}}}
+	s := &soak{store: prepared.NewStore(), results: &soakResults{refused: map[string]int{}, peakMemory: map[string]int64{}}}
 	server := httptest.NewServer(s.store)
 	DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
 	newProxy := func(to string) *netproxy.Proxy {
@@ -127,11 +108,17 @@
 			service = "orders"
 		}
 		r := newRunner(s.store, fmt.Sprint("e", i), service, string("ab"[i%2]))
+		r.RecordedBytes = recordedBytes
 		endpointProxy := newProxy(r.address)
 		r.record["address"] = endpointProxy.Address()
 		r.publish()
 		s.runners, s.endpointProxies = append(s.runners, r), append(s.endpointProxies, endpointProxy)
 	}
+	for i, service := range []string{"model", "model", "orders"} {
+		r := newRunner(s.store, fmt.Sprint("n", i), service, string("ab"[i%2]))
+		r.RecordedBytes = recordedBytes
+		s.restartable = append(s.restartable, r)
+	}
 	s.operator.store = s.store
 	s.operator.changeConfig()
 	peers := freePort()
@@ -140,14 +127,12 @@
 	for i := range count {
 		storeProxy := newProxy(strings.TrimPrefix(server.URL, "http://"))
 		r := newRouter(fmt.Sprint("r", i), fmt.Sprintf("127.0.%d.%d", seed%200+1, i+1), string("ab"[i%2]), storeProxy.Address(), peers, fmt.Sprintf("127.0.%d.1", seed%200+1))
+		r.settings["limits"].(map[string]any)["memory-mb"] = soakMemoryMB
+		r.write()
 		r.start()
 		s.routers, s.storeProxies = append(s.routers, r), append(s.storeProxies, storeProxy)
 	}
-	DeferCleanup(func() {
-		for _, r := range s.routers {
-			r.session.Kill().Wait(hangTimeout)
-		}
-	})
+	DeferCleanup(s.end)
 	for _, r := range s.routers {
 		Eventually(r.ready).Should(Equal(200))
 		Eventually(r.addresses).Should(HaveLen(count))
@@ -155,6 +140,16 @@
 	return s
 }
 
+// allRunners returns the endpoints with and without a proxy.
+func (s *soak) allRunners() []*runner { return slices.Concat(s.runners, s.restartable) }
+
+// end kills all routers.
+func (s *soak) end() {
+	for _, r := range s.routers {
+		r.session.Kill().Wait(hangTimeout)
+	}
+}
+
 // awaitFirstOutput waits for the first line that a router prints. Before the
 // program runs, it has no signal handlers, so that SIGTERM and SIGHUP end the
 // process with an error although it has accepted no work.
@@ -194,65 +189,14 @@
 var notRunStatuses = map[int]bool{408: true, 421: true, 429: true, 503: true}
 
 func (s *soak) order(address, attempt string) {
-	status, body, _, err := call(address, "POST", "/order/new", "key-1", attempt, "order "+attempt)
-	s.countRequest(status == 200 && err == nil)
-	if notRunStatuses[status] {
-		s.results.mu.Lock()
-		s.results.refused[attempt] = status
-		s.results.mu.Unlock()
-	}
-	switch {
-	case status == 200 && err == nil && body != "done order "+attempt:
-		s.results.addViolation("order %s got %q", attempt, body)
-	case status/100 == 4 && !notRunStatuses[status]:
-		s.results.addViolation("order %s got status %d", attempt, status)
-	}
+	body := "order " + attempt
+	status, response, _, err := call(address, "POST", "/order/new", "key-1", attempt, body)
+	s.checkOrder(attempt, body, status, response, err)
 }
 
 func (s *soak) stream(address, attempt string) {
 	status, body, _, err := call(address, "POST", "/chat/x", "key-1", attempt, "body of "+attempt, chatHeaders...)
-	s.countRequest(status == 200 && err == nil)
-	switch {
-	case status == 200 && err == nil && body != expectedStream(attempt, 6):
-		s.results.addViolation("stream %s ended without an error after %q", attempt, body)
-	case status == 200 && err != nil && !strings.HasPrefix(expectedStream(attempt, 6), body):
-		s.results.addViolation("stream %s was interrupted after %q", attempt, body)
-	case status/100 == 4 && !notRunStatuses[status]:
-		s.results.addViolation("stream %s got status %d", attempt, status)
-	}
-}
-
-func (s *soak) countRequest(served bool) {
-	s.results.mu.Lock()
-	defer s.results.mu.Unlock()
-	s.results.sent++
-	if served {
-		s.results.served++
-	}
-}
-
-// checkResults checks the runs that the endpoints recorded: every request ran
-// for its account, no order ran twice, and no refused order ran.
-func (s *soak) checkResults() {
-	orders := map[string]int{}
-	for _, r := range s.runners {
-		for _, run := range r.Requests() {
-			if run.Tenant != "acc" {
-				s.results.addViolation("%s ran for account %q", run.Attempt, run.Tenant)
-			}
-			if strings.HasPrefix(run.URI, "/order/") {
-				orders[run.Attempt]++
-			}
-		}
-	}
-	for attempt, n := range orders {
-		if n > 1 {
-			s.results.addViolation("order %s ran %d times", attempt, n)
-		}
-		if status := s.results.refused[attempt]; status > 0 {
-			s.results.addViolation("order %s was refused with %d and ran", attempt, status)
-		}
-	}
+	s.checkStream(attempt, status, body, err)
 }
 
 // run injects faults that overlap while clients send requests, waits until
@@ -267,15 +211,20 @@
 		clientRNG := rand.New(rand.NewPCG(seed, uint64(100+n)))
 		clients.Go(func() { defer GinkgoRecover(); s.client(n, clientRNG, stop) })
 	}
+	s.startLaterClients(seed, &clients, stop)
+	go s.monitor(stopWriting)
 	count := intFromEnv("CYCLAMENWINCH_SOAK_FAULTS", soakFaults)
 	faults.Go(func() { defer GinkgoRecover(); s.inject(seed, 1, s.faults(), count, maxFaultInterval) })
 	// These kinds were added later. They are drawn apart, so that a seed still
 	// injects the same faults of the other kinds at the same times.
 	faults.Go(func() { defer GinkgoRecover(); s.inject(seed, 2, s.laterFaults(), count/4, 4*maxFaultInterval) })
+	faults.Go(func() { defer GinkgoRecover(); s.inject(seed, 3, s.endpointFaults(), count, maxFaultInterval) })
+	faults.Go(func() { defer GinkgoRecover(); s.inject(seed, 4, s.routerFaults(), count/4, 4*maxFaultInterval) })
 	faults.Wait()
 	close(stop)
 	clients.Wait()
 	s.awaitRecovery()
+	s.checkMemory()
 	s.checkResults()
 }
 
@@ -290,7 +239,7 @@
 			return
 		case <-ticks.C:
 		}
-		for _, r := range s.runners {
+		for _, r := range s.allRunners() {
 			r.publish()
 		}
 	}
@@ -299,6 +248,9 @@
 // inject starts a number of faults of the given kinds at random intervals, and
 // returns when all are over. Different streams of a seed are independent.
 func (s *soak) inject(seed, stream uint64, kinds []fault, count int, maxInterval time.Duration) {
+	if len(kinds) == 0 {
+		return
+	}
 	rng := rand.New(rand.NewPCG(seed, stream))
 	var faults sync.WaitGroup
 	for i := range count {
@@ -317,8 +269,11 @@
 // newest configuration has.
 func (s *soak) awaitRecovery() {
 	s.store.SetFaults(prepared.Faults{})
-	for _, r := range s.routers {
-		Expect(r.session.ExitCode()).To(Equal(-1), r.name+" exited unexpectedly")
+	begun := time.Now()
+	for i, r := range s.routers {
+		s.faultLocks[i].Lock()
+		s.checkProcess(r)
+		s.faultLocks[i].Unlock()
 		Eventually(r.ready).Should(Equal(200))
 		Eventually(r.addresses).Should(HaveLen(len(s.routers)))
 		Eventually(func() string {
@@ -326,8 +281,14 @@
 			_, body, _, _ := call(r.listenAddress("frontend"), "POST", "/chat/x", s.operator.newestKey(), attempt, "hello", chatHeaders...)
 			return strings.ReplaceAll(body, attempt, "#")
 		}).Should(Equal(expectedStream("#", 6)), "%s has the newest configuration", r.name)
+		Eventually(func() int {
+			attempt := fmt.Sprint("last-order-", r.name, "-", time.Now().UnixNano())
+			status, _, _, _ := call(r.listenAddress("frontend"), "POST", "/order/new", s.operator.newestKey(), attempt, "hello")
+			return status
+		}).Should(Equal(200), "%s serves an order", r.name)
 		Eventually(func() map[string]int64 { return objectRevisions(s.store, "cyclamenwinch-routers") }).Should(HaveKey(r.name))
 	}
+	s.results.recovery = time.Since(begun)
 }
 
 var _ = Describe("Under random faults", func() {
@@ -335,11 +296,9 @@
 		for _, seed := range seeds() {
 			s := newSoak(seed)
 			s.run(seed)
-			AddReportEntry("soak", fmt.Sprintf("seed %d: %d of %d requests served", seed, s.results.served, s.results.sent))
+			AddReportEntry("soak", s.results.summary(seed))
 			Expect(s.results.violations).To(BeEmpty(), "seed %d, faults: %s", seed, strings.Join(s.results.faults, "; "))
-			for _, r := range s.routers {
-				r.session.Kill().Wait(hangTimeout)
-			}
+			s.end()
 		}
 	})
 })
