Log the requests that a stop cuts beside many refusals

What callers saw: nothing else than before; operators missed lines.

Cause: request.no_response shares a rate limit with request.failed.

Class of fault: a shared limit that what is frequent takes from what is rare.

Evidence: TestRequestsThatAStopCutsAreLoggedBesideManyRefusals failed before: "the request is not in the log".

Why it works: with the reason router_stopped the line belongs to the class of stops, whose limit refusals don't use. There are at most as many as requests in progress when the router stops.

Measured: the test.

--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -96,6 +96,10 @@
 	}
 	metrics.GetOrCreateCounter(`cyclamenwinch_requests_without_response_total{reason="` + string(reason) +
 		`",recent_config="` + strconv.FormatBool(recent) + `"}`).Inc()
+	if reason == routerStopped { // a stop refuses many requests, whose lines use up the rate of failures
+		x.h.opts.Log.Log(oplog.StateChange, "request.no_response", x.attrs(attrs...)...)
+		return
+	}
 	x.h.opts.Log.Log(oplog.Failure, "request.no_response", x.attrs(attrs...)...)
 }
 
