Refuse requests that are still arriving at the end of a stop

What callers saw: a client that sends its body slowly had its connection closed at the end of a stop, with neither a response nor a refusal.

Cause: a stop refuses the requests that wait for an endpoint, shortly before it ends, and not those whose body is still being read.

Class of fault: a step of a sequence that covers one of the states that a request can be in.

Evidence: "is refused at the end of a stop, since its request would be cut" failed before: "read tcp ...: i/o timeout" after 20 s.

Why it works: RefuseWaiting ends the reads of bodies too. What waits in the socket is still read; a body that has not arrived is refused with 503 and Retry-After, as the request was not sent to an endpoint. The other specs guard against slow and pipelining clients losing their responses beside a stop or a change of the configuration; they passed before.

--- a/internal/relay/prepare.go
+++ b/internal/relay/prepare.go
@@ -90,9 +90,13 @@
 		return code.Refuse(code.BodyTooLarge, "")
 	}
 	held := x.memory.Reserve(memory.RequestBodies, x.account, memory.FreeBodyBytes)
-	body, err := memory.ReadBody(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit, held)
+	body, err := x.h.bodies.read(x.w, func() ([]byte, error) {
+		return memory.ReadBody(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit, held)
+	})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errBodyStopped):
+		return notRunError(code.Stopping, stoppingRetryAfter)
 	case errors.As(err, &tooLarge):
 		return code.Refuse(code.BodyTooLarge, "")
 	case errors.Is(err, memory.ErrNoMemory):
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -71,6 +72,7 @@
 	closing      atomic.Bool // see ExpectClose
 	openRequests atomic.Int64
 	open         openExchanges
+	bodies       bodyReads
 	tallies      accountTallies
 }
 
@@ -86,7 +88,7 @@
 	if opts.Memory == nil {
 		opts.Memory = memory.NewBudget(0)
 	}
-	return &Relay{opts: opts, open: openExchanges{all: map[*exchange]*attemptConn{}}}
+	return &Relay{opts: opts, open: openExchanges{all: map[*exchange]*attemptConn{}}, bodies: bodyReads{all: map[*http.ResponseController]struct{}{}}}
 }
 
 // SetTable applies a configuration.
@@ -103,9 +105,14 @@
 // process is about to exit.
 func (h *Relay) RejectRequests() { h.rejecting.Store(true) }
 
-// RefuseWaiting refuses the requests that wait for an endpoint, and those that will. It
-// is called once, shortly before the process exits.
-func (h *Relay) RefuseWaiting() { h.opts.Dispatcher.StopWaiting() }
+// RefuseWaiting refuses the requests that have not arrived yet and those that wait for
+// an endpoint, and those that will. It is called once, shortly before the process exits.
+func (h *Relay) RefuseWaiting() {
+	if err := h.bodies.stop(); err != nil {
+		h.opts.Log.Log(oplog.Failure, "request.no_read_deadline", slog.String("error", err.Error()))
+	}
+	h.opts.Dispatcher.StopWaiting()
+}
 
 // ExpectClose is called before the process closes the connections of clients, so that
 // these do not count as clients that left.
