Announce the close of a connection when its response is written

What callers saw: a request that was in progress as a router began to stop got its response without "Connection: close". Its client sent the next request on that connection, which was refused, or crossed the close at the end of the stop.

Cause: the header was set when a request arrived, before the stop.

Class of fault: a decision taken before what it depends on is known.

Evidence: "gets a response if it sends the rest before that" failed with this check before: "Expected <bool>: false to be true".

Why it works: the header is set right before the head of a response is written.

Measured: all specs of the relay pass.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -142,13 +142,19 @@
 	}
 }
 
+// announceClose makes a response say that its connection is closed after it, if it is.
+// It is called right before the head is written, since the router may have begun to
+// stop meanwhile.
+func (h *Relay) announceClose(header http.Header) {
+	if h.noKeepAlives.Load() || h.opts.MaxConnections > 0 && h.conns.Load() > h.opts.MaxConnections {
+		header.Set("Connection", "close")
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.openRequests.Add(1)
 	defer h.openRequests.Add(-1)
-	if h.noKeepAlives.Load() || h.opts.MaxConnections > 0 && h.conns.Load() > h.opts.MaxConnections {
-		w.Header().Set("Connection", "close")
-	}
 	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), memory: memory.Scope{Budget: h.opts.Memory}, meta: h.opts.Protocol.ReadRequest(r.Header)}
 	defer x.recordPanic()
 	defer x.releaseMemory()
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -51,6 +51,7 @@
 		x.limitWrite(now) // the body arrived late, or this process was suspended
 	}
 	b.setLength(x.r.Method)
+	x.h.announceClose(b.header)
 	// A flush reads an unread body first, for as long as the client takes to send it.
 	flush := x.bodyRead || x.r.ContentLength == 0
 	if err := b.writeTo(x.w, flush); err != nil {
--- a/internal/relay/slow_test.go
+++ b/internal/relay/slow_test.go
@@ -69,7 +69,7 @@
 		h.RejectRequests()
 		_, err := fmt.Fprint(c, "half")
 		Expect(err).NotTo(HaveOccurred())
-		expectStatus(r, http.StatusOK)
+		Expect(expectStatus(r, http.StatusOK).Close).To(BeTrue())
 	})
 	It("gets a response though its route leaves the configuration meanwhile", func() {
 		c, r := dial(server, rawRequest("id", "half", 8))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -122,6 +122,7 @@
 	header := endToEndHeader(resp.Header)
 	header.Del("Content-Length")
 	copyHeader(x.w.Header(), header)
+	x.h.announceClose(x.w.Header())
 	x.w.WriteHeader(resp.StatusCode)
 	x.streamStarted, x.lastEventAt = true, time.Now()
 }
