Ask for more crashes where many responses are interrupted

What callers saw: where crashes interrupt a large share of all streams, sound prompt parts would be refused, for a minute or an hour.

Cause: five crashes without a complete response between them were taken for proof, however likely they are by chance.

Class of fault: a fixed threshold for evidence whose weight depends on the load.

Why it works: the share of responses that crashes interrupt is measured over ten seconds. As many more crashes are asked for as make it less likely than 1 in 1,000 that a sound part has them by chance: three at most for a part of which no response was ever complete, as users accept three requests with it after news of five crashes, five at most for others. It concerns crashes after the begin of a response only. The product's own interface does not count its responses and asks for none more.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -286,7 +286,7 @@
 // have begun to leave while a connection was established.
 func (d *Dispatcher) Confirm(now time.Time, t *Ticket) bool {
 	return t.State == Granted && d.endpoints[t.Endpoint.ID] == t.endpoint && d.eligible(t.endpoint, &t.Request) &&
-		!now.Before(d.pauseEnd(t.endpoint)) && !d.ResourceQuarantined(now, t.Request.Resource) && !d.parts.StoppedSince(now, t.GrantedAt, route.BothStages(sharedPartIDs(t.Request.Parts)))
+		!now.Before(d.pauseEnd(t.endpoint)) && !d.ResourceQuarantined(now, t.Request.Resource) && !d.parts.StoppedSince(now, t.GrantedAt, sharedPartIDs(t.Request.Parts))
 }
 
 // RecordFirstEvent records that the first event of the response has arrived, so
--- a/core/dispatch/parts.go
+++ b/core/dispatch/parts.go
@@ -56,7 +56,11 @@
 // neither a part that it shares with others nor, without a body, the request itself
 // crashes endpoints.
 func (d *Dispatcher) RecordCompleted(now time.Time, t *Ticket) {
-	for _, p := range sharedPartIDs(t.Request.Parts) {
+	shared := sharedPartIDs(t.Request.Parts)
+	if len(shared) > 0 {
+		d.parts.CountResponse(now, false)
+	}
+	for _, p := range shared {
 		d.recordSound(now, route.AfterBegin(p))
 	}
 	if t.Request.Resource != 0 {
@@ -95,7 +99,11 @@
 // those after it began too, once there is one: the responses that began since clear
 // nothing then. It returns the parts of the prompt that may be the cause.
 func (d *Dispatcher) RecordPartCrash(now time.Time, t *Ticket, begun bool) (suspects []uint64) {
-	for _, p := range sharedPartIDs(t.Request.Parts) {
+	shared := sharedPartIDs(t.Request.Parts)
+	if begun && len(shared) > 0 {
+		d.parts.CountResponse(now, true)
+	}
+	for _, p := range shared {
 		later := route.AfterBegin(p)
 		counts := false
 		if !begun {
@@ -114,9 +122,7 @@
 // PartBlocked returns a part of the prompt that seems to crash endpoints, because of
 // which a request may not be sent now.
 func (d *Dispatcher) PartBlocked(now time.Time, parts []PromptPart) (part uint64, blocked bool) {
-	shared := sharedPartIDs(parts)
-	id, blocked := d.parts.Blocked(now, route.BothStages(shared))
-	return route.PartOf(id, shared), blocked
+	return d.parts.Blocked(now, sharedPartIDs(parts))
 }
 
 // hasQuarantinedPart reports whether no request like this one, or with one of its shared
@@ -126,7 +132,7 @@
 		return true
 	}
 	for i := 0; i+1 < len(r.Parts); i++ {
-		if p := r.Parts[i].ID; d.parts.Quarantined(now, p) || d.parts.Quarantined(now, route.AfterBegin(p)) {
+		if d.parts.Quarantined(now, r.Parts[i].ID) {
 			return true
 		}
 	}
--- a/core/route/parts.go
+++ b/core/route/parts.go
@@ -46,26 +46,6 @@
 // begins; against these only a complete one does, which is a SoundPart with this ID.
 func AfterBegin(part uint64) uint64 { return part ^ afterBeginMask }
 
-// BothStages returns the IDs of parts for crashes before and after the begin of a
-// response.
-func BothStages(parts []uint64) []uint64 {
-	ids := make([]uint64, 0, 2*len(parts))
-	for _, p := range parts {
-		ids = append(ids, p, AfterBegin(p))
-	}
-	return ids
-}
-
-// PartOf returns the part, one of parts, that an ID of BothStages belongs to, or 0.
-func PartOf(id uint64, parts []uint64) uint64 {
-	for _, p := range parts {
-		if id == p || id == AfterBegin(p) {
-			return p
-		}
-	}
-	return 0
-}
-
 // PartCrash records that an endpoint crashed while it ran a request with a prompt part,
 // before it had begun the response or, with the ID of AfterBegin, later.
 type PartCrash struct {
@@ -86,8 +66,9 @@
 // responses prove nothing, since other weights may be in use. It is not safe for
 // concurrent use.
 type PartQuarantine struct {
-	begun    map[uint64]begun
-	suspects map[uint64]*suspectPart
+	begun         map[uint64]begun
+	suspects      map[uint64]*suspectPart
+	interruptions interruptionShare
 }
 
 // begun is the last time that a response with a part began.
@@ -269,24 +250,46 @@
 	}
 }
 
+// CountResponse counts a response that has begun and that is complete or was
+// interrupted by a crash.
+func (q *PartQuarantine) CountResponse(now time.Time, interrupted bool) {
+	q.interruptions.count(now, interrupted)
+}
+
+// stage is what counts against a part before or after the begin of a response.
+type stage struct {
+	part  uint64
+	id    uint64
+	extra int // crashes needed beyond the usual number
+}
+
+func (q *PartQuarantine) stages(now time.Time, part uint64) [2]stage {
+	return [2]stage{{part, part, 0}, {part, AfterBegin(part), q.interruptions.extraCrashes(now)}}
+}
+
 // Blocked returns a part because of which a request with these parts may not be
 // sent now. A suspect may be tried, at most once in PartTrialInterval or, once it is
 // quarantined, if it was sound before, after soundPartRetry or longer.
 func (q *PartQuarantine) Blocked(now time.Time, parts []uint64) (part uint64, blocked bool) {
+	if len(q.suspects) == 0 {
+		return 0, false
+	}
 	var trials []*suspectPart
 	for _, p := range parts {
-		s, ok := q.suspects[p]
-		if !ok || !s.atLeast(PartSuspectCrashes, now) {
-			continue
-		}
-		pause := PartTrialInterval
-		if s.atLeast(PartQuarantineCrashes, now) {
-			pause = s.quarantinePause()
-		}
-		if s.pausedFor(pause, now) {
-			return p, true
+		for _, st := range q.stages(now, p) {
+			s, ok := q.suspects[st.id]
+			if !ok || !s.reached(PartSuspectCrashes, st, now) {
+				continue
+			}
+			pause := PartTrialInterval
+			if s.reached(PartQuarantineCrashes, st, now) {
+				pause = s.quarantinePause()
+			}
+			if s.pausedFor(pause, now) {
+				return p, true
+			}
+			trials = append(trials, s)
 		}
-		trials = append(trials, s)
 	}
 	for _, s := range trials {
 		s.lastTrial = now
@@ -316,12 +319,29 @@
 
 // Quarantined reports whether no request with the part is sent.
 func (q *PartQuarantine) Quarantined(now time.Time, part uint64) bool {
-	return q.quarantined(now, part, PartQuarantineCrashes)
+	for _, st := range q.stages(now, part) {
+		s, ok := q.suspects[st.id]
+		if ok && s.reached(PartQuarantineCrashes, st, now) && s.inQuarantine(now) {
+			return true
+		}
+	}
+	return false
 }
 
-func (q *PartQuarantine) quarantined(now time.Time, part uint64, crashes int) bool {
-	s, ok := q.suspects[part]
-	return ok && s.atLeast(crashes, now) && now.Sub(s.lastCrash()) < s.quarantinePause()
+// reached reports whether a number of crashes, and those that its stage needs beyond,
+// count against the part.
+func (s *suspectPart) reached(crashes int, st stage, now time.Time) bool {
+	extra := st.extra
+	if !s.wasSound {
+		extra = min(extra, maxExtraCrashes)
+	}
+	return s.atLeast(crashes+extra, now)
+}
+
+// inQuarantine reports whether the last crash was so recent that not even a trial of a
+// part in quarantine is sent.
+func (s *suspectPart) inQuarantine(now time.Time) bool {
+	return now.Sub(s.lastCrash()) < s.quarantinePause()
 }
 
 // ResourceBlocked reports whether requests without a body that ask for the same
@@ -341,7 +361,8 @@
 // ResourceQuarantined reports whether no request without a body that asks for the
 // resource is sent.
 func (q *PartQuarantine) ResourceQuarantined(now time.Time, resource uint64) bool {
-	return q.quarantined(now, resource, ResourceQuarantineCrashes)
+	s, ok := q.suspects[resource]
+	return ok && s.atLeast(ResourceQuarantineCrashes, now) && s.inQuarantine(now)
 }
 
 // HasCrashes reports whether crashes that nothing has cleared are on record for a part.
@@ -351,10 +372,15 @@
 // time must not be sent any more.
 func (q *PartQuarantine) StoppedSince(now, allowed time.Time, parts []uint64) bool {
 	for _, p := range parts {
-		s, ok := q.suspects[p]
-		if q.Quarantined(now, p) || ok && s.atLeast(PartSuspectCrashes, now) && s.lastCrash().After(allowed) {
+		if q.Quarantined(now, p) {
 			return true
 		}
+		for _, st := range q.stages(now, p) {
+			s, ok := q.suspects[st.id]
+			if ok && s.reached(PartSuspectCrashes, st, now) && s.lastCrash().After(allowed) {
+				return true
+			}
+		}
 	}
 	return false
 }
--- a/core/route/parts_test.go
+++ b/core/route/parts_test.go
@@ -214,3 +214,29 @@
 		t.Error("blocked after a response began")
 	}
 }
+
+// TestInterruptionsByManyCrashesSpareSoundParts guards against refusing a sound part whose
+// streams were interrupted by chance, where crashes interrupt a large share of all.
+func TestInterruptionsByManyCrashesSpareSoundParts(t *testing.T) {
+	for _, manyInterrupted := range []bool{false, true} {
+		q := route.NewPartQuarantine()
+		now := time.Unix(1_000_000, 0)
+		for i := range 200 {
+			now = now.Add(20 * time.Millisecond)
+			q.CountResponse(now, manyInterrupted && i%5 < 2)
+		}
+		q.RecordBegun(now, route.AfterBegin(1))
+		for i := range route.PartQuarantineCrashes {
+			now = now.Add(300 * time.Millisecond)
+			q.RecordCrash(now, crashOf(route.AfterBegin(1), i))
+			q.RecordCrash(now, crashOf(2, i))
+		}
+		now = now.Add(time.Second)
+		if q.Quarantined(now, 1) == manyInterrupted {
+			t.Errorf("many interrupted %v: quarantined %v after five interruptions", manyInterrupted, !manyInterrupted)
+		}
+		if !q.Quarantined(now, 2) {
+			t.Error("a part whose endpoints crash before the response is sent on")
+		}
+	}
+}
--- a/internal/pool/parts.go
+++ b/internal/pool/parts.go
@@ -33,8 +33,7 @@
 func (h *Host) partBlocked(parts []uint64) (part uint64, blocked bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	id, blocked := h.parts.Blocked(time.Now(), route.BothStages(parts))
-	return route.PartOf(id, parts), blocked
+	return h.parts.Blocked(time.Now(), parts)
 }
 
 // partStopped reports whether a request that was allowed at a time may no longer be
@@ -42,7 +41,7 @@
 func (h *Host) partStopped(allowed time.Time, parts []uint64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.parts.StoppedSince(time.Now(), allowed, route.BothStages(parts))
+	return h.parts.StoppedSince(time.Now(), allowed, parts)
 }
 
 // recordSound records that a response speaks for these parts. It returns those that
