Hold an endpoint that started again for cold no longer than a start takes

Cause: the mark was kept as it was when the record of the new process arrived.

Class: an upper bound kept beyond the news that makes a lower one certain.

Fix: when the record of a new process arrives, the process has started, so the kept mark ends at most the service's cold time from then.

Evidence before: the new spec fails (e1 is still cold 3.1 s after the record).

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -147,7 +147,7 @@
 		d.endpoints[e.ID] = ep
 		ep.peerLoad = d.peerLoad(e.ID)
 		if known {
-			ep.succeedIncarnation(old)
+			d.succeedIncarnation(now, ep, old)
 		}
 	}
 	if e.Revision != ep.Revision {
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -188,6 +188,13 @@
 	return b
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // decayingSum is a sum whose terms decay exponentially with time constant tau.
 type decayingSum struct {
 	sum float64
--- a/core/dispatch/restart.go
+++ b/core/dispatch/restart.go
@@ -89,12 +89,14 @@
 }
 
 // succeedIncarnation keeps what still holds of the state of an endpoint that has
-// started again at its address.
-func (ep *endpointState) succeedIncarnation(old *endpointState) {
+// started again at its address. Failed connects may have told of this process; it has
+// started by now, and so is cold for no longer than from now on.
+func (d *Dispatcher) succeedIncarnation(now time.Time, ep, old *endpointState) {
 	if old.Address != ep.Address || old.Service != ep.Service {
 		return
 	}
-	ep.cold.observed, ep.nextColdGrant = old.cold.observed, old.nextColdGrant
+	longest := now.Add(d.coldDuration(ep) + coldMargin)
+	ep.cold.observed, ep.nextColdGrant = earlier(old.cold.observed, longest), old.nextColdGrant
 }
 
 // restarted reports whether a record describes another process than the state known.
--- a/core/dispatch/restart_test.go
+++ b/core/dispatch/restart_test.go
@@ -77,6 +77,16 @@
 		Expect(grants(d, 1000)).To(BeNumerically("<=", 19))
 	})
 
+	It("is cold for no longer than a start takes, however often connects had failed", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		for _, ms := range []int{0, 200, 500, 1000, 1900} {
+			d.Finish(at(ms), submit(d, at(ms), "e1")[0], dispatch.Unreachable)
+		}
+		d.SetEndpoints(at(2000), []topology.Endpoint{startedAgain(3 * time.Second)})
+		Expect(coldAt(d, at(4900))).To(ConsistOf("e1"))
+		Expect(coldAt(d, at(5100))).To(BeEmpty())
+	})
+
 	It("gets no burst between two limits by its new record", func() {
 		d := newDispatcher("r1", endpoint("e1", model, "a"))
 		d.Finish(start, submit(d, start, "e1")[0], dispatch.Unreachable)
