Soak: clients that use a connection for as long as it lasts

Most clients of the soak choose an address for each request and share a transport that keeps two idle connections, so that few requests arrive on a connection that the router would like to close: in a stop, or once the directory no longer lists it.

Clients of the new kind keep to one address until a request gets no complete response, and choose a new one then.

--- a/test/prepared/soak_clients_test.go
+++ b/test/prepared/soak_clients_test.go
@@ -29,7 +29,8 @@
 type laterClient struct {
 	kind  string
 	count int
-	send  func(s *soak, transport http.RoundTripper, rng *rand.Rand, address, attempt string)
+	// send returns the error of a request without a complete response.
+	send func(s *soak, transport http.RoundTripper, rng *rand.Rand, address, attempt string) error
 }
 
 var laterClients = []laterClient{
@@ -37,8 +38,13 @@
 	{"slow-senders", 4, (*soak).sendSlowly},
 	{"slow-readers", 4, (*soak).readSlowly},
 	{"versions", 3, (*soak).sendWithVersion},
+	{keptConnections, 4, (*soak).sendSmall},
 }
 
+// keptConnections is a kind of client that uses its connection for as long as it
+// lasts, whatever the directory lists meanwhile.
+const keptConnections = "kept-connections"
+
 // startLaterClients starts the enabled kinds of laterClients until stop is closed.
 func (s *soak) startLaterClients(seed uint64, clients *sync.WaitGroup, stop <-chan struct{}) {
 	for k, kind := range laterClients {
@@ -58,17 +64,24 @@
 		transport.DialContext = dialWithSmallBuffer
 	}
 	defer transport.CloseIdleConnections()
+	var address string // empty: to be chosen
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
 			return
 		case <-time.After(time.Duration(rng.Int64N(int64(200 * time.Millisecond)))):
 		}
-		addresses := s.routers[rng.IntN(len(s.routers))].addresses()
-		if len(addresses) == 0 {
-			continue
+		if address == "" {
+			addresses := s.routers[rng.IntN(len(s.routers))].addresses()
+			if len(addresses) == 0 {
+				continue
+			}
+			address = addresses[rng.IntN(len(addresses))]
+		}
+		err := kind.send(s, transport, rng, address, fmt.Sprintf("%s%d-%d", kind.kind, n, i))
+		if err != nil || kind.kind != keptConnections {
+			address = ""
 		}
-		kind.send(s, transport, rng, addresses[rng.IntN(len(addresses))], fmt.Sprintf("%s%d-%d", kind.kind, n, i))
 	}
 }
 
@@ -91,7 +104,7 @@
 // unsized hides the length of a body, so that it is sent in chunks.
 type unsized struct{ io.Reader }
 
-func (s *soak) sendLargeBody(transport http.RoundTripper, rng *rand.Rand, address, attempt string) {
+func (s *soak) sendLargeBody(transport http.RoundTripper, rng *rand.Rand, address, attempt string) error {
 	size := soakMaxBodyBytes - rng.IntN(4)*rng.IntN(soakMaxBodyBytes/4)
 	tooLarge := rng.IntN(8) == 0
 	if tooLarge {
@@ -117,6 +130,7 @@
 	default:
 		s.checkStream(attempt, status, response, err)
 	}
+	return err
 }
 
 // slowBody sends chunks with pauses. If it hangs, it stops in the middle and fails
@@ -146,14 +160,15 @@
 	return n, nil
 }
 
-func (s *soak) sendSlowly(transport http.RoundTripper, rng *rand.Rand, address, attempt string) {
+func (s *soak) sendSlowly(transport http.RoundTripper, rng *rand.Rand, address, attempt string) error {
 	text := paddedBody(attempt, rng.IntN(1<<20))
 	body := &slowBody{rng: rand.New(rand.NewPCG(rng.Uint64(), 1)), text: text, hangs: rng.IntN(4) == 0}
 	status, response, _, err := callWith(transport, address, "POST", "/order/new", "key-1", attempt, body, io.ReadAll)
 	s.checkOrder(attempt, text, status, response, err)
+	return err
 }
 
-func (s *soak) readSlowly(transport http.RoundTripper, rng *rand.Rand, address, attempt string) {
+func (s *soak) readSlowly(transport http.RoundTripper, rng *rand.Rand, address, attempt string) error {
 	text := paddedBody(attempt, rng.IntN(soakMaxBodyBytes))
 	read := func(r io.Reader) (data []byte, err error) {
 		chunk := make([]byte, slowChunk)
@@ -171,11 +186,12 @@
 	}
 	status, response, _, err := callWith(transport, address, "POST", "/order/new", "key-1", attempt, strings.NewReader(text), read)
 	s.checkOrder(attempt, text, status, response, err)
+	return err
 }
 
 // sendWithVersion sends a request that names a version of the weights, at times
 // one that no endpoint has.
-func (s *soak) sendWithVersion(transport http.RoundTripper, rng *rand.Rand, address, attempt string) {
+func (s *soak) sendWithVersion(transport http.RoundTripper, rng *rand.Rand, address, attempt string) error {
 	version := []string{"1", "1", "2", "9"}[rng.IntN(4)]
 	header := append([]string{"X-Expected-Version", version}, chatHeaders...)
 	status, body, received, err := callWith(transport, address, "POST", "/chat/x", "key-1", attempt, strings.NewReader("hello"), io.ReadAll, header...)
@@ -183,4 +199,16 @@
 	if got := received.Get("X-Weight-Versions"); status == 200 && got != version {
 		s.results.addViolation("stream %s expects version %s and got %q", attempt, version, got)
 	}
+	return err
+}
+
+func (s *soak) sendSmall(transport http.RoundTripper, rng *rand.Rand, address, attempt string) error {
+	if rng.IntN(2) == 0 {
+		status, body, _, err := callWith(transport, address, "POST", "/chat/x", "key-1", attempt, strings.NewReader("hello"), io.ReadAll, chatHeaders...)
+		s.checkStream(attempt, status, body, err)
+		return err
+	}
+	status, body, _, err := callWith(transport, address, "POST", "/order/new", "key-1", attempt, strings.NewReader("hello"), io.ReadAll)
+	s.checkOrder(attempt, "hello", status, body, err)
+	return err
 }
