Refuse a large request body that is incomplete at the deadline

What callers saw: nothing yet. A client that declares a large body and sends it slowly, or not at all, keeps the memory reserved for it for as long as it likes.

Cause: ReadHeaderTimeout covers the head of a request only, and the deadline of the request was set once its body had arrived. Class: a wait for a remote peer without a limit.

Evidence: the new spec declares 1 MB, sends one byte and has a deadline of 100 ms; before, nothing had arrived when it gave up after 20 s ("i/o timeout").

Why this fix works: while a body that reserves memory is read, the connection has a read deadline at the deadline of the request; beyond it the request is refused with 503, not run. Small bodies are left alone: they are part of what each request reserves, and a body that arrives after the deadline is refused as before.

--- a/internal/relay/body_test.go
+++ b/internal/relay/body_test.go
@@ -47,3 +47,20 @@
 		Expect(f.requests()).To(BeEmpty())
 	})
 })
+
+var _ = Describe("A large request body that is incomplete at the deadline", func() {
+	It("is refused rather than held in memory", func() {
+		f := newFakeEndpoint(func(_ int, s receivedRequest) reply { return reply{raw: response(s, 200, "")} })
+		server, _ := newServer(atMostOnce, f)
+		client, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer client.Close()
+		_, err = fmt.Fprintf(client, "POST /p/ HTTP/1.1\r\nHost: 127.0.0.1\r\nTest-Id: id\r\nTest-Key: key\r\nTest-Wait: 100\r\nContent-Length: 1000000\r\n\r\nx")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(client.SetReadDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(f.requests()).To(BeEmpty())
+	})
+})
--- a/internal/relay/prepare.go
+++ b/internal/relay/prepare.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
 )
 
 // prepare checks whether the request can be accepted, matches its route,
@@ -89,6 +92,9 @@
 	if x.r.ContentLength > limit {
 		return code.Refuse(code.BodyTooLarge, "")
 	}
+	if x.r.ContentLength < 0 || x.r.ContentLength > memory.FreeBodyBytes {
+		defer x.limitBodyRead()()
+	}
 	held := x.memory.Reserve(memory.RequestBodies, x.account, memory.FreeBodyBytes)
 	body, err := x.h.bodies.read(x.w, func() ([]byte, error) {
 		return memory.ReadBody(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit, held)
@@ -99,6 +105,10 @@
 		return notRunError(code.Stopping, stoppingRetryAfter)
 	case errors.As(err, &tooLarge):
 		return code.Refuse(code.BodyTooLarge, "")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		failure := notRunError(code.WaitTooLong, 0)
+		failure.Detail = "the request body was incomplete at the deadline"
+		return failure
 	case errors.Is(err, memory.ErrNoMemory):
 		return noMemory("for a large request body")
 	case err != nil && x.r.Context().Err() == nil && !isConnError(err):
@@ -111,6 +121,19 @@
 	return nil
 }
 
+// limitBodyRead keeps a client that sends slowly from holding memory beyond the deadline
+// of its request. The function that it returns ends the limit.
+func (x *exchange) limitBodyRead() func() {
+	control := http.NewResponseController(x.w)
+	limit := func(t time.Time) {
+		if err := control.SetReadDeadline(t); err != nil {
+			x.h.opts.Log.Log(oplog.Failure, "request.no_read_deadline", x.attrs(slog.String("error", err.Error()))...)
+		}
+	}
+	limit(x.arrived.Add(x.timeout()))
+	return func() { limit(time.Time{}) }
+}
+
 // isConnError reports whether reading from a client failed with its connection.
 func isConnError(err error) bool {
 	var network net.Error
