Refuse requests that would not be complete before a stopping router exits

What callers saw: long streams that a stopping router had begun were cut at the end of its grace, although another router would have served them whole.

Cause: a router accepts requests for 2.8 s after SIGTERM and begins them whatever time it has left. The dispatcher knows the deadline of a request and how long it will take, but not when the router exits.

Class of fault: work that is begun without asking whether it can end.

Evidence: "begins no request that would not be complete before the router exits" failed before, with the check disabled: state 2 (granted) where 3 (refused) was expected.

Why it works: from SIGTERM on the time until the exit bounds the prediction as the deadline does, for new requests and those that wait. They are refused with Retry-After at once. A stream that is resumed is not refused for it, as it would be cut then.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -52,6 +52,7 @@
 	preferred       map[prefixKey]*endpointState // cached results of preferredEndpoint
 	notices         map[string]notice            // of endpoints about themselves, by ID
 	demandFactor    float64                      // see SetDemandFactor
+	exit            time.Time                    // see SetExit; zero: none
 
 	placements       []Placement // of this router and its row, newest last
 	lastSequence     uint64      // sequence number of the newest placement
@@ -190,7 +191,7 @@
 		return t
 	}
 	if t.deadlineUnreachable {
-		return refuse(t, DeadlineUnreachable, 0, now)
+		return refuse(t, d.unreachable(&t.Request), 0, now)
 	}
 	perSecond := d.ownThroughput(s, now)
 	if !t.OverShare && !math.IsInf(t.FairShare, 1) {
@@ -204,6 +205,28 @@
 	return t
 }
 
+// SetExit sets the time at which this router ends the requests that still run. A new
+// one is refused if it probably takes longer, so that its caller can use another router.
+func (d *Dispatcher) SetExit(at time.Time) { d.exit = at }
+
+// endOf returns the time until which a request may run. A retry is not refused for the
+// exit, since that would end a response that has begun.
+func (d *Dispatcher) endOf(r *Request) time.Time {
+	if !d.exit.IsZero() && !r.Retry && d.exit.Before(r.Deadline) {
+		return d.exit
+	}
+	return r.Deadline
+}
+
+// unreachable returns the reason for which a request that cannot be complete in time
+// is refused.
+func (d *Dispatcher) unreachable(r *Request) Reason {
+	if d.endOf(r).Before(r.Deadline) {
+		return ExitTooSoon
+	}
+	return DeadlineUnreachable
+}
+
 // Poll decides as many waiting requests as possible and returns their tickets,
 // granted or refused.
 func (d *Dispatcher) Poll(now time.Time) []*Ticket {
@@ -238,7 +261,7 @@
 		case misses < maxMisses && d.place(now, s, t):
 			decided = append(decided, t)
 		case t.deadlineUnreachable:
-			decided = append(decided, refuse(t, DeadlineUnreachable, 0, now))
+			decided = append(decided, refuse(t, d.unreachable(&t.Request), 0, now))
 		default:
 			if !t.awaitsCache {
 				misses++
--- a/core/dispatch/dispatch_suite_test.go
+++ b/core/dispatch/dispatch_suite_test.go
@@ -216,6 +216,24 @@
 		Expect(t.Endpoint.ID).To(Equal(holder))
 	})
 
+	It("begins no request that would not be complete before the router exits", func() {
+		d := newDispatcher("r1", endpoint("e1", model, "a"))
+		first := d.Submit(start, chatRequest(start, "x", 10))
+		d.RecordTokens(first, 50, 2*time.Second)
+		Expect(d.Submit(start, chatRequest(start, "x", 11)).State).To(Equal(dispatch.Granted))
+		d.SetExit(at(1000))
+		t := d.Submit(start, chatRequest(start, "x", 12))
+		Expect(t.State).To(Equal(dispatch.Refused))
+		Expect(t.Reason).To(Equal(dispatch.ExitTooSoon))
+		By("resuming a stream that has begun")
+		r := chatRequest(start, "x", 13)
+		r.Retry = true
+		Expect(d.Submit(start, r).State).To(Equal(dispatch.Granted))
+		By("beginning a request that fits")
+		d.SetExit(at(4000))
+		Expect(d.Submit(start, chatRequest(start, "x", 14)).State).To(Equal(dispatch.Granted))
+	})
+
 	It("refuses a request whose response would not be complete by the deadline", func() {
 		d := newDispatcher("r1", endpoint("e1", model, "a"))
 		seen := d.Submit(start, chatRequest(start, "x", 9))
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -148,15 +148,15 @@
 }
 
 // canMeetDeadline reports whether a response of the expected length would
-// probably have its first event in time and be complete before the deadline.
-// Estimates of the length are rough.
-func (ep *endpointState) canMeetDeadline(now time.Time, r *Request, uncached int) bool {
+// probably have its first event in time and be complete before the end, which is the
+// deadline or earlier. Estimates of the length are rough.
+func (ep *endpointState) canMeetDeadline(now time.Time, r *Request, end time.Time, uncached int) bool {
 	first := ep.predictFirstEvent(uncached)
 	if first > r.FirstEventDeadline.Sub(now) {
 		return false
 	}
 	total := first + time.Duration(r.OutputTokens)*ep.timePerToken
-	return total <= time.Duration(deadlineSlack*float64(r.Deadline.Sub(now)))
+	return total <= time.Duration(deadlineSlack*float64(end.Sub(now)))
 }
 
 func (ep *endpointState) recordSuccess(now time.Time) {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -113,6 +113,7 @@
 	unshared := unsharedTokens(t.Request.Parts, t.Request.PromptTokens)
 	t.deadlineUnreachable = t.Request.OutputTokens > 0
 	t.Blocked = BlockedEndpoints{}
+	end := d.endOf(&t.Request)
 	fastest := time.Duration(math.MaxInt64)
 	defer func() {
 		if fastest < math.MaxInt64 {
@@ -134,7 +135,7 @@
 		if uncached-unshared < fewestSharedUncached {
 			fewestSharedUncached, cacheHolder = uncached-unshared, ep
 		}
-		if t.Request.OutputTokens > 0 && !ep.canMeetDeadline(now, &t.Request, uncached) {
+		if t.Request.OutputTokens > 0 && !ep.canMeetDeadline(now, &t.Request, end, uncached) {
 			t.Blocked.TooLate++
 			continue
 		}
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -64,6 +64,7 @@
 	DeadlineUnreachable                   // no endpoint could complete the response by the deadline
 	NoWeights                             // no usable endpoint has the version of the weights that it names
 	PartQuarantined                       // a part of the prompt crashes endpoints
+	ExitTooSoon                           // no endpoint could complete the response before this router exits
 )
 
 // String returns the name of the reason in logs. These names are fixed; two of
@@ -82,6 +83,8 @@
 		return "no_endpoint_with_weights"
 	case PartQuarantined:
 		return "part_quarantined"
+	case ExitTooSoon:
+		return "not_whole_before_exit"
 	}
 	return ""
 }
--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -156,6 +156,7 @@
 	end := started.Add(e.settings.StopGrace - exitMargin)
 	e.leaving.Store(true)
 	e.relay.DisableKeepAlives()
+	e.relay.SetExit(end)
 	e.mesh.SendHeartbeats()
 	e.log.Log(oplog.StateChange, "router.stopping", slog.Int64("open", e.relay.OpenRequests()))
 	time.Sleep(min(drainAcceptPeriod, time.Until(end)))
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -30,6 +30,8 @@
 		c = code.NoEndpoint
 	case dispatch.PartQuarantined:
 		c = code.Quarantined
+	case dispatch.ExitTooSoon:
+		c = code.Stopping
 	}
 	if x.mayHaveRun {
 		return code.Fail(c, t.Reason.String())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/oplog"
@@ -101,6 +102,12 @@
 // called when the router starts to shut down.
 func (h *Relay) DisableKeepAlives() { h.noKeepAlives.Store(true) }
 
+// SetExit sets the time at which the process will close the connections of clients.
+// Requests that would probably run for longer are refused.
+func (h *Relay) SetExit(at time.Time) {
+	h.opts.Dispatcher.Update(func(_ time.Time, d *dispatch.Dispatcher) { d.SetExit(at) })
+}
+
 // RejectRequests makes the relay refuse new requests. It is called when the
 // process is about to exit.
 func (h *Relay) RejectRequests() { h.rejecting.Store(true) }
