Settings: look fields up by the name in their JSON tag alone

Cause: the tag of a field that is left out where it is empty has an option after the name, so that field was not found; the schema and the page of the settings panicked ("reflect: call of reflect.Value.Interface on zero Value", specs of internal/schema).

The name up to the comma is compared, as internal/schema and internal/strictjson do.

--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -132,7 +132,7 @@
 func fieldByPath(v reflect.Value, path string) reflect.Value {
 	name, rest, nested := strings.Cut(path, ".")
 	for i := range v.NumField() {
-		if v.Type().Field(i).Tag.Get("json") != name {
+		if field, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ","); field != name {
 			continue
 		}
 		if nested {
