Close only those connections of the own interface that have no request

What callers saw: as a router of the product's own interface stopped, a request that was sent on a kept HTTP/1.1 connection in plain text was closed without a response, although the router had read it or it waited in the socket.

Cause: http.Server.Shutdown closes what net/http takes for idle: connections whose next request has not been parsed. Class: an owner that does not know what its resource holds, as at the edge's front.

Evidence: "responds to a request of which it has read a part" failed before: shutDown had returned although the server held a byte of a request that it had not answered ("Expected <chan error | len:0, cap:1> not to receive anything").

Why this fix works: closing.Conns owns the plain connections. shutDown lets it close the idle ones, waits until the others have had their responses, and calls Shutdown for what is left: HTTP/2, with and without TLS, and HTTP/1.1 with TLS. A connection that begins with the preface of HTTP/2 does not belong to Conns; "completes an open HTTP/2 request in plain text" guards that (it passed before). Shutdown used to add "Connection: close" to the responses of a stop; Conns.Announce does so now.

Not covered: HTTP/1.1 with TLS is still closed by Shutdown alone.

Measured: the specs of internal/daemon and the tests of internal/closing pass, the former with the race detector too.

--- a/internal/closing/conn.go
+++ b/internal/closing/conn.go
@@ -31,7 +31,8 @@
 	Answered bool // the response was written
 }
 
-// Conns owns the HTTP/1.1 connections of a server. net/http takes a connection for idle
+// Conns owns the HTTP/1.1 connections of a server; those of HTTP/2 are left to net/http,
+// which knows their requests. net/http takes a connection for idle
 // until the head of its next request has been parsed, so its Shutdown and its deadlines
 // close connections with requests that were read or wait in the socket. Conns closes
 // only those without. It is safe for concurrent use.
@@ -143,6 +144,32 @@
 	expired    bool // the latest read ended with its deadline
 	left       bool // the client has closed the connection
 	deadlines  int  // read deadlines set since the last response
+	preface    int  // number of bytes that are those of http2Preface; -1: not HTTP/2
+}
+
+// http2Preface is what an HTTP/2 connection begins with.
+const http2Preface = "PRI * HTTP/2.0"
+
+// isHTTP2 is called by the holder of c.mu.
+func (c *conn) isHTTP2() bool { return c.preface == len(http2Preface) }
+
+// detectHTTP2 looks at the bytes that were read next. From the preface of HTTP/2 on the
+// connection does not belong to its Conns.
+func (c *conn) detectHTTP2(read []byte) {
+	c.mu.Lock()
+	for i := 0; i < len(read) && c.preface >= 0 && !c.isHTTP2(); i++ {
+		if c.preface++; read[i] != http2Preface[c.preface-1] {
+			c.preface = -1
+		}
+	}
+	detected := c.isHTTP2() && !c.active
+	if detected {
+		c.active, c.incomplete = true, false
+	}
+	c.mu.Unlock()
+	if detected {
+		c.remove()
+	}
 }
 
 // past is a deadline that has passed.
@@ -157,6 +184,7 @@
 			n, err = waiting, nil
 		}
 	}
+	c.detectHTTP2(p[:n])
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 && !c.active {
@@ -244,7 +272,7 @@
 	ending := c.conns.isEnding()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state == http.StateActive && c.expired {
+	if c.isHTTP2() || state == http.StateActive && c.expired {
 		return // net/http counts a request as active also if reading its head failed
 	}
 	c.active = state == http.StateActive
--- a/internal/daemon/web.go
+++ b/internal/daemon/web.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
+	"k8s.io/klog/v2"
 
 	"github.com/cyclamenwinch/cyclamenwinch/internal/closing"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/settings"
@@ -31,7 +32,8 @@
 	handler http.Handler
 
 	mu      sync.Mutex
-	server  *http.Server // of the current run
+	server  *http.Server   // of the current run
+	conns   *closing.Conns // of the current run
 	stopped bool
 }
 
@@ -42,14 +44,17 @@
 // serve runs until ctx is canceled or the server is shut down. After a shutdown
 // it returns suture.ErrDoNotRestart.
 func (w *webServer) serve(ctx context.Context, l net.Listener) error {
-	s, err := w.newServer()
+	s, conns, err := w.newServer()
 	if err != nil {
 		return err
 	}
-	stop := context.AfterFunc(ctx, func() { s.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		conns.Abort()
+		s.Close()
+	})
 	defer stop()
 	if w.tls.Mode == settings.Plain {
-		err = s.Serve(l)
+		err = s.Serve(conns.Listener(l))
 	} else {
 		err = s.ServeTLS(l, "", "")
 	}
@@ -59,19 +64,24 @@
 	return errors.Wrap(err, w.name)
 }
 
-// newServer returns the HTTP server for one run.
-func (w *webServer) newServer() (*http.Server, error) {
+// newServer returns the HTTP server for one run and the owner of its connections, if
+// these are in plain text.
+func (w *webServer) newServer() (*http.Server, *closing.Conns, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped {
-		return nil, suture.ErrDoNotRestart
+		return nil, nil, suture.ErrDoNotRestart
 	}
+	w.conns = closing.NewConns(func(r closing.Incomplete) {
+		klog.InfoS("daemon: Closed a connection with an incomplete request", "server", w.name, "status", r.Status, "answered", r.Answered)
+	})
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	w.server = &http.Server{
-		Handler:           closing.ReadRest(w.handler),
+		Handler:           closing.ReadRest(w.conns.Announce(w.handler)),
+		ConnState:         w.conns.ConnState,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -81,25 +91,33 @@
 	if w.tls.Mode != settings.Plain {
 		certs, err := newCertReloader(w.tls.CertFile, w.tls.KeyFile)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		w.server.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: certs.get}
 	}
-	return w.server, nil
+	return w.server, w.conns, nil
 }
 
+// connsPollInterval is the time between two looks for open connections.
+const connsPollInterval = 10 * time.Millisecond
+
 // shutDown closes the listener permanently, accepts no new requests and waits
 // until the open ones have completed or ctx is done.
 func (w *webServer) shutDown(ctx context.Context, l net.Listener) error {
 	w.mu.Lock()
 	w.stopped = true
-	s := w.server
+	s, conns := w.server, w.conns
 	w.mu.Unlock()
 	l.Close()
 	if s == nil {
 		return nil
 	}
-	return s.Shutdown(ctx)
+	conns.CloseIdle()
+	for conns.Open() > 0 && ctx.Err() == nil {
+		time.Sleep(connsPollInterval)
+	}
+	conns.Abort()
+	return s.Shutdown(ctx) // also ends the connections that conns does not own
 }
 
 func (w *webServer) isStopped() bool {
