Refuse a request whose body ends as a stop ends the reads of bodies

What callers saw: at the end of a stop, a request that was read whole could get neither a response nor a refusal, and was logged as one whose client had left.

Cause: RefuseWaiting sets a read deadline that has passed on each connection whose body is being read. If the body ended just before, net/http already reads on to notice a client that leaves. That read ends with the deadline and cancels the request, which is then aborted. Class: a limit that outlives the phase it is for.

Why this fix works: a request that was among the reads as they were stopped is refused with 503 and Retry-After, whether or not its body has arrived. It was not sent to an endpoint, and those that wait for one are refused at the same moment.

--- a/internal/relay/bodies.go
+++ b/internal/relay/bodies.go
@@ -20,15 +20,15 @@
 }
 
 // read calls f, which reads the body of the request that w responds to. It returns
-// errBodyStopped if stop has ended that.
+// errBodyStopped if stop was called before f returned: net/http reads on once the body
+// has ended, and cancels the request if the deadline that stop sets ends that read.
 func (b *bodyReads) read(w http.ResponseWriter, f func() ([]byte, error)) ([]byte, error) {
 	control := http.NewResponseController(w)
 	if !b.add(control) {
 		return nil, errBodyStopped
 	}
-	defer b.remove(control)
 	body, err := f()
-	if err != nil && isTimeout(err) && b.isStopped() {
+	if stopped := b.remove(control); stopped && (err == nil || isTimeout(err)) {
 		return nil, errBodyStopped
 	}
 	return body, err
@@ -56,14 +56,10 @@
 	return true
 }
 
-func (b *bodyReads) remove(control *http.ResponseController) {
+// remove returns whether stop was called since add.
+func (b *bodyReads) remove(control *http.ResponseController) (stopped bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.all, control)
-}
-
-func (b *bodyReads) isStopped() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	return b.stopped
 }
