Let deadlines that cross the begin of a stop follow it

What callers saw: nothing that was observed. As a stop closes the idle connections, a request whose head has just been parsed can be canceled and get no response (by reading), and an idle connection can stay open until all are closed at once, together with a request that arrives on it meanwhile.

Cause: whether the server ends was read before the lock of the connection was taken, so CloseIdle could set its deadline in between. The connection then replaced that deadline by its own, or kept it although its request had become active. Class: a check whose result is used after it may have changed.

Why this fix works: CloseIdle sets the flag before it locks a connection, and the connection reads it with that lock held. Whichever comes second sees the other.

--- a/internal/closing/announce.go
+++ b/internal/closing/announce.go
@@ -21,7 +21,7 @@
 }
 
 func (a *announcer) announce() {
-	if !a.wrote && a.conns.isEnding() {
+	if !a.wrote && a.conns.ending.Load() {
 		a.Header().Set("Connection", "close")
 	}
 }
--- a/internal/closing/conn.go
+++ b/internal/closing/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,10 +39,12 @@
 // only those without. It is safe for concurrent use.
 type Conns struct {
 	onIncomplete func(Incomplete)
+	// ending is set by CloseIdle before it looks at a connection, and read by the holder
+	// of conn.mu, so that either side sees what the other did.
+	ending atomic.Bool
 
 	mu      sync.Mutex
 	open    map[*conn]struct{}
-	ending  bool // see CloseIdle
 	aborted bool // see Abort
 }
 
@@ -67,7 +70,7 @@
 func (s *Conns) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ending = true
+	s.ending.Store(true)
 	for c := range s.open {
 		c.expireIfIdle()
 	}
@@ -88,12 +91,6 @@
 	s.aborted = true
 }
 
-func (s *Conns) isEnding() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ending
-}
-
 func (s *Conns) isAborted() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -119,7 +116,7 @@
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
 	l.conns.open[c] = struct{}{}
-	if l.conns.ending {
+	if l.conns.ending.Load() {
 		c.expireIfIdle()
 	}
 	return c, nil
@@ -241,7 +238,6 @@
 // SetReadDeadline sets the read deadline. While the server ends, that of a connection
 // without a request has always passed.
 func (c *conn) SetReadDeadline(t time.Time) error {
-	ending := c.conns.isEnding()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadlines++
@@ -250,7 +246,7 @@
 		// which it may have read with the request before.
 		c.incomplete = true
 	}
-	if ending && !c.active {
+	if c.conns.ending.Load() && !c.active {
 		t = past
 	}
 	return c.socketConn.SetReadDeadline(t)
@@ -269,7 +265,6 @@
 
 // setState records a change of the state that net/http keeps.
 func (c *conn) setState(state http.ConnState) {
-	ending := c.conns.isEnding()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isHTTP2() || state == http.StateActive && c.expired {
@@ -279,7 +274,7 @@
 	if c.active || state == http.StateIdle {
 		c.incomplete, c.expired, c.deadlines = false, false, 0
 	}
-	if c.active && ending {
+	if c.active && c.conns.ending.Load() {
 		// The deadline that expireIfIdle set must not end the request. An error means
 		// that the connection is closed.
 		_ = c.socketConn.SetReadDeadline(time.Time{})
@@ -308,7 +303,6 @@
 }
 
 func (c *conn) respondIfIncomplete() {
-	ending := c.conns.isEnding()
 	c.mu.Lock()
 	incomplete := c.incomplete && !c.left
 	c.incomplete = false
@@ -317,7 +311,7 @@
 		return
 	}
 	r, response := Incomplete{Status: http.StatusRequestTimeout}, timeoutResponse
-	if ending {
+	if c.conns.ending.Load() {
 		r, response = Incomplete{Status: http.StatusServiceUnavailable}, stoppingResponse
 	}
 	if c.SetWriteDeadline(time.Now().Add(responseWriteTime)) == nil {
