End closes that still read as a stop closes all connections

What callers saw: nothing that was observed. The end of a stop can take 500 ms longer than planned, beyond exitMargin, so that the supervisor ends the process before requests that are cut have their lines in the log.

Cause: a connection that is closed with unread bytes reads on for up to 500 ms. http.Server.Close closes each connection too, and waits for a close in progress, while it holds the lock of the server. Abort made only later closes immediate. Class: a limit of time for one part that exceeds the one of the whole.

Why this fix works: Abort ends the reads of closes in progress by a deadline that has passed, and one that begins at the same time sees that it was called.

--- a/internal/closing/conn.go
+++ b/internal/closing/conn.go
@@ -83,12 +83,15 @@
 	return len(s.open)
 }
 
-// Abort makes all closes immediate. It is called before http.Server.Close, which closes
+// Abort makes all closes immediate, also those in progress. It is called before http.Server.Close, which closes
 // one connection after the other.
 func (s *Conns) Abort() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.aborted = true
+	for c := range s.open {
+		c.stopReadingRest()
+	}
 }
 
 func (s *Conns) isAborted() bool {
@@ -139,6 +142,7 @@
 	active     bool // a handler runs, or has run and its response is being written
 	incomplete bool // bytes were read since the last response, and no handler has run
 	expired    bool // the latest read ended with its deadline
+	rest       bool // Close reads what the client still sends
 	left       bool // the client has closed the connection
 	deadlines  int  // read deadlines set since the last response
 	preface    int  // number of bytes that are those of http2Preface; -1: not HTTP/2
@@ -321,11 +325,27 @@
 	c.conns.onIncomplete(r)
 }
 
-// readRest reads what the client still sends if bytes wait in the socket.
+// readRest reads what the client still sends if bytes wait in the socket, until Abort.
 func (c *conn) readRest() {
-	if !hasUnread(c) || c.CloseWrite() != nil || c.socketConn.SetReadDeadline(time.Now().Add(maxRestTime)) != nil {
+	if !hasUnread(c) || c.CloseWrite() != nil || c.beginRest() != nil || c.conns.isAborted() {
 		return
 	}
 	// An error means that the client has closed the connection or is too slow.
 	_, _ = io.CopyN(io.Discard, c.socketConn, maxRestBytes)
 }
+
+func (c *conn) beginRest() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rest = true
+	return c.socketConn.SetReadDeadline(time.Now().Add(maxRestTime))
+}
+
+func (c *conn) stopReadingRest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rest {
+		// An error means that the connection is closed.
+		_ = c.socketConn.SetReadDeadline(past)
+	}
+}
