--- a/internal/closing/conn.go
+++ b/internal/closing/conn.go
@@ -33,10 +33,10 @@
 }
 
 // Conns owns the HTTP/1.1 connections of a server; those of HTTP/2 are left to net/http,
-// which knows their requests. net/http takes a connection for idle
-// until the head of its next request has been parsed, so its Shutdown and its deadlines
-// close connections with requests that were read or wait in the socket. Conns closes
-// only those without. It is safe for concurrent use.
+// which knows their requests. net/http takes a connection for idle until the head of its
+// next request has been parsed, so its Shutdown and its deadlines close connections with
+// requests that were read or wait in the socket. Conns closes only those without. It is
+// safe for concurrent use.
 type Conns struct {
 	onIncomplete func(Incomplete)
 	// ending is set by CloseIdle before it looks at a connection, and read by the holder
@@ -83,8 +83,8 @@
 	return len(s.open)
 }
 
-// Abort makes all closes immediate, also those in progress. It is called before http.Server.Close, which closes
-// one connection after the other.
+// Abort makes all closes immediate, also those in progress. It is called before
+// http.Server.Close, which closes one connection after the other.
 func (s *Conns) Abort() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
