--- a/core/dispatch/restart.go
+++ b/core/dispatch/restart.go
@@ -89,7 +89,7 @@
 }
 
 // succeedIncarnation keeps what still holds of the state of an endpoint that has
-// started again at its address. Failed connects may have told of this process; it has
+// started again at its address. Failed connects may have been to the new process; it has
 // started by now, and so is cold for no longer than from now on.
 func (d *Dispatcher) succeedIncarnation(now time.Time, ep, old *endpointState) {
 	if old.Address != ep.Address || old.Service != ep.Service {
