Set no read deadline for requests without a body

What callers saw: on the product's own interface, a request without a body (GET) whose response takes longer than 30 s would be canceled and cut.

Cause: each request gets a read deadline of 30 s for its body, which is cleared at the end of the body. Since a body of a known length is read up to that length, so one of length 0 is not read and never ends. net/http reads on while the handler runs, and takes the deadline for a client that left. Class: a limit that outlives the phase it is for.

Evidence: "is cleared once the body was read", of none, failed before: the deadline was 30 s ahead where none was expected. The cut itself was not run.

Why this fix works: no deadline is set where there is nothing to read. At the end of other bodies it is cleared as before; the entry of some bytes guards that.

Measured: the specs of internal/daemon pass.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -25,7 +25,7 @@
 		next.ServeHTTP(w, r)
 	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		r.Body = withBodyDeadline(w, r.Body)
+		r.Body = withBodyDeadline(w, r)
 		next.ServeHTTP(w, r)
 	})
 	return mux
@@ -37,10 +37,14 @@
 	json.NewEncoder(w).Encode(code.NewProblem(failure, ""))
 }
 
-// withBodyDeadline returns a body that must arrive within bodyTimeout. The read
-// deadline is cleared at the end of the body, so that it does not interrupt a
-// long response.
-func withBodyDeadline(w http.ResponseWriter, body io.ReadCloser) io.ReadCloser {
+// withBodyDeadline returns the body of a request, which must arrive within bodyTimeout.
+// The read deadline is cleared at the end of the body, so that it does not interrupt a
+// long response. Handlers may not read an empty body, so that has none.
+func withBodyDeadline(w http.ResponseWriter, r *http.Request) io.ReadCloser {
+	body := r.Body
+	if r.ContentLength == 0 {
+		return body
+	}
 	control := http.NewResponseController(w)
 	if control.SetReadDeadline(time.Now().Add(bodyTimeout)) != nil {
 		return body
