Close the connections of all of the router's servers at once as it exits

By reading: the servers for readiness, directory and metrics closed one connection after the other, each with unread bytes for up to 550 ms, as the router exits. Class: a limit of time for one part that exceeds the one of the whole, as at the front.

--- a/internal/edge/web.go
+++ b/internal/edge/web.go
@@ -31,7 +31,10 @@
 }
 
 func (s webServer) serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { s.server.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		s.conns.Abort()
+		s.server.Close()
+	})
 	defer stop()
 	err := s.server.Serve(s.listener)
 	if ctx.Err() != nil {
