Ask endpoints for their health while the store is away

What callers saw: after an operator had emptied a zone and taken it back while the store was away, its endpoints, which were cold, got more requests in one second than they bear (FAILBACK); such an endpoint crashes with all that it runs.

Cause: an endpoint says that it is cold in its record and in responses to health checks only. No router reads records while the store is away, and none made health checks.

Class of fault: a source of information that is trusted for as long as it is silent.

Why it works: while no router reads the store, and until all endpoints can have written to it again, two live routers ask each endpoint that limits its cold rate every 200 ms, and heartbeats carry what they learn to all. Only the response that names the expected endpoint counts. The stand-in runners answer health checks.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -47,6 +47,7 @@
 	sortedEndpoints []*endpointState          // by ID, so that ties are always broken the same way
 	services        map[string]*serviceState
 	zonesOut        map[string]bool
+	liveRouters     []string // without this one, as last given to ChecksDue
 	peers           map[string]*peerReport
 	routers         []string                     // all known routers including this one, sorted
 	preferred       map[prefixKey]*endpointState // cached results of preferredEndpoint
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -81,6 +81,8 @@
 	cold          coldMark
 	nextColdGrant time.Time // when the cold limit allows the next request
 	coldRank      int       // result of Dispatcher.coldRank; -1: not computed
+	nextCheck     time.Time // when this router may check its health again
+	checker       answer    // whether this router checks its health
 
 	cache promptCache
 }
--- a/core/dispatch/notice.go
+++ b/core/dispatch/notice.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+)
 
 // Notice is what an endpoint says about itself in a response.
 type Notice struct {
@@ -24,11 +28,15 @@
 // RecordNotice applies what the endpoint of a ticket says about itself. It reports
 // whether that is new.
 func (d *Dispatcher) RecordNotice(now time.Time, t *Ticket, n Notice) bool {
-	old, known := d.notices[t.Endpoint.ID]
-	if known && old.startMillis > t.Endpoint.StartMillis {
+	return d.recordNotice(now, t.Endpoint, n)
+}
+
+func (d *Dispatcher) recordNotice(now time.Time, e topology.Endpoint, n Notice) bool {
+	old, known := d.notices[e.ID]
+	if known && old.startMillis > e.StartMillis {
 		return false // of an earlier incarnation
 	}
-	next := notice{startMillis: t.Endpoint.StartMillis, leaving: n.Leaving, listedAt: now}
+	next := notice{startMillis: e.StartMillis, leaving: n.Leaving, listedAt: now}
 	if n.Pause > 0 {
 		next.pausedUntil = now.Add(n.Pause)
 	}
@@ -36,7 +44,7 @@
 		next.leaving = next.leaving || old.leaving
 		next.pausedUntil = later(next.pausedUntil, old.pausedUntil)
 	}
-	d.notices[t.Endpoint.ID] = next
+	d.notices[e.ID] = next
 	if next.leaving != old.leaving {
 		clear(d.preferred)
 	}
--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -94,6 +94,7 @@
 	MaxConnections int           // to one endpoint, summed over all routers
 	ColdFor        time.Duration // how long an endpoint is cold after a start
 	ColdPerSecond  float64       // requests per second that a cold endpoint handles; 0: never cold
+	HealthPath     string        // of the endpoints' health checks; empty: they have none
 	Engine         *Engine       // nil: a plain service, without model runners
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -89,6 +89,7 @@
 	Registry         Registry
 	Decoder          Decoder
 	Protocol         relay.Protocol
+	ReadHealth       func(http.Header) dispatch.Health // of the response to an endpoint's health check
 	DirectoryHandler func(lookUp func(zone string) (addresses []string, ttl time.Duration)) http.Handler
 	ReadyHandler     func(ready func() bool) http.Handler
 }
@@ -298,6 +299,7 @@
 		{"expiry", func(ctx context.Context) error { return e.replica.RunExpiry(ctx, e.mesh.PeersReadStore) }},
 		{"registration", e.maintainRegistration},
 		{"connections", e.pruneConnections},
+		{"health checks", e.checkEndpoints},
 		{"calls", e.servePeers},
 	}
 	for _, kind := range replica.Kinds {
--- a/standin/prepared/runner.go
+++ b/standin/prepared/runner.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -31,8 +32,87 @@
 
 	mu       sync.Mutex
 	requests []*RecordedRequest
+	arrivals []time.Time // of requests
 	breakAt  int    // event within which the next stream is aborted; 0: none
 	servedID string // ID to respond as; empty: ID
+	cold     []ColdSpan
+	checks   int // health checks received
+}
+
+// ColdSpan is a time in which a runner is cold.
+type ColdSpan struct{ From, Until time.Time }
+
+// HealthPath is the path of the health checks that a Runner responds to.
+const HealthPath = "/healthz"
+
+// TurnCold makes the runner cold for a time.
+func (r *Runner) TurnCold(duration time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.cold = append(r.cold, ColdSpan{now, now.Add(duration)})
+}
+
+// ColdRemaining returns how much longer the runner is cold.
+func (r *Runner) ColdRemaining() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.coldRemaining()
+}
+
+func (r *Runner) coldRemaining() (remaining time.Duration) {
+	for _, c := range r.cold {
+		remaining = max(remaining, time.Until(c.Until))
+	}
+	return remaining
+}
+
+// ColdSpans returns when the runner was, or will be, cold.
+func (r *Runner) ColdSpans() []ColdSpan {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.cold)
+}
+
+// MostWithinSecond returns how many of the requests executed within a time arrived in
+// one second, at the most.
+func (r *Runner) MostWithinSecond(span ColdSpan) (most int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var last []time.Time
+	for _, at := range r.arrivals {
+		if at.Before(span.From) || !at.Before(span.Until) {
+			continue
+		}
+		last = append(last, at)
+		for at.Sub(last[0]) >= time.Second {
+			last = last[1:]
+		}
+		most = max(most, len(last))
+	}
+	return most
+}
+
+// HealthChecks returns the number of health checks received so far.
+func (r *Runner) HealthChecks() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.checks
+}
+
+// serveHealth responds to a health check.
+func (r *Runner) serveHealth(w http.ResponseWriter) {
+	r.mu.Lock()
+	r.checks++
+	id, cold := r.ID, r.coldRemaining()
+	if r.servedID != "" {
+		id = r.servedID
+	}
+	r.mu.Unlock()
+	w.Header().Set("X-Instance-Id", id)
+	if cold > 0 {
+		w.Header().Set("X-Cold-Ms", strconv.FormatInt(cold.Milliseconds(), 10))
+	}
 }
 
 // BreakNextStream aborts the next stream within the given event. 0 cancels
@@ -68,6 +148,10 @@
 // ServeHTTP executes a request, or rejects it with 421 if the request expects
 // another instance.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if req.Method == http.MethodGet && req.URL.Path == HealthPath {
+		r.serveHealth(w)
+		return
+	}
 	attempt := req.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", attempt)
 	body, err := io.ReadAll(req.Body)
@@ -88,6 +172,7 @@
 	}
 	recorded := &RecordedRequest{Attempt: attempt, Tenant: req.Header.Get("X-Tenant"), Method: req.Method, URI: req.RequestURI, Body: r.recordedPart(body), LastEventID: req.Header.Get("Last-Event-Id")}
 	r.requests = append(r.requests, recorded)
+	r.arrivals = append(r.arrivals, time.Now())
 	breakAt := r.breakAt
 	r.breakAt = 0
 	r.mu.Unlock()
--- a/standin/prepared/store.go
+++ b/standin/prepared/store.go
@@ -72,6 +72,13 @@
 	s.faults = f
 }
 
+// Away reports whether the store handles no calls.
+func (s *Store) Away() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Down || s.faults.Silent
+}
+
 // Calls returns the number of calls received so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
--- a/test/prepared/harness_test.go
+++ b/test/prepared/harness_test.go
@@ -167,9 +167,8 @@
 	store   *prepared.Store
 	address string
 
-	mu        sync.Mutex // guards the writes of record to the store
-	record    map[string]any
-	coldUntil time.Time
+	mu     sync.Mutex // guards the writes of record to the store
+	record map[string]any
 }
 
 func newRunner(store *prepared.Store, id, service, zone string) *runner {
@@ -191,9 +190,7 @@
 	if !r.host.Running() {
 		return
 	}
-	if !r.coldUntil.IsZero() {
-		r.record["cold-remaining-ms"] = max(0, time.Until(r.coldUntil).Milliseconds())
-	}
+	r.record["cold-remaining-ms"] = r.ColdRemaining().Milliseconds()
 	r.record["models"] = []any{map[string]any{"name": "m", "version": r.host.Version(), "adapters": []any{}}}
 	r.record["sequence"] = r.record["sequence"].(int) + 1
 	r.store.Put("servers", r.ID, r.record)
@@ -207,7 +204,7 @@
 		r.mu.Unlock()
 		return
 	}
-	r.coldUntil = time.Now().Add(cold)
+	r.TurnCold(cold)
 	r.record["born"], r.record["sequence"] = time.Now().UnixMilli(), 0
 	err := r.host.Start()
 	r.mu.Unlock()
@@ -274,6 +271,9 @@
 	return resp.StatusCode, string(data), resp.Header, err
 }
 
+// coldPerSecond is how many requests per second a cold endpoint of a model handles.
+const coldPerSecond = 18.0
+
 // config returns a configuration as the operator stores it; extraRoutes adds
 // routes.
 func config(version int, keys []string, extraRoutes ...map[string]any) map[string]any {
@@ -288,7 +288,7 @@
 	return map[string]any{
 		"version": version, "routes": routes,
 		"services": []any{
-			map[string]any{"name": "model", "cold-start-s": 3.0, "cold-per-s": 18.0, "engine": map[string]any{"slots": 8, "kv-capacity": 100000, "stride": 7}},
+			map[string]any{"name": "model", "cold-start-s": 3.0, "cold-per-s": coldPerSecond, "health-path": prepared.HealthPath, "engine": map[string]any{"slots": 8, "kv-capacity": 100000, "stride": 7}},
 			map[string]any{"name": "orders"}},
 		"limits":  map[string]any{"max-body-bytes": 100000, "tokens-per-s": 410000},
 		"tenants": []any{map[string]any{"name": "acc", "api-keys": keys}},
