Check endpoints' health during a graceful stop too

What callers saw: endpoints that turned cold while the store was away and all routers restarted one after the other were flooded: 36 to 67 requests in one second.

Cause: a router that was stopping made no health checks, but it still sent the requests that came on connections it had. With all routers stopping, nothing asked the endpoints.

"is asked while all routers stop" failed before (no check in 60 s).

Why it works: a router checks until it ends. The others don't rely on it, so both of them ask; when all stop, each asks every endpoint.

--- a/internal/edge/health.go
+++ b/internal/edge/health.go
@@ -54,7 +54,7 @@
 			checking = unvouched
 			e.log.Log(oplog.StateChange, "health_checks.needed", slog.Bool("needed", checking))
 		}
-		if !checking || e.leaving.Load() {
+		if !checking {
 			continue
 		}
 		for _, c := range e.checksDue() {
@@ -63,6 +63,8 @@
 	}
 }
 
+// checksDue returns the health checks that this router makes now. Routers that leave are
+// not relied on, but check as others do: they still send requests.
 func (e *Edge) checksDue() (due []dispatch.Check) {
 	var live []string
 	for _, r := range e.mesh.Alive() {
--- a/test/prepared/cold_test.go
+++ b/test/prepared/cold_test.go
@@ -18,6 +18,12 @@
 	var store *prepared.Store
 	var model *runner
 	var fleet []*router
+	// checksWithinSecond returns how many health checks all routers make in a second.
+	checksWithinSecond := func() int {
+		before := model.HealthChecks()
+		time.Sleep(time.Second)
+		return model.HealthChecks() - before
+	}
 	BeforeEach(func() {
 		store, fleet = prepared.NewStore(), nil
 		server := httptest.NewServer(store)
@@ -36,14 +42,9 @@
 			Eventually(r.ready).Should(Equal(200))
 			Eventually(r.addresses).Should(HaveLen(routers))
 		}
+		Eventually(checksWithinSecond).Should(BeZero(), "records say what a health check would")
 	})
 
-	// checksWithinSecond returns how many health checks all routers make in a second.
-	checksWithinSecond := func() int {
-		before := model.HealthChecks()
-		time.Sleep(time.Second)
-		return model.HealthChecks() - before
-	}
 	// flood sends requests from several clients at a time and returns how many ran and
 	// how long that took.
 	flood := func(name string) (ran int, took time.Duration) {
@@ -76,8 +77,26 @@
 		Entry("that is silent", prepared.Faults{Silent: true}),
 	)
 
+	It("is asked while all routers stop, since they still send requests", func() {
+		store.SetFaults(prepared.Faults{Down: true})
+		Eventually(checksWithinSecond).Should(BeNumerically(">", 0))
+		model.EventInterval = 1500 * time.Millisecond
+		for _, r := range fleet {
+			go func() {
+				defer GinkgoRecover()
+				_, _, _, _ = call(r.listenAddress("frontend"), "POST", "/chat/x", "key-1", "long-"+r.name, "long "+r.name, chatHeaders...) // ends with the router
+			}()
+		}
+		Eventually(model.Requests).Should(HaveLen(routers))
+		for _, r := range fleet {
+			r.session.Terminate()
+			Eventually(func() string { return string(r.session.Out.Contents()) }).Should(ContainSubstring(`"event":"router.stopping"`))
+		}
+		checks := model.HealthChecks()
+		Eventually(model.HealthChecks).Should(BeNumerically(">", checks+1))
+	})
+
 	It("is asked only while its record may be out of date", func() {
-		Eventually(checksWithinSecond).Should(BeZero(), "its record says what a health check would")
 		store.SetFaults(prepared.Faults{Down: true})
 		Eventually(checksWithinSecond).Should(BeNumerically(">", 0))
 		store.SetFaults(prepared.Faults{})
