Count requests before a cold mark against the cold rate

What callers saw: an endpoint that turned cold was sent its full cold rate from the moment at which routers knew of it, on top of what they had sent in the second before.

Cause: the cold limit counted only requests that were sent while the endpoint was known to be cold, so the time until the news cost up to a second's requests in addition.

"gets next to nothing for a second if it has got more than its cold rate" failed before: 12 were granted in the rest of the second, at most 1 expected.

Why it works: each request to an endpoint uses up its cold rate for up to a second ahead, so a router that has sent more waits before it sends the next one. An endpoint that got less is sent the rest at once.

--- a/core/dispatch/check_test.go
+++ b/core/dispatch/check_test.go
@@ -59,6 +59,14 @@
 		Expect(grantedWithin(d, at(2000), time.Second, 10*time.Millisecond, 200)).To(BeNumerically("~", 18, 2))
 	})
 
+	It("gets next to nothing for a second if it has got more than its cold rate before it was known to be cold", func() {
+		d := withHealthChecks("r1", endpoint("e1", model, "a"))
+		Expect(grantedWithin(d, start, 300*time.Millisecond, 10*time.Millisecond, 0)).To(Equal(30))
+		d.RecordHealth(at(300), endpoint("e1", model, "a"), dispatch.Health{Endpoint: "e1", Cold: 3 * time.Second})
+		Expect(grantedWithin(d, at(300), 700*time.Millisecond, 10*time.Millisecond, 100)).To(BeNumerically("<=", 1))
+		Expect(grantedWithin(d, at(2000), time.Second, 10*time.Millisecond, 200)).To(BeNumerically("~", 18, 2))
+	})
+
 	It("gets the rest of its cold rate at once if it got less before", func() {
 		d := withHealthChecks("r1", endpoint("e1", model, "a"))
 		Expect(grantedWithin(d, start, time.Second, 200*time.Millisecond, 0)).To(Equal(5))
--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -19,6 +19,9 @@
 // endpoint record.
 const coldMargin = 300 * time.Millisecond
 
+// coldWindow is the time over which the requests to a cold endpoint add up.
+const coldWindow = time.Second
+
 // coldMark says until when an endpoint is cold, by who observed it. A report does
 // not account for its time in transit, so every router that passes a mark on
 // lengthens it. Each router therefore reports only what it observed itself, or to
@@ -116,12 +119,19 @@
 	return d.coldRate(ep) > 0 && !now.Before(ep.nextColdGrant)
 }
 
-// recordColdGrant counts a request against the cold limit.
+// recordColdGrant counts a request against the cold limit. Those to an endpoint that is
+// not known to be cold count too, up to coldWindow: it may have turned cold before.
 func (d *Dispatcher) recordColdGrant(ep *endpointState, now time.Time) {
-	if !d.coldLimited(ep, now) {
+	rate := d.coldRate(ep)
+	if rate <= 0 {
+		return
+	}
+	gap := time.Duration(float64(time.Second) / rate)
+	if d.coldLimited(ep, now) {
+		ep.nextColdGrant = now.Add(gap)
 		return
 	}
-	ep.nextColdGrant = now.Add(time.Duration(float64(time.Second) / d.coldRate(ep)))
+	ep.nextColdGrant = earlier(later(ep.nextColdGrant, now).Add(gap), now.Add(max(gap, coldWindow)))
 }
 
 // coldEndpoints returns the endpoints that this router observed to be cold, with
