Soak: endpoints turn cold while the store is away

A fault of its own stream of random numbers, so the other faults of a seed stay. The soak checks what a cold endpoint gets in one second against what it bears, also after restarts of endpoints. Entries are not written while the store is away.

--- a/test/prepared/soak_results_test.go
+++ b/test/prepared/soak_results_test.go
@@ -93,6 +93,7 @@
 // checkResults checks the runs that the endpoints recorded: every request ran
 // for its account, no order ran twice, and no refused order ran.
 func (s *soak) checkResults() {
+	s.checkColdEndpoints()
 	orders := map[string]int{}
 	for _, r := range s.allRunners() {
 		for _, run := range r.Requests() {
--- a/test/prepared/soak_test.go
+++ b/test/prepared/soak_test.go
@@ -220,6 +220,7 @@
 	faults.Go(func() { defer GinkgoRecover(); s.inject(seed, 2, s.laterFaults(), count/4, 4*maxFaultInterval) })
 	faults.Go(func() { defer GinkgoRecover(); s.inject(seed, 3, s.endpointFaults(), count, maxFaultInterval) })
 	faults.Go(func() { defer GinkgoRecover(); s.inject(seed, 4, s.routerFaults(), count/4, 4*maxFaultInterval) })
+	faults.Go(func() { defer GinkgoRecover(); s.inject(seed, 5, s.compoundFaults(), 2, 4*maxFaultInterval) })
 	faults.Wait()
 	close(stop)
 	clients.Wait()
@@ -240,11 +241,18 @@
 		case <-ticks.C:
 		}
 		for _, r := range s.allRunners() {
-			r.publish()
+			s.publish(r)
 		}
 	}
 }
 
+// publish has an endpoint write its entry unless the store is away.
+func (s *soak) publish(r *runner) {
+	if !s.store.Away() {
+		r.publish()
+	}
+}
+
 // inject starts a number of faults of the given kinds at random intervals, and
 // returns when all are over. Different streams of a seed are independent.
 func (s *soak) inject(seed, stream uint64, kinds []fault, count int, maxInterval time.Duration) {
