Keep what crashes endpoints in the store beyond the routers' lives

What callers saw: when all routers were killed at one moment while a request that crashes endpoints kept coming, three more endpoints crashed after each start; with three endpoints of a service, all of it was away for seconds.

Cause: what is held back because it crashed endpoints was in the routers' memory only. Quarantined requests with a body were not even reported to a router that restarted alone.

Class of fault: state whose loss costs what it was made to prevent, kept where a common failure removes it.

Why it works: two live routers store each quarantine, a few short records, and routers that start apply them as they do the reports of peers, so newer evidence still wins and a cleared record is removed.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -87,6 +87,7 @@
 type Platform struct {
 	Source           replica.Source
 	Registry         Registry
+	Quarantine       QuarantineStore
 	Decoder          Decoder
 	Protocol         relay.Protocol
 	ReadHealth       func(http.Header) dispatch.Health // of the response to an endpoint's health check
@@ -300,6 +301,7 @@
 		{"registration", e.maintainRegistration},
 		{"connections", e.pruneConnections},
 		{"health checks", e.checkEndpoints},
+		{"quarantine", e.keepQuarantine},
 		{"calls", e.servePeers},
 	}
 	for _, kind := range replica.Kinds {
--- a/internal/edge/health.go
+++ b/internal/edge/health.go
@@ -66,12 +66,7 @@
 // checksDue returns the health checks that this router makes now. Routers that leave are
 // not relied on, but check as others do: they still send requests.
 func (e *Edge) checksDue() (due []dispatch.Check) {
-	var live []string
-	for _, r := range e.mesh.Alive() {
-		if !r.Leaving {
-			live = append(live, r.Name)
-		}
-	}
+	live := e.liveRouters()
 	e.dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) { due = d.ChecksDue(now, live) })
 	return due
 }
--- a/standin/prepared/runner.go
+++ b/standin/prepared/runner.go
@@ -33,8 +33,8 @@
 	mu       sync.Mutex
 	requests []*RecordedRequest
 	arrivals []time.Time // of requests
-	breakAt  int    // event within which the next stream is aborted; 0: none
-	servedID string // ID to respond as; empty: ID
+	breakAt  int         // event within which the next stream is aborted; 0: none
+	servedID string      // ID to respond as; empty: ID
 	cold     []ColdSpan
 	checks   int // health checks received
 }
--- a/test/prepared/soak_test.go
+++ b/test/prepared/soak_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -90,6 +91,9 @@
 	operator        operator
 	faultLocks      []sync.Mutex // by router; allow one fault at a time
 	results         *soakResults
+
+	deadlySent atomic.Int64 // requests that crash endpoints
+	crashes    atomic.Int64 // of endpoints because of these
 }
 
 func newSoak(seed uint64) *soak {
@@ -225,6 +229,7 @@
 	close(stop)
 	clients.Wait()
 	s.awaitRecovery()
+	s.checkDeadly()
 	s.checkMemory()
 	s.checkResults()
 }
