Make no health check in a pause that an endpoint asked for

What callers would have seen: an endpoint that is full and asks with a 503 and Retry-After for a pause went on getting ten health checks a second while the store was away.

Cause: the new health checks looked at neither the pause of a response to a request nor at that of their own response.

Why it works: an endpoint is not asked before its pause is over, nor before that of one that can't be connected to; a rejected check applies the pause, also where the response doesn't name its endpoint. "is not asked during the pause that it asks for" failed before: e1 and e2 were due at 900 ms, none expected.

--- a/core/dispatch/check.go
+++ b/core/dispatch/check.go
@@ -20,9 +20,9 @@
 
 // Health is what an endpoint says about itself in the response to a health check.
 type Health struct {
-	Endpoint string        // ID of the endpoint that responds
+	Endpoint string        // ID of the endpoint that responds; empty: not stated
 	Cold     time.Duration // how much longer it is cold; 0: it is not
-	Leaving  bool
+	Notice
 }
 
 // answer is the cached answer to a question.
@@ -56,6 +56,9 @@
 		if s == nil || s.ColdPerSecond <= 0 || s.HealthPath == "" || ep.Draining || ep.misdirected || d.zonesOut[ep.Zone] || d.saysLeaving(ep) {
 			continue
 		}
+		if now.Before(ep.pausedUntil) || now.Before(d.pauseEnd(ep)) {
+			continue
+		}
 		if ep.isCold(now) || now.Before(ep.nextCheck) || !d.checks(ep) {
 			continue
 		}
@@ -94,8 +97,8 @@
 		return false
 	}
 	switch h.Endpoint {
-	case "":
-		return false
+	case "": // rejected; a full endpoint need not say who it is
+		h.Cold, h.Leaving = 0, false
 	case ep.ID:
 	default:
 		isNew = !ep.misdirected
@@ -105,8 +108,8 @@
 	}
 	isNew = h.Cold > 0 && !ep.isCold(now)
 	d.markCold(ep, now, h.Cold)
-	if h.Leaving {
-		isNew = d.recordNotice(now, ep.Endpoint, Notice{Leaving: true}) || isNew
+	if h.Leaving || h.Pause > 0 {
+		isNew = d.recordNotice(now, ep.Endpoint, h.Notice) || isNew
 	}
 	return isNew
 }
--- a/core/dispatch/check_test.go
+++ b/core/dispatch/check_test.go
@@ -106,13 +106,22 @@
 	It("gets no requests if another one responds at its address or it says that it leaves", func() {
 		d := withHealthChecks("r1", endpoint("e1", model, "a"), endpoint("e2", model, "a"), endpoint("e3", model, "a"))
 		Expect(d.RecordHealth(start, endpoint("e1", model, "a"), dispatch.Health{Endpoint: "other", Cold: time.Second})).To(BeTrue())
-		Expect(d.RecordHealth(start, endpoint("e2", model, "a"), dispatch.Health{Endpoint: "e2", Leaving: true})).To(BeTrue())
+		Expect(d.RecordHealth(start, endpoint("e2", model, "a"), dispatch.Health{Endpoint: "e2", Notice: dispatch.Notice{Leaving: true}})).To(BeTrue())
 		Expect(d.RecordHealth(start, endpoint("e3", model, "a"), dispatch.Health{})).To(BeFalse(), "the response names no endpoint")
 		for i := range 3 {
 			Expect(d.Submit(start, chatRequest(start, "x", uint64(10+i))).Endpoint.ID).To(Equal("e3"))
 		}
 	})
 
+	It("is not asked during the pause that it asks for in a response to a health check or to a request", func() {
+		d := withHealthChecks("r1", endpoint("e1", model, "a"), endpoint("e2", model, "a"))
+		Expect(d.RecordHealth(start, endpoint("e1", model, "a"), dispatch.Health{Notice: dispatch.Notice{Pause: time.Second}})).To(BeTrue())
+		d.RecordNotice(start, &dispatch.Ticket{Endpoint: endpoint("e2", model, "a")}, dispatch.Notice{Pause: 2 * time.Second})
+		Expect(d.ChecksDue(at(900), nil)).To(BeEmpty())
+		Expect(checkedIDs(d.ChecksDue(at(1000), nil))).To(Equal([]string{"e1"}))
+		Expect(checkedIDs(d.ChecksDue(at(2000), nil))).To(Equal([]string{"e1", "e2"}))
+	})
+
 	It("is another one after a restart, so that an earlier check says nothing", func() {
 		d := withHealthChecks("r1", endpoint("e1", model, "a"))
 		restarted := endpoint("e1", model, "a")
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -90,7 +90,7 @@
 	Quarantine       QuarantineStore
 	Decoder          Decoder
 	Protocol         relay.Protocol
-	ReadHealth       func(http.Header) dispatch.Health // of the response to an endpoint's health check
+	ReadHealth       func(status int, h http.Header) dispatch.Health // of the response to an endpoint's health check
 	DirectoryHandler func(lookUp func(zone string) (addresses []string, ttl time.Duration)) http.Handler
 	ReadyHandler     func(ready func() bool) http.Handler
 }
--- a/internal/edge/health.go
+++ b/internal/edge/health.go
@@ -87,7 +87,7 @@
 	e.dispatcher.Update(func(now time.Time, d *dispatch.Dispatcher) { isNew = d.RecordHealth(now, c.Endpoint, health) })
 	if isNew {
 		e.log.Log(oplog.StateChange, "endpoint.checked", slog.String("endpoint", c.ID), slog.String("address", c.Address), slog.String("responded", health.Endpoint),
-			slog.Duration("cold_for", health.Cold), slog.Bool("leaving", health.Leaving))
+			slog.Duration("cold_for", health.Cold), slog.Bool("leaving", health.Leaving), slog.Duration("pause", health.Pause))
 		e.mesh.TriggerSend()
 	}
 }
@@ -121,8 +121,8 @@
 	if err != nil {
 		return dispatch.Health{}, nil, errors.Wrap(err, "receive")
 	}
-	health := e.platform.ReadHealth(resp.Header)
-	if health.Endpoint == "" {
+	health := e.platform.ReadHealth(resp.StatusCode, resp.Header)
+	if health.Endpoint == "" && health.Pause == 0 {
 		return health, nil, errNotHealth
 	}
 	if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBytes+1)); err != nil || n > maxHealthBytes {
