--- a/core/dispatch/check.go
+++ b/core/dispatch/check.go
@@ -25,7 +25,7 @@
 	Notice
 }
 
-// answer is the cached answer to a question.
+// answer is a cached decision.
 type answer int8
 
 const (
@@ -40,10 +40,10 @@
 	Path string
 }
 
-// ChecksDue returns the health checks that this router has to make now, while nothing
-// vouches for the endpoints' records. live holds the names of the other routers that are
-// running, sorted. An endpoint in a zone that is out of service is not checked: it is taken to be
-// cold when the zone returns.
+// ChecksDue returns the health checks that this router has to make now, while endpoints'
+// records may be out of date. live holds the sorted names of the other routers that are
+// running. An endpoint in a zone that is out of service is not checked: it counts as cold
+// when the zone returns.
 func (d *Dispatcher) ChecksDue(now time.Time, live []string) (due []Check) {
 	if !slices.Equal(live, d.liveRouters) {
 		d.liveRouters = live
--- a/core/dispatch/check_test.go
+++ b/core/dispatch/check_test.go
@@ -32,7 +32,7 @@
 	return ids
 }
 
-var _ = Describe("An endpoint whose record nothing vouches for", func() {
+var _ = Describe("An endpoint whose record may be out of date", func() {
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	// grantedWithin submits a request every gap and returns how many are granted.
 	grantedWithin := func(d *dispatch.Dispatcher, from time.Time, duration, gap time.Duration, own uint64) (granted int) {
--- a/internal/edge/health.go
+++ b/internal/edge/health.go
@@ -50,8 +50,8 @@
 			return err
 		}
 		now := time.Now()
-		if unvouched := e.replica.Unvouched(now); unvouched != checking {
-			checking = unvouched
+		if outOfDate := e.replica.OutOfDate(now); outOfDate != checking {
+			checking = outOfDate
 			e.log.Log(oplog.StateChange, "health_checks.needed", slog.Bool("needed", checking))
 		}
 		if !checking {
--- a/internal/replica/unvouched_test.go
+++ b/internal/replica/outofdate_test.go
@@ -29,7 +29,7 @@
 	} {
 		now := start.Add(time.Duration(step.ms) * time.Millisecond)
 		r.RecordReadable(now, step.readable)
-		if got := r.Unvouched(now); got != step.want {
+		if got := r.OutOfDate(now); got != step.want {
 			t.Errorf("after %d ms: got %v, want %v", step.ms, got, step.want)
 		}
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -184,10 +184,10 @@
 	}
 }
 
-// Unvouched reports whether endpoints may be in another state than their records say,
+// OutOfDate reports whether endpoints may be in another state than their records say,
 // since no router reads the store or, for renewalGrace after an outage, since not all of
 // them may have written to it again.
-func (r *Replica) Unvouched(now time.Time) bool {
+func (r *Replica) OutOfDate(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return !r.unreadSince.IsZero() || now.Sub(r.lastOutage) < renewalGrace
