Review: case 7 stays inside the limits of its disruption

Cause: the script kept the extra answers up for 40 s.

Change: one disruption of 5.0 s at 10 of 18 runners, 3 in 100 answers, at the sheet's rate of streams over the site's seven routers.

--- a/review/stand2/laterunner.go
+++ b/review/stand2/laterunner.go
@@ -8,40 +8,39 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	// orderRunTime is the mean work of a request of the order service.
-	orderRunTime = 30 * time.Millisecond
-	// lateShare is the part of the runners that send extra answers, and lateAnswers the part
-	// of their answers that they send a second time: the largest dose of `garble` with `extra
-	// late` on the sheet of the site.
+	// lateShare is the part of the runners that send extra answers, lateAnswers the part of
+	// their answers that they send a second time, and lateTime how long they do: the dose of
+	// `garble` with `extra late` on the sheet of the site.
 	lateShare   = 0.6
 	lateAnswers = 0.03
+	lateTime    = 5 * time.Second
 )
 
-// lateRunner is a stand-in of a runner of the order service. If it is faulty, it sends some
-// answers a second time, late: where the next answer on the connection is expected.
+// lateRunner is a stand-in of a runner of the model service. While it is faulty, it sends
+// some answers a second time, late: where the next answer on the connection is expected.
 type lateRunner struct {
 	id, zone, address string
 	born              int64
-	faulty            bool
+	faulty            atomic.Bool
 
 	mu                       sync.Mutex
 	runs, rejected, repeated int
 }
 
-// startOrderRunners starts the runners of the order service: one in each zone.
-func startOrderRunners(w *world) (map[string]entry, error) {
+// startLateRunners starts the runners of the model service.
+func startLateRunners(w *world) (map[string]entry, error) {
 	entries := map[string]entry{}
-	for i, zone := range zones {
+	for i := range modelRunnersPerZone * len(zones) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
-		n := &lateRunner{id: fmt.Sprintf("i-%08x", 0x0dd000+i), zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(),
-			faulty: w.trouble && float64(i+1) <= lateShare*float64(len(zones))}
+		n := &lateRunner{id: fmt.Sprintf("i-%08x", 0x0dd000+i), zone: zones[i%len(zones)], address: l.Addr().String(), born: time.Now().UnixMilli()}
 		go n.serve(l)
 		w.late = append(w.late, n)
 		entries[n.id] = n.entry
@@ -49,9 +48,23 @@
 	return entries, nil
 }
 
+// garble makes a part of the runners send extra answers for lateTime.
+func (w *world) garble() {
+	faulty := w.late[:int(lateShare*float64(len(w.late)))]
+	for _, n := range faulty {
+		n.faulty.Store(true)
+	}
+	w.record.printf("%d of %d runners send %v of their answers a second time for %v", len(faulty), len(w.late), lateAnswers, lateTime)
+	time.Sleep(lateTime)
+	for _, n := range faulty {
+		n.faulty.Store(false)
+	}
+	w.record.printf("they don't any more")
+}
+
 func (n *lateRunner) entry(sequence int64) map[string]any {
-	return map[string]any{"service": orderService, "address": n.address, "zone": n.zone, "version": "v1", "slots": 6, "state": "ready",
-		wire.ColdRemaining: 0, "sequence": sequence, "born": n.born, "models": []any{}}
+	return map[string]any{"service": modelService, "address": n.address, "zone": n.zone, "version": "v1", "slots": 64, "state": "ready",
+		wire.ColdRemaining: 0, "sequence": sequence, "born": n.born, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}}
 }
 
 func (n *lateRunner) serve(l net.Listener) {
@@ -77,37 +90,42 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		response := n.respond(r)
+		response, ran := n.respond(r)
+		if !n.faulty.Load() {
+			extra = ""
+		}
+		if extra != "" {
+			n.count(&n.repeated)
+		}
 		if _, err := io.WriteString(c, extra+response); err != nil {
 			return
 		}
 		extra = ""
-		if n.faulty && rand.Float64() < lateAnswers {
+		if ran && rand.Float64() < lateAnswers {
 			extra = response
-			n.count(&n.repeated)
 		}
 	}
 }
 
-// respond runs a request or rejects it.
-func (n *lateRunner) respond(r *http.Request) string {
+// respond runs a request or rejects it, and reports whether it ran.
+func (n *lateRunner) respond(r *http.Request) (response string, ran bool) {
 	id := r.Header.Get(wire.AttemptHeader)
 	expected := r.Header.Get(wire.ExpectedInstanceHeader)
 	switch {
 	case r.URL.Path == healthPath:
-		return "HTTP/1.1 200 OK\r\nX-Instance-Id: " + n.id + "\r\nContent-Length: 0\r\n\r\n"
+		return "HTTP/1.1 200 OK\r\nX-Instance-Id: " + n.id + "\r\nContent-Length: 0\r\n\r\n", false
 	case expected != "" && expected != n.id:
 		n.count(&n.rejected)
-		return "HTTP/1.1 421 Misdirected Request\r\n" + wire.AttemptHeader + ": " + id + "\r\nX-Instance-Id: " + n.id + "\r\n" + wire.NotExecutedHeader + ": 1\r\nContent-Length: 0\r\n\r\n"
+		return "HTTP/1.1 421 Misdirected Request\r\n" + wire.AttemptHeader + ": " + id + "\r\nX-Instance-Id: " + n.id + "\r\n" + wire.NotExecutedHeader + ": 1\r\nContent-Length: 0\r\n\r\n", false
 	case id == "":
 		n.count(&n.rejected)
-		return "HTTP/1.1 400 Bad Request\r\nX-Instance-Id: " + n.id + "\r\n" + wire.NotExecutedHeader + ": 1\r\nContent-Length: 0\r\n\r\n"
+		return "HTTP/1.1 400 Bad Request\r\nX-Instance-Id: " + n.id + "\r\n" + wire.NotExecutedHeader + ": 1\r\nContent-Length: 0\r\n\r\n", false
 	}
-	time.Sleep(time.Duration((0.5 + rand.Float64()) * float64(orderRunTime)))
+	time.Sleep(runTime)
 	n.count(&n.runs)
-	body := "status of the orders of " + r.Header.Get(wire.AccountHeader)
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n"+wire.AttemptHeader+": %s\r\nX-Instance-Id: %s\r\n"+wire.SealHeader+": seal.%s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s",
-		id, n.id, id, len(body), body)
+	event := "id: 1\ndata: written for " + r.Header.Get(wire.AccountHeader) + "\n\n"
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n"+wire.AttemptHeader+": %s\r\nX-Instance-Id: %s\r\n"+wire.SealHeader+": seal.%s\r\nX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+		id, n.id, id, len(event), event), true
 }
 
 func (n *lateRunner) count(what *int) {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -32,7 +32,6 @@
 	ordinaryTenant     = "dafi163"
 	ordinaryKey        = "k7b2ex5wa5xwyhks8nbk"
 	modelService       = "huvo11a"
-	orderService       = "wuno96b"
 	// maxHeaderBytes is max-header-bytes of the configuration.
 	maxHeaderBytes = 16384
 )
@@ -77,7 +76,7 @@
 
 var cases = map[string]scenario{
 	"prompt-parts": {[]int{3, 2, 2}, startModelRunners, promptParts},
-	"late-answer":  {[]int{1, 0, 0}, startOrderRunners, lateAnswer},
+	"late-answer":  {[]int{3, 2, 2}, startLateRunners, lateAnswer},
 }
 
 func run(c scenario, folder string) int {
