--- /dev/null
+++ b/review/stand2/main.go
@@ -0,0 +1,223 @@
+// Command stand2 plays the scripts of the review: the platform with its store and its
+// runners, and the clients, round router processes of the project.
+//
+//	stand2 CASE FOLDER
+//
+// It writes record.txt into the folder and exits with 1 if the rule was broken, 0 if it
+// held and 2 if the case could not run. With TROUBLE=0 in the environment the disruption is
+// left out.
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+)
+
+// What the sheet of the site jmbsa-router says.
+const (
+	region     = "kingston"
+	memoryMB   = 134
+	healthPath = "/healthz"
+	host       = "ficu95.example"
+	apiKey     = "asnmgkcuyj8pjbvk9m68"
+	// maxHeaderBytes is max-header-bytes of the configuration.
+	maxHeaderBytes = 16384
+)
+
+var (
+	zones = []string{"half-way-tree", "cross-roads", "downtown"}
+	// routersInZone is how many routers each zone has.
+	routersInZone = []int{3, 2, 2}
+)
+
+const routerCount = 7
+
+// routerIP returns the address of a router.
+func routerIP(i int) string { return fmt.Sprintf("127.0.0.%d", i+1) }
+
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+func main() {
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER")
+		os.Exit(exitNotRun)
+	}
+	play, ok := map[string]func(*world) (bool, error){"prompt-parts": promptParts}[os.Args[1]]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
+		os.Exit(exitNotRun)
+	}
+	os.Exit(run(play, os.Args[2]))
+}
+
+func run(play func(*world) (bool, error), folder string) int {
+	w, err := newWorld(folder)
+	if w != nil {
+		defer w.close()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "the case could not run:", err)
+		return exitNotRun
+	}
+	broken, err := play(w)
+	switch {
+	case err != nil:
+		w.record.printf("the case could not run: %v", err)
+		return exitNotRun
+	case broken:
+		w.record.printf("the rule was BROKEN")
+		return exitBroken
+	}
+	w.record.printf("the rule held")
+	return exitHeld
+}
+
+// world is a small deployment: the routers of the site and the runners of one service.
+type world struct {
+	dir     string
+	trouble bool
+	store   *store
+	runners []*runner
+	routers []*router
+	record  *record
+}
+
+const (
+	runnersPerZone = 6
+	maxSeeds       = 3
+)
+
+func newWorld(folder string) (*world, error) {
+	w := &world{trouble: os.Getenv("TROUBLE") != "0"}
+	binary, err := filepath.Abs("target/cyclamenwinchd")
+	if err != nil {
+		return w, err
+	}
+	if w.dir, err = os.MkdirTemp("", "review"); err != nil {
+		return w, err
+	}
+	if w.record, err = newRecord(filepath.Join(folder, "record.txt")); err != nil {
+		return w, err
+	}
+	if w.store, err = newStore(); err != nil {
+		return w, err
+	}
+	if err := w.store.put("config", "main", configuration()); err != nil {
+		return w, err
+	}
+	for i := range runnersPerZone * len(zones) {
+		n, err := newRunner(fmt.Sprintf("i-%08x", 0x5eed00+i), "huvo11a", zones[i%len(zones)])
+		if err != nil {
+			return w, err
+		}
+		w.runners = append(w.runners, n)
+		if err := w.store.put("servers", n.id, n.entry(1)); err != nil {
+			return w, err
+		}
+	}
+	peerPort, err := freePortRange()
+	if err != nil {
+		return w, err
+	}
+	var seeds []string
+	for i := range maxSeeds {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", routerIP(i), peerPort))
+	}
+	for i, zone := range zones {
+		for number := range routersInZone[i] {
+			r, err := newRouter(binary, w.dir, fmt.Sprintf("edge-%s-%d", zone, number+1), routerIP(len(w.routers)), zone, w.store.address, peerPort, seeds)
+			if err != nil {
+				return w, err
+			}
+			w.routers = append(w.routers, r)
+			if err := r.start(); err != nil {
+				return w, err
+			}
+		}
+	}
+	for _, r := range w.routers {
+		if !r.awaitReady(10 * time.Second) {
+			return w, fmt.Errorf("%s is not ready", r.name)
+		}
+	}
+	go w.heartbeats()
+	return w, nil
+}
+
+// freePortRange returns the first of 16 ports that are free at the routers' addresses.
+func freePortRange() (int, error) {
+	for try := 0; try < 50; try++ {
+		address, err := freeAddress("127.0.0.1")
+		if err != nil {
+			return 0, err
+		}
+		_, port, err := net.SplitHostPort(address)
+		if err != nil {
+			return 0, err
+		}
+		if first, err := strconv.Atoi(port); err == nil && first < 65000 && portsAreFree(first) {
+			return first, nil
+		}
+	}
+	return 0, fmt.Errorf("no free range of ports")
+}
+
+func portsAreFree(first int) bool {
+	for i := range routerCount {
+		for port := first; port < first+2; port++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", routerIP(i), port))
+			if err != nil {
+				return false
+			}
+			l.Close()
+		}
+	}
+	return true
+}
+
+// heartbeats has the runners renew their entries.
+func (w *world) heartbeats() {
+	for sequence := int64(2); ; sequence++ {
+		time.Sleep(1200 * time.Millisecond)
+		for _, n := range w.runners {
+			if err := w.store.put("servers", n.id, n.entry(sequence)); err != nil {
+				fmt.Fprintln(os.Stderr, "heartbeat:", err)
+			}
+		}
+	}
+}
+
+func (w *world) close() {
+	for _, r := range w.routers {
+		r.close()
+	}
+	if w.record != nil {
+		w.record.close()
+	}
+	if w.dir != "" {
+		os.RemoveAll(w.dir)
+	}
+}
+
+// configuration is the operator's: the route, service and limits of the example that
+// `fleetbench wire` prints, without the services that this case does not need.
+func configuration() map[string]any {
+	return map[string]any{
+		"version": 7,
+		"routes": []any{map[string]any{"name": "r-mvtdhbj", "host": host, "path-prefix": "/pufi791/", "type": "streaming", "timeout-ms": 10000,
+			"target-latency-ms": 300, "priority": 1, "service": "huvo11a", "max-attempts": 1, "public": false, "sticky": true, "resumable": false, "target-itl-ms": 300}},
+		"services": []any{map[string]any{"name": "huvo11a", "health-path": healthPath, "max-connections": 360, "protocol": "h1", "tls": false,
+			"cold-start-s": 3.0, "cold-per-s": 18.0, "engine": map[string]any{"slots": 64, "kv-capacity": 462967, "kv-bytes": 327680, "link-mbps": 1100000.0,
+				"moves": true, "backups": true, "stride": 8, "most": 12, "pin-ms": 4000.0, "hold-ms": 2000.0, "handle-ttl-s": 5.0, "models": []any{map[string]any{"name": "m"}}}}},
+		"limits":  map[string]any{"max-header-bytes": maxHeaderBytes, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000, "tokens-per-s": 620000},
+		"tenants": []any{map[string]any{"name": "hule930", "api-keys": []string{apiKey}, "priority": 1}, map[string]any{"name": "dafi163", "api-keys": []string{ordinaryKey}, "priority": 1}},
+	}
+}
