--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -12,9 +12,6 @@
 	"time"
 )
 
-// ordinaryKey is the key of the ordinary clients' account.
-const ordinaryKey = "k7b2ex5wa5xwyhks8nbk"
-
 // answers counts how the requests of a group of clients ended.
 type answers struct {
 	mu       sync.Mutex
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -23,18 +23,22 @@
 	memoryMB   = 134
 	healthPath = "/healthz"
 	host       = "ficu95.example"
-	apiKey     = "asnmgkcuyj8pjbvk9m68"
+	// The tenants and their keys: that of the clients that are not controlled, and that of
+	// ordinary ones.
+	uncontrolledTenant = "hule930"
+	apiKey             = "asnmgkcuyj8pjbvk9m68"
+	ordinaryTenant     = "dafi163"
+	ordinaryKey        = "k7b2ex5wa5xwyhks8nbk"
+	modelService       = "huvo11a"
+	orderService       = "wuno96b"
 	// maxHeaderBytes is max-header-bytes of the configuration.
 	maxHeaderBytes = 16384
 )
 
-var (
-	zones = []string{"half-way-tree", "cross-roads", "downtown"}
-	// routersInZone is how many routers each zone has.
-	routersInZone = []int{3, 2, 2}
-)
+var zones = []string{"half-way-tree", "cross-roads", "downtown"}
 
-const routerCount = 7
+// maxRouters is how many routers the site has.
+const maxRouters = 7
 
 // routerIP returns the address of a router.
 func routerIP(i int) string { return fmt.Sprintf("127.0.0.%d", i+1) }
@@ -50,16 +54,32 @@
 		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
-	play, ok := map[string]func(*world) (bool, error){"prompt-parts": promptParts}[os.Args[1]]
+	c, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
 		os.Exit(exitNotRun)
 	}
-	os.Exit(run(play, os.Args[2]))
+	os.Exit(run(c, os.Args[2]))
+}
+
+// scenario is a case: its deployment and what is played on it.
+type scenario struct {
+	routersInZone []int
+	// startRunners starts the runners and returns their entries by id.
+	startRunners func(*world) (map[string]entry, error)
+	play         func(*world) (broken bool, err error)
+}
+
+// entry returns what a runner writes into the store with a sequence number.
+type entry func(sequence int64) map[string]any
+
+var cases = map[string]scenario{
+	"prompt-parts": {[]int{3, 2, 2}, startModelRunners, promptParts},
+	"late-answer":  {[]int{1, 0, 0}, startOrderRunners, lateAnswer},
 }
 
-func run(play func(*world) (bool, error), folder string) int {
-	w, err := newWorld(folder)
+func run(c scenario, folder string) int {
+	w, err := newWorld(c, folder)
 	if w != nil {
 		defer w.close()
 	}
@@ -67,7 +87,7 @@
 		fmt.Fprintln(os.Stderr, "the case could not run:", err)
 		return exitNotRun
 	}
-	broken, err := play(w)
+	broken, err := c.play(w)
 	switch {
 	case err != nil:
 		w.record.printf("the case could not run: %v", err)
@@ -80,22 +100,22 @@
 	return exitHeld
 }
 
-// world is a small deployment: the routers of the site and the runners of one service.
+// world is a small deployment: routers of the site and the runners of one service.
 type world struct {
 	dir     string
 	trouble bool
 	store   *store
-	runners []*runner
+	runners []*runner // of the model service
+	late    []*lateRunner
+	entries map[string]entry // of all runners, by id
 	routers []*router
 	record  *record
 }
 
-const (
-	runnersPerZone = 6
-	maxSeeds       = 3
-)
+// maxSeeds is how many routers the settings name.
+const maxSeeds = 3
 
-func newWorld(folder string) (*world, error) {
+func newWorld(c scenario, folder string) (*world, error) {
 	w := &world{trouble: os.Getenv("TROUBLE") != "0"}
 	binary, err := filepath.Abs("target/cyclamenwinchd")
 	if err != nil {
@@ -113,15 +133,11 @@
 	if err := w.store.put("config", "main", configuration()); err != nil {
 		return w, err
 	}
-	for i := range runnersPerZone * len(zones) {
-		n, err := newRunner(fmt.Sprintf("i-%08x", 0x5eed00+i), "huvo11a", zones[i%len(zones)])
-		if err != nil {
-			return w, err
-		}
-		w.runners = append(w.runners, n)
-		if err := w.store.put("servers", n.id, n.entry(1)); err != nil {
-			return w, err
-		}
+	if w.entries, err = c.startRunners(w); err != nil {
+		return w, err
+	}
+	if err := w.writeEntries(1); err != nil {
+		return w, err
 	}
 	peerPort, err := freePortRange()
 	if err != nil {
@@ -132,7 +148,7 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", routerIP(i), peerPort))
 	}
 	for i, zone := range zones {
-		for number := range routersInZone[i] {
+		for number := range c.routersInZone[i] {
 			r, err := newRouter(binary, w.dir, fmt.Sprintf("edge-%s-%d", zone, number+1), routerIP(len(w.routers)), zone, w.store.address, peerPort, seeds)
 			if err != nil {
 				return w, err
@@ -171,7 +187,7 @@
 }
 
 func portsAreFree(first int) bool {
-	for i := range routerCount {
+	for i := range maxRouters {
 		for port := first; port < first+2; port++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", routerIP(i), port))
 			if err != nil {
@@ -187,12 +203,19 @@
 func (w *world) heartbeats() {
 	for sequence := int64(2); ; sequence++ {
 		time.Sleep(1200 * time.Millisecond)
-		for _, n := range w.runners {
-			if err := w.store.put("servers", n.id, n.entry(sequence)); err != nil {
-				fmt.Fprintln(os.Stderr, "heartbeat:", err)
-			}
+		if err := w.writeEntries(sequence); err != nil {
+			fmt.Fprintln(os.Stderr, "heartbeat:", err)
+		}
+	}
+}
+
+func (w *world) writeEntries(sequence int64) error {
+	for id, entry := range w.entries {
+		if err := w.store.put("servers", id, entry(sequence)); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 func (w *world) close() {
@@ -207,17 +230,25 @@
 	}
 }
 
-// configuration is the operator's: the route, service and limits of the example that
-// `fleetbench wire` prints, without the services that this case does not need.
+// configuration is the operator's: routes, services and limits of the example that
+// `fleetbench wire` prints, as far as the cases need them.
 func configuration() map[string]any {
 	return map[string]any{
 		"version": 7,
-		"routes": []any{map[string]any{"name": "r-mvtdhbj", "host": host, "path-prefix": "/pufi791/", "type": "streaming", "timeout-ms": 10000,
-			"target-latency-ms": 300, "priority": 1, "service": "huvo11a", "max-attempts": 1, "public": false, "sticky": true, "resumable": false, "target-itl-ms": 300}},
-		"services": []any{map[string]any{"name": "huvo11a", "health-path": healthPath, "max-connections": 360, "protocol": "h1", "tls": false,
-			"cold-start-s": 3.0, "cold-per-s": 18.0, "engine": map[string]any{"slots": 64, "kv-capacity": 462967, "kv-bytes": 327680, "link-mbps": 1100000.0,
-				"moves": true, "backups": true, "stride": 8, "most": 12, "pin-ms": 4000.0, "hold-ms": 2000.0, "handle-ttl-s": 5.0, "models": []any{map[string]any{"name": "m"}}}}},
-		"limits":  map[string]any{"max-header-bytes": maxHeaderBytes, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000, "tokens-per-s": 620000},
-		"tenants": []any{map[string]any{"name": "hule930", "api-keys": []string{apiKey}, "priority": 1}, map[string]any{"name": "dafi163", "api-keys": []string{ordinaryKey}, "priority": 1}},
+		"routes": []any{
+			map[string]any{"name": "r-mvtdhbj", "host": host, "path-prefix": "/pufi791/", "type": "streaming", "timeout-ms": 10000,
+				"target-latency-ms": 300, "priority": 1, "service": modelService, "max-attempts": 1, "public": false, "sticky": true, "resumable": false, "target-itl-ms": 300},
+			map[string]any{"name": "r-q27d3vi", "host": host, "path-prefix": "/cuti104/", "type": "idempotent", "timeout-ms": 1000,
+				"target-latency-ms": 150, "priority": 2, "service": orderService, "max-attempts": 2, "public": false},
+		},
+		"services": []any{
+			map[string]any{"name": modelService, "health-path": healthPath, "max-connections": 360, "protocol": "h1", "tls": false,
+				"cold-start-s": 3.0, "cold-per-s": 18.0, "engine": map[string]any{"slots": 64, "kv-capacity": 462967, "kv-bytes": 327680, "link-mbps": 1100000.0,
+					"moves": true, "backups": true, "stride": 8, "most": 12, "pin-ms": 4000.0, "hold-ms": 2000.0, "handle-ttl-s": 5.0, "models": []any{map[string]any{"name": "m"}}}},
+			map[string]any{"name": orderService, "health-path": healthPath, "max-connections": 100, "protocol": "h1", "tls": false, "cold-start-s": 0.0, "cold-per-s": 0.0},
+		},
+		"limits": map[string]any{"max-header-bytes": maxHeaderBytes, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000, "tokens-per-s": 620000},
+		"tenants": []any{map[string]any{"name": uncontrolledTenant, "api-keys": []string{apiKey}, "priority": 1},
+			map[string]any{"name": ordinaryTenant, "api-keys": []string{ordinaryKey}, "priority": 1}},
 	}
 }
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -19,8 +19,26 @@
 	runs int
 }
 
-// runTime is how long a run takes.
-const runTime = 15 * time.Millisecond
+const (
+	// runTime is how long a run takes.
+	runTime = 15 * time.Millisecond
+	// modelRunnersPerZone is how many runners the model service has in each zone.
+	modelRunnersPerZone = 6
+)
+
+// startModelRunners starts the runners of the model service.
+func startModelRunners(w *world) (map[string]entry, error) {
+	entries := map[string]entry{}
+	for i := range modelRunnersPerZone * len(zones) {
+		n, err := newRunner(fmt.Sprintf("i-%08x", 0x5eed00+i), modelService, zones[i%len(zones)])
+		if err != nil {
+			return nil, err
+		}
+		w.runners = append(w.runners, n)
+		entries[n.id] = n.entry
+	}
+	return entries, nil
+}
 
 func newRunner(id, service, zone string) (*runner, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
