--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -68,8 +68,8 @@
 	number := lastID.Add(1)
 	id := fmt.Sprintf("%016x", number)
 	hash, tokens := c.prompt(number)
-	head := fmt.Sprintf("POST /pufi791/%s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Model: m\r\nX-Token-Usage: %d,8\r\nX-Prefix-Hash: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: 6\r\n\r\n",
-		id, host, id, tokens, hash, clientDeadline.Milliseconds(), c.key)
+	head := fmt.Sprintf("POST /pufi791/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nX-Model: m\r\n%s: %d,8\r\n%s: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: 6\r\n\r\n",
+		id, host, wire.AttemptHeader, id, wire.TokensHeader, tokens, wire.PrefixHeader, hash, clientDeadline.Milliseconds(), c.key)
 	if len(head) > maxHeaderBytes {
 		return "not sent: the head exceeds max-header-bytes"
 	}
@@ -86,7 +86,7 @@
 		return "cut in the answer"
 	}
 	keep = !resp.Close
-	if resp.StatusCode == http.StatusOK && (resp.Header.Get("X-Response-Seal") != "seal."+id || string(body) != "id: 1\ndata: "+id+"\n\n") {
+	if resp.StatusCode == http.StatusOK && (resp.Header.Get(wire.SealHeader) != "seal."+id || string(body) != "id: 1\ndata: "+id+"\n\n") {
 		return "wrong answer"
 	}
 	return fmt.Sprint(resp.StatusCode)
--- a/review/stand2/lateanswer.go
+++ b/review/stand2/lateanswer.go
@@ -92,7 +92,7 @@
 	id, name := "", ""
 	if c.named {
 		id = fmt.Sprintf("%016x", number)
-		name = "X-Attempt-Id: " + id + "\r\n"
+		name = wire.AttemptHeader + ": " + id + "\r\n"
 	}
 	c.conn.SetDeadline(time.Now().Add(2 * time.Second))
 	path := fmt.Sprintf("/cuti104/%d", number)
@@ -108,9 +108,9 @@
 		return "cut in the answer", false
 	}
 	keep = !resp.Close
-	if answered := resp.Header.Get("X-Attempt-Id"); answered != "" && answered != id {
+	if answered := resp.Header.Get(wire.AttemptHeader); answered != "" && answered != id {
 		log.printf("FOREIGN: the request for %s of %s, attempt %q, gets %d with the attempt %s, the signature %q and the body %q",
-			path, c.tenant, id, resp.StatusCode, answered, resp.Header.Get("X-Response-Seal"), body)
+			path, c.tenant, id, resp.StatusCode, answered, resp.Header.Get(wire.SealHeader), body)
 		return "answer to another request", true
 	}
 	return fmt.Sprint(resp.StatusCode), false
--- a/review/stand2/laterunner.go
+++ b/review/stand2/laterunner.go
@@ -51,7 +51,7 @@
 
 func (n *lateRunner) entry(sequence int64) map[string]any {
 	return map[string]any{"service": orderService, "address": n.address, "zone": n.zone, "version": "v1", "slots": 6, "state": "ready",
-		"cold-remaining-ms": 0, "sequence": sequence, "born": n.born, "models": []any{}}
+		wire.ColdRemaining: 0, "sequence": sequence, "born": n.born, "models": []any{}}
 }
 
 func (n *lateRunner) serve(l net.Listener) {
@@ -91,22 +91,22 @@
 
 // respond runs a request or rejects it.
 func (n *lateRunner) respond(r *http.Request) string {
-	id := r.Header.Get("X-Attempt-Id")
-	expected := r.Header.Get("X-Expected-Instance")
+	id := r.Header.Get(wire.AttemptHeader)
+	expected := r.Header.Get(wire.ExpectedInstanceHeader)
 	switch {
 	case r.URL.Path == healthPath:
 		return "HTTP/1.1 200 OK\r\nX-Instance-Id: " + n.id + "\r\nContent-Length: 0\r\n\r\n"
 	case expected != "" && expected != n.id:
 		n.count(&n.rejected)
-		return "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: " + id + "\r\nX-Instance-Id: " + n.id + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		return "HTTP/1.1 421 Misdirected Request\r\n" + wire.AttemptHeader + ": " + id + "\r\nX-Instance-Id: " + n.id + "\r\n" + wire.NotExecutedHeader + ": 1\r\nContent-Length: 0\r\n\r\n"
 	case id == "":
 		n.count(&n.rejected)
-		return "HTTP/1.1 400 Bad Request\r\nX-Instance-Id: " + n.id + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		return "HTTP/1.1 400 Bad Request\r\nX-Instance-Id: " + n.id + "\r\n" + wire.NotExecutedHeader + ": 1\r\nContent-Length: 0\r\n\r\n"
 	}
 	time.Sleep(time.Duration((0.5 + rand.Float64()) * float64(orderRunTime)))
 	n.count(&n.runs)
-	body := "status of the orders of " + r.Header.Get("X-Tenant")
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\nX-Response-Seal: seal.%s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s",
+	body := "status of the orders of " + r.Header.Get(wire.AccountHeader)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n"+wire.AttemptHeader+": %s\r\nX-Instance-Id: %s\r\n"+wire.SealHeader+": seal.%s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s",
 		id, n.id, id, len(body), body)
 }
 
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -9,17 +9,19 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
+	"syscall"
 	"time"
 )
 
 // What the sheet of the site jmbsa-router says.
 const (
-	region     = "kingston"
 	memoryMB   = 134
 	healthPath = "/healthz"
 	host       = "ficu95.example"
@@ -82,6 +84,13 @@
 	w, err := newWorld(c, folder)
 	if w != nil {
 		defer w.close()
+		interrupted := make(chan os.Signal, 1)
+		signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+		go func() {
+			<-interrupted
+			w.close()
+			os.Exit(exitNotRun)
+		}()
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "the case could not run:", err)
@@ -130,7 +139,7 @@
 	if w.store, err = newStore(); err != nil {
 		return w, err
 	}
-	if err := w.store.put("config", "main", configuration()); err != nil {
+	if err := w.store.put("config", "main", json.RawMessage(configuration)); err != nil {
 		return w, err
 	}
 	if w.entries, err = c.startRunners(w); err != nil {
@@ -189,11 +198,17 @@
 func portsAreFree(first int) bool {
 	for i := range maxRouters {
 		for port := first; port < first+2; port++ {
-			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", routerIP(i), port))
+			address := fmt.Sprintf("%s:%d", routerIP(i), port)
+			l, err := net.Listen("tcp", address)
 			if err != nil {
 				return false
 			}
 			l.Close()
+			datagrams, err := net.ListenPacket("udp", address)
+			if err != nil {
+				return false
+			}
+			datagrams.Close()
 		}
 	}
 	return true
@@ -229,26 +244,3 @@
 		os.RemoveAll(w.dir)
 	}
 }
-
-// configuration is the operator's: routes, services and limits of the example that
-// `fleetbench wire` prints, as far as the cases need them.
-func configuration() map[string]any {
-	return map[string]any{
-		"version": 7,
-		"routes": []any{
-			map[string]any{"name": "r-mvtdhbj", "host": host, "path-prefix": "/pufi791/", "type": "streaming", "timeout-ms": 10000,
-				"target-latency-ms": 300, "priority": 1, "service": modelService, "max-attempts": 1, "public": false, "sticky": true, "resumable": false, "target-itl-ms": 300},
-			map[string]any{"name": "r-q27d3vi", "host": host, "path-prefix": "/cuti104/", "type": "idempotent", "timeout-ms": 1000,
-				"target-latency-ms": 150, "priority": 2, "service": orderService, "max-attempts": 2, "public": false},
-		},
-		"services": []any{
-			map[string]any{"name": modelService, "health-path": healthPath, "max-connections": 360, "protocol": "h1", "tls": false,
-				"cold-start-s": 3.0, "cold-per-s": 18.0, "engine": map[string]any{"slots": 64, "kv-capacity": 462967, "kv-bytes": 327680, "link-mbps": 1100000.0,
-					"moves": true, "backups": true, "stride": 8, "most": 12, "pin-ms": 4000.0, "hold-ms": 2000.0, "handle-ttl-s": 5.0, "models": []any{map[string]any{"name": "m"}}}},
-			map[string]any{"name": orderService, "health-path": healthPath, "max-connections": 100, "protocol": "h1", "tls": false, "cold-start-s": 0.0, "cold-per-s": 0.0},
-		},
-		"limits": map[string]any{"max-header-bytes": maxHeaderBytes, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000, "tokens-per-s": 620000},
-		"tenants": []any{map[string]any{"name": uncontrolledTenant, "api-keys": []string{apiKey}, "priority": 1},
-			map[string]any{"name": ordinaryTenant, "api-keys": []string{ordinaryKey}, "priority": 1}},
-	}
-}
--- a/review/stand2/router.go
+++ b/review/stand2/router.go
@@ -43,8 +43,7 @@
 	return l.Addr().String(), nil
 }
 
-// newRouter writes the settings of a router: those of DEPLOY.md's example with the sheet
-// of the small site jmbsa-router.
+// newRouter writes the settings of a router.
 func newRouter(binary, dir, name, ip, zone, storeAddress string, peerPort int, seeds []string) (*router, error) {
 	r := &router{name: name, ip: ip, binary: binary, settings: filepath.Join(dir, name+".json")}
 	var control, directory string
@@ -54,21 +53,15 @@
 			return nil, err
 		}
 	}
-	data, err := json.Marshal(map[string]any{
-		"node-name": name, "role": "router", "machine-class": "edge", "serves": []string{"edge", "registry", "control_plane"},
-		"ip": ip, "zone": zone, "region": region, "zones": map[string]string{zones[0]: region, zones[1]: region, zones[2]: region},
-		"listen":         map[string]string{"frontend": r.front, "ready": r.ready, "control": control, "directory": directory},
-		"internal-ports": []int{peerPort, peerPort + 15}, "seeds": seeds, "bootstrap": true, "in-tolerance": false,
-		"limits":   map[string]any{"cpu-share": 0.4, "cores": 1, "memory-mb": memoryMB, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
-		"data-dir": nil, "discovery": "platform", "entry": "registry", "heartbeat-ms": 1200,
-		"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "places", "platform"},
-		"fault-tolerance": map[string]int{"machines": 2, "zones": 1, "regions": 0},
-		"bounds": map[string]any{"seed-lag-s": 3, "reuse-after-s": 2, "contact-ms": 3000, "ack-ms": 4000, "catch-up-s": 4, "drain-ms": 2000, "grace-s": 8,
-			"loss-slack-ms": 200, "config-apply-ms": 2000, "rollback-slack-ms": 250, "max-skew-ms": 5000, "strict-revocation": false, "revoke-ms": 5000,
-			"retry-budget-ratio": 0.2, "budget-window-s": 10, "budget-slack": 54, "cold-overage": 1.5, "cold-slack": 5, "evacuate-ms": 5000,
-			"recovery-s": 12, "max-delivery-ms": 120, "reuse-window-s": 7.8, "quota-window-s": 4, "ttl_max_s": 5},
-		"platform": map[string]any{"address": storeAddress, "form": "objects", "writes-per-s": 400, "reads-per-s": 2000, "history-s": 20, "value-bytes": 1048576, "ttl-min-ms": 1000},
-	})
+	settings := map[string]any{}
+	if err := json.Unmarshal(baseSettings, &settings); err != nil {
+		return nil, err
+	}
+	settings[wire.NodeName], settings["ip"], settings["zone"], settings["seeds"] = name, ip, zone, seeds
+	settings["listen"] = map[string]string{"frontend": r.front, "ready": r.ready, "control": control, "directory": directory}
+	settings[wire.InternalPorts] = []int{peerPort, peerPort + 15}
+	settings["platform"] = map[string]any{"address": storeAddress, "form": "objects", "writes-per-s": 400, "reads-per-s": 2000, "history-s": 20, "value-bytes": 1048576, "ttl-min-ms": 1000}
+	data, err := json.Marshal(settings)
 	if err != nil {
 		return nil, err
 	}
@@ -106,7 +99,7 @@
 func (r *router) awaitReady(limit time.Duration) bool {
 	client := http.Client{Timeout: time.Second}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		resp, err := client.Get("http://" + r.ready + "/v1/readyz")
+		resp, err := client.Get("http://" + r.ready + wire.ReadyPath)
 		if err != nil {
 			continue
 		}
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -57,10 +57,10 @@
 	if r.URL.Path == healthPath {
 		return
 	}
-	id := r.Header.Get("X-Attempt-Id")
-	h.Set("X-Attempt-Id", id)
-	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != n.id || id == "" {
-		h.Set("X-Not-Executed", "1")
+	id := r.Header.Get(wire.AttemptHeader)
+	h.Set(wire.AttemptHeader, id)
+	if expected := r.Header.Get(wire.ExpectedInstanceHeader); expected != "" && expected != n.id || id == "" {
+		h.Set(wire.NotExecutedHeader, "1")
 		status := http.StatusMisdirectedRequest
 		if id == "" {
 			status = http.StatusBadRequest
@@ -75,7 +75,7 @@
 	n.runs++
 	n.mu.Unlock()
 	time.Sleep(runTime)
-	h.Set("X-Response-Seal", "seal."+id)
+	h.Set(wire.SealHeader, "seal."+id)
 	h.Set("X-Weight-Versions", "1")
 	h.Set("Content-Type", "text/event-stream")
 	fmt.Fprintf(w, "id: 1\ndata: %s\n\n", id)
@@ -90,5 +90,5 @@
 // entry is what the runner writes into the store.
 func (n *runner) entry(sequence int64) map[string]any {
 	return map[string]any{"service": n.service, "address": n.address, "zone": n.zone, "version": "v1", "slots": 64, "state": "ready",
-		"cold-remaining-ms": 0, "sequence": sequence, "born": n.born, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}}
+		wire.ColdRemaining: 0, "sequence": sequence, "born": n.born, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}}
 }
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -93,7 +93,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/objects/"), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, wire.ObjectsPath), "/")
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Store-Era", "1")
 	switch {
@@ -128,7 +128,7 @@
 	revision := s.revision
 	s.mu.Unlock()
 	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
-	json.NewEncoder(w).Encode(map[string]any{"items": items, "has-more": false, "current-rev": revision})
+	json.NewEncoder(w).Encode(map[string]any{"items": items, "has-more": false, wire.CurrentRevision: revision})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -146,7 +146,7 @@
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 || expired {
-			json.NewEncoder(w).Encode(map[string]any{"events": events, "current-rev": revision})
+			json.NewEncoder(w).Encode(map[string]any{"events": events, wire.CurrentRevision: revision})
 			return
 		}
 		select {
