Refuse requests without an ID

What callers saw: a client that named no attempt got 200 with the body of another account's response (MIXED), while the endpoint rejected its own request.

Cause: on a kept connection an endpoint may send a second copy of an earlier response first. It is told by its ID, but a request without one took the next response for its own. Besides, endpoints run no request without an ID, so each was sent to several endpoints in vain and refused with 503, which invites a retry.

Change: a request without an ID is refused with 400 (1001) before it takes memory for its body or a connection, and a response must name the ID of its request.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -173,7 +173,7 @@
 		}
 		meta := x.h.opts.Protocol.ReadResponse(resp.StatusCode, resp.Header)
 		x.applyNotice(t, meta)
-		if x.meta.ID == "" || meta.ID == x.meta.ID {
+		if meta.ID == x.meta.ID {
 			return resp, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBytes+1))
--- a/internal/relay/prepare.go
+++ b/internal/relay/prepare.go
@@ -43,6 +43,9 @@
 	if failure := x.authenticate(); failure != nil {
 		return failure
 	}
+	if x.meta.ID == "" {
+		return code.Refuse(code.BadRequest, "the request has no ID, by which its response could be told from others")
+	}
 	if !x.memory.Reserve(memory.Requests, x.account, 0).Resize(memory.RequestBytes) {
 		return noMemory("for another request")
 	}
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -18,7 +18,7 @@
 // RequestMeta holds the properties of a request that the client states in its
 // header.
 type RequestMeta struct {
-	ID           string                // of the request, another one for each retry by the client; empty: none
+	ID           string                // of the request, another one for each retry by the client; a request without one is refused
 	APIKey       string                // empty: none
 	Timeout      time.Duration         // 0: none
 	Parts        []dispatch.PromptPart // of the prompt, in order
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -143,6 +144,27 @@
 		Expect(body).To(Equal("right"))
 	})
 
+	It("without an ID is refused, and gets no late response to another request", func() {
+		for _, route := range []topology.Route{idempotent, resumable} {
+			f := newFakeEndpoint(func(n int, s receivedRequest) reply {
+				if n == 1 {
+					return reply{raw: response(s, 200, event(1))}
+				}
+				late := fmt.Sprintf("HTTP/1.1 200 OK\r\nTest-Id: id-1\r\nContent-Length: %d\r\n\r\n%s", len(event(1)), event(1))
+				return reply{raw: late + response(s, 400, "", "Test-Not-Run: 1\r\n")}
+			})
+			server, _ := newServer(route, f)
+			_, body, err := send(server, "POST", "/p/", "x")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(event(1)))
+			resp, body, err := send(server, "POST", "/p/", "y", "Test-Id", "")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).NotTo(ContainSubstring(event(1)))
+			Expect(resp.StatusCode).To(Equal(http.StatusBadRequest))
+			Expect(f.requests()).To(HaveLen(1), "no endpoint would run it")
+		}
+	})
+
 	It("is not said not to have run because of the copy of an earlier rejection", func() {
 		var f *fakeEndpoint
 		f = newFakeEndpoint(func(n int, s receivedRequest) reply {
