Limit what is remembered of prompt parts

What callers saw: a client with a valid key whose prompts name 750 parts each, with heads of 8 KB, had all routers of a fleet killed for their memory every 22 s; requests of others were cut or got no answer.

Cause: each router tracks for each endpoint which parts it has cached, and dropped a part only once 200,000 tokens had been added after its last use. Parts of no tokens never age, those of one token make 200,000 entries an endpoint, and reports of placements make every router remember them. No budget counted them.

Change: a request is tracked with at most 256 parts, and only with those of 16 tokens or more and its own. All tracked parts together have a sixteenth of the memory budget, reserved at the start, in equal shares for the endpoints; beyond it those go first that the engine has evicted, then the least recently used.

--- a/core/dispatch/cache.go
+++ b/core/dispatch/cache.go
@@ -15,10 +15,18 @@
 	// defaultRetainedTokens is used for an engine that does not state its
 	// memory.
 	defaultRetainedTokens = 200_000
-	// maxCachedParts is the number of parts tracked for an endpoint beyond
-	// which those older than defaultRetainedTokens are removed, also if the
-	// engine states a larger memory.
+	// maxCachedParts limits the parts tracked for one endpoint. An engine with memory for
+	// a million tokens keeps fewer of those that save time.
 	maxCachedParts = 8192
+	// keptCachedFraction is the fraction of the limit that is kept when it is exceeded, so
+	// that the oldest parts need not be sought at each request.
+	keptCachedFraction = 0.75
+	// minCachedTokens is the number of tokens from which a part is tracked, except for a
+	// request's own. Reading fewer again takes less time than tracking them.
+	minCachedTokens = 16
+	// CachedPartBytes is the memory that a tracked part takes at most: an entry of 16
+	// bytes in a map that has just grown, and a value to sort by.
+	CachedPartBytes = 48
 	// defaultAnnounceDuration is how long a placement is reported to the other
 	// routers unless SetAnnounceDuration changes it. It spans several
 	// heartbeats of a small fleet, since one may be lost.
@@ -55,18 +63,65 @@
 // first parts, as many as shared says.
 func (c *promptCache) touch(parts []uint64, shared, newTokens int) {
 	c.insertedTokens += newTokens
-	if len(c.lastUse) > maxCachedParts {
-		for id, use := range c.lastUse {
-			if c.insertedTokens-use.at() > defaultRetainedTokens {
-				delete(c.lastUse, id)
-			}
-		}
-	}
 	for i, id := range parts {
 		c.lastUse[id] = newPartUse(c.insertedTokens, i < shared || c.lastUse[id].shared())
 	}
 }
 
+// trim removes parts until keptCachedFraction of the limit are left, if it is exceeded:
+// first those that an engine with this memory has evicted, then the least recently used.
+func (c *promptCache) trim(limit, memory int) {
+	if len(c.lastUse) <= limit {
+		return
+	}
+	uses := make([]partUse, 0, len(c.lastUse))
+	for id, use := range c.lastUse {
+		if c.insertedTokens-use.at() > memory {
+			delete(c.lastUse, id)
+		} else {
+			uses = append(uses, use)
+		}
+	}
+	kept := int(keptCachedFraction * float64(limit))
+	if len(uses) <= kept {
+		return
+	}
+	slices.Sort(uses)
+	oldest := uses[len(uses)-kept]
+	for id, use := range c.lastUse {
+		if use < oldest {
+			delete(c.lastUse, id)
+		}
+	}
+	for id, use := range c.lastUse { // parts of one request are equally old
+		if len(c.lastUse) <= kept {
+			return
+		}
+		if use == oldest {
+			delete(c.lastUse, id)
+		}
+	}
+}
+
+// touchCache records at an endpoint that a request with these parts was sent, see
+// promptCache.touch.
+func (d *Dispatcher) touchCache(ep *endpointState, parts []uint64, shared, newTokens int) {
+	ep.cache.touch(parts, shared, newTokens)
+	d.trimCache(ep)
+}
+
+func (d *Dispatcher) trimCache(ep *endpointState) {
+	ep.cache.trim(d.cachedPartsLimit(), retainedTokens(d.engine(ep.Service)))
+}
+
+// cachedPartsLimit returns how many parts are tracked for one endpoint.
+func (d *Dispatcher) cachedPartsLimit() int {
+	if d.opts.MaxCachedParts <= 0 {
+		return maxCachedParts
+	}
+	return min(maxCachedParts, d.opts.MaxCachedParts/max(1, len(d.endpoints)))
+}
+
 // retainedTokens returns the number of tokens after which an endpoint has evicted a part
 // that was not used again.
 func retainedTokens(engine *topology.Engine) int {
@@ -81,7 +136,10 @@
 func (ep *endpointState) uncachedTokens(engine *topology.Engine, parts []PromptPart, promptTokens int) int {
 	memory := retainedTokens(engine)
 	uncached := promptTokens
-	for _, p := range parts {
+	for i, p := range parts {
+		if !isTracked(parts, i) {
+			continue
+		}
 		use, ok := ep.cache.lastUse[p.ID]
 		if !ok || ep.cache.insertedTokens-use.at() > memory {
 			break
@@ -91,6 +149,11 @@
 	return max(uncached, 0)
 }
 
+// isTracked reports whether it is tracked where the part at an index is cached.
+func isTracked(parts []PromptPart, i int) bool {
+	return i == len(parts)-1 || parts[i].Tokens >= minCachedTokens
+}
+
 // Placement records that a request was sent to an endpoint, which therefore has
 // the parts of its prompt cached.
 type Placement struct {
@@ -128,11 +191,14 @@
 	if t.Request.PromptTokens == 0 {
 		return
 	}
-	p := Placement{Endpoint: t.endpoint.ID, NewTokens: t.UncachedTokens + t.Request.OutputTokens, at: now}
-	for _, part := range t.Request.Parts {
-		p.Parts = append(p.Parts, part.ID)
+	// Without new tokens it would be taken for an endpoint's list.
+	p := Placement{Endpoint: t.endpoint.ID, NewTokens: max(1, t.UncachedTokens+t.Request.OutputTokens), at: now}
+	for i, part := range t.Request.Parts {
+		if isTracked(t.Request.Parts, i) {
+			p.Parts = append(p.Parts, part.ID)
+		}
 	}
-	t.endpoint.cache.touch(p.Parts, len(p.Parts)-1, p.NewTokens)
+	d.touchCache(t.endpoint, p.Parts, len(p.Parts)-1, p.NewTokens)
 	d.announce(p)
 }
 
@@ -175,7 +241,7 @@
 		}
 		last = p.Sequence
 		if ep, ok := d.endpoints[p.Endpoint]; ok {
-			ep.cache.touch(p.Parts, p.sharedParts(!forward), p.NewTokens)
+			d.touchCache(ep, p.Parts, p.sharedParts(!forward), p.NewTokens)
 			ep.cache.listed = ep.cache.listed || p.announcesList()
 		}
 		if forward && p.announcesList() {
--- a/core/dispatch/cachelist.go
+++ b/core/dispatch/cachelist.go
@@ -92,13 +92,13 @@
 	}
 	listed := slices.DeleteFunc(slices.Clone(l.Parts), func(p PromptPart) bool { return p.Tokens <= 0 })
 	slices.SortStableFunc(listed, func(a, b PromptPart) int { return cmp.Compare(b.Tokens, a.Tokens) })
-	listed = listed[:min(len(listed), maxListedParts)]
+	listed = listed[:min(len(listed), maxListedParts, d.cachedPartsLimit())]
 	for chunk := range slices.Chunk(listed, maxListedInReport) {
 		p := Placement{Endpoint: ep.ID}
 		for _, part := range chunk {
 			p.Parts = append(p.Parts, part.ID)
 		}
-		ep.cache.touch(p.Parts, len(p.Parts), 0)
+		d.touchCache(ep, p.Parts, len(p.Parts), 0)
 		d.ownListed.placements = append(d.ownListed.placements, listedPlacement{p, ep})
 	}
 	ep.cache.listed = true
--- a/core/dispatch/cacheshare.go
+++ b/core/dispatch/cacheshare.go
@@ -97,6 +97,7 @@
 		}
 		ep.cache.lastUse[p.ID] = newPartUse(at, true)
 	}
+	d.trimCache(ep)
 	return added, true
 }
 
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -45,6 +45,9 @@
 	// requests for its service, and requests beyond it.
 	ExposureShare float64
 	ExposureSlack float64
+	// MaxCachedParts limits the prompt parts that are tracked, for all endpoints together;
+	// 0: only for each.
+	MaxCachedParts int
 	// Rollouts says that operators order versions to be brought in.
 	Rollouts bool
 }
@@ -167,6 +170,9 @@
 	d.dropNotices(now)
 	d.versions.update(now, d.opts.Rollouts, endpoints)
 	clear(d.preferred)
+	for _, ep := range d.endpoints { // the limit of each depends on their number
+		d.trimCache(ep)
+	}
 	d.sortedEndpoints = slices.SortedFunc(maps.Values(d.endpoints), func(a, b *endpointState) int { return strings.Compare(a.ID, b.ID) })
 }
 
--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -13,6 +13,10 @@
 	Tokens int
 }
 
+// MaxPromptParts limits the parts of a prompt that a request names. Those beyond it, but for
+// its own, are left out and so count as not cached.
+const MaxPromptParts = 256
+
 // Request holds the properties of a request that the decision depends on.
 type Request struct {
 	ID                 string
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -144,6 +144,9 @@
 	// responses in progress may hold. The rest is left for what the process holds
 	// without any, for garbage and for kernel buffers.
 	requestMemoryFraction = 0.84
+	// cachedPartsFraction is the fraction of this memory that may hold which prompt parts
+	// endpoints have cached.
+	cachedPartsFraction = 1.0 / 16
 	// minOtherMemory is the least that is left for these, in bytes. A router of a small
 	// fleet without requests takes 16 MB.
 	minOtherMemory = 24 << 20
@@ -158,6 +161,16 @@
 	return max(1, min(int64(requestMemoryFraction*float64(limit)), limit-minOtherMemory))
 }
 
+// reserveCachedParts reserves memory for what is known of cached prompt parts. It returns
+// the number of parts; 0: no limit.
+func reserveCachedParts(b *memory.Budget, requestMemory int64) (int, error) {
+	n := int64(cachedPartsFraction * float64(requestMemory))
+	if n > 0 && !b.Reserve(memory.State, "cached prompt parts", 0).Resize(n) {
+		return 0, errors.Newf("reserve %d bytes for cached prompt parts", n)
+	}
+	return int(n / dispatch.CachedPartBytes), nil
+}
+
 // Edge is the router process on a prepared platform.
 type Edge struct {
 	settings   Settings
@@ -191,7 +204,12 @@
 // New returns a router with its parts connected. It opens the UDP socket for
 // heartbeats.
 func New(s Settings, p Platform, log *oplog.Logger) (*Edge, error) {
-	budget := memory.NewBudget(requestMemory(s.MemoryBytes))
+	limit := requestMemory(s.MemoryBytes)
+	budget := memory.NewBudget(limit)
+	maxCachedParts, err := reserveCachedParts(budget, limit)
+	if err != nil {
+		return nil, err
+	}
 	if s.MemoryBytes > 0 {
 		budget.LimitRuntime(int64(gcMemoryFraction * float64(s.MemoryBytes)))
 	}
@@ -199,7 +217,8 @@
 	e.registeredEra.Store(notRegistered)
 	e.dispatcher = relay.NewSharedDispatcher(dispatch.New(dispatch.Options{
 		Self: s.Name, Zone: s.Zone, SharesLoad: s.SharesLoad, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		ExposureShare: s.ExposureShare, ExposureSlack: s.ExposureSlack, Rollouts: s.Rollouts,
+		MaxCachedParts: maxCachedParts,
+		ExposureShare:  s.ExposureShare, ExposureSlack: s.ExposureSlack, Rollouts: s.Rollouts,
 	}))
 	e.relay = relay.New(relay.Options{Protocol: p.Protocol, Dispatcher: e.dispatcher, Pool: e.pool, Log: log,
 		MaxConnections: int64(clientFileFraction * float64(s.MaxFiles)), Memory: budget,
@@ -209,7 +228,6 @@
 		further = append(further, replica.Rollouts)
 	}
 	e.replica = replica.New(e.handleChange, further...)
-	var err error
 	e.mesh, err = mesh.New(mesh.Options{
 		Name: s.Name, Zone: s.Zone, Incarnation: e.startedAt.UnixNano(), CallerAddress: s.CallerAddress,
 		Address: netip.AddrPortFrom(s.Address, s.PeerPort), Replica: e.replica, Log: log,
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -26,6 +26,7 @@
 	Buffers                    // enlarged kernel buffers of client connections
 	Heads                      // large heads of requests, whose account is not known yet
 	Control                    // connections that carry no client requests, and their heads; the holder is the server
+	State                      // what is remembered of requests after their end; the holder is the kind of state
 	classes
 )
 
@@ -50,6 +51,8 @@
 	// Whoever asks whether the router is ready gets an answer when all else is in use. One
 	// server, such as the directory, leaves as much as it takes.
 	Control: {0.125, 1, 1},
+	// It is reserved at the start.
+	State: {0.125, 1, 1e9},
 }
 
 // garbageFraction is the part of the limit up to which released memory may add to
--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -22,4 +22,12 @@
 | rest of a refused body | 4 MiB within 0.5 s | the connection is closed |
 | response that a client doesn't acknowledge after the close | 10 s | dropped |
 | unread bodies of an HTTP/2 connection | 64 KiB | flow control |
+
+What routers of a prepared platform remember of requests is limited as well:
+
+| limit | default | beyond it |
+| --- | --- | --- |
+| parts of a prompt | the first 255 and the request's own; only those of 16 tokens or more are tracked | the request is served; the rest counts as not cached |
+| memory of tracked parts | a sixteenth of the memory above, at 48 bytes a part; each endpoint has an equal share, at most 8,192 parts | the least recently used are forgotten, and may be read again |
+| tokens that a request states | 2^30 | counted as 2^30 |
 `
