Keep heartbeats within a datagram whatever clients send

What callers saw: a client whose prompts name many parts took its router out of the fleet for the others: they no longer heard it, so they no longer listed its address and did not know its load, cold marks and shares.

Cause: all placements of the last 150 ms (more in a large fleet) go into each heartbeat with all parts of their prompts. A heartbeat above 65,507 bytes was not sent at all (mesh.beat_not_sent).

Change: placements take at most 24 KiB of a report. Those without room wait, 256 KiB of them at most, and are announced in their order once others are no longer repeated, since peers skip what has a lower number than they have seen. Queued lists of cached parts are limited, and a merged report no longer holds its placements. The encoding is unchanged.

TestReportedPlacementsAreLimited: a peer learns all 6,000 parts from reports of at most 24 KiB.

--- a/core/dispatch/cache.go
+++ b/core/dispatch/cache.go
@@ -27,6 +27,14 @@
 	// CachedPartBytes is the memory that a tracked part takes at most: an entry of 16
 	// bytes in a map that has just grown, and a value to sort by.
 	CachedPartBytes = 48
+	// maxAnnouncedBytes limits the placements in one report, as partBytes and
+	// placementBytes estimate their encoded size. Further ones wait for the next reports.
+	maxAnnouncedBytes = 24 << 10
+	partBytes         = 8
+	placementBytes    = 32 // endpoint ID, sequence number and tokens
+	// maxWaitingBytes limits the placements that wait to be announced, of which the
+	// oldest are dropped: other routers then take their parts for not cached.
+	maxWaitingBytes = 256 << 10
 	// defaultAnnounceDuration is how long a placement is reported to the other
 	// routers unless SetAnnounceDuration changes it. It spans several
 	// heartbeats of a small fleet, since one may be lost.
@@ -204,9 +212,36 @@
 
 // announce queues a placement for the next reports.
 func (d *Dispatcher) announce(p Placement) {
-	d.lastSequence++
-	p.Sequence = d.lastSequence
-	d.placements = append(d.placements, p)
+	d.waiting = append(d.waiting, p)
+	d.waitingBytes += p.bytes()
+	dropped := 0
+	for d.waitingBytes > maxWaitingBytes {
+		d.waitingBytes -= d.waiting[dropped].bytes()
+		dropped++
+	}
+	d.waiting = slices.Delete(d.waiting, 0, dropped)
+}
+
+// bytes estimates the encoded size of a placement.
+func (p *Placement) bytes() int { return placementBytes + partBytes*len(p.Parts) }
+
+// releaseWaiting announces the placements that wait, as many as reports have room for,
+// in their order: peers skip those with a lower sequence number than they have seen.
+func (d *Dispatcher) releaseWaiting(now time.Time) {
+	n := 0
+	for n < len(d.waiting) {
+		p := d.waiting[n]
+		if d.announcedBytes > 0 && d.announcedBytes+p.bytes() > maxAnnouncedBytes {
+			break
+		}
+		d.lastSequence++
+		p.Sequence, p.at = d.lastSequence, now
+		d.placements = append(d.placements, p)
+		d.announcedBytes += p.bytes()
+		d.waitingBytes -= p.bytes()
+		n++
+	}
+	d.waiting = slices.Delete(d.waiting, 0, n)
 }
 
 // recentPlacements returns the placements that other routers may not know yet:
@@ -215,9 +250,11 @@
 	d.releaseListed(now)
 	old := 0
 	for old < len(d.placements) && now.Sub(d.placements[old].at) > d.announceDuration {
+		d.announcedBytes -= d.placements[old].bytes()
 		old++
 	}
 	d.placements = slices.Delete(d.placements, 0, old)
+	d.releaseWaiting(now)
 	out := make([]Placement, 0, len(d.placements))
 	for _, p := range d.placements {
 		if p.fromPeer && !forOtherRows {
@@ -246,7 +283,7 @@
 		}
 		if forward && p.announcesList() {
 			p.fromPeer = true
-			d.rowListed.placements = append(d.rowListed.placements, listedPlacement{Placement: p})
+			d.rowListed.add(listedPlacement{Placement: p})
 		} else if forward {
 			p.at, p.fromPeer = now, true
 			d.announce(p)
--- a/core/dispatch/cachelimit_test.go
+++ b/core/dispatch/cachelimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
@@ -100,3 +101,36 @@
 		t.Errorf("%d tokens are taken for not cached", got)
 	}
 }
+
+// reportedPlacements returns the placements of a report and their estimated size: 8 bytes a
+// part, and 32 for each.
+func reportedPlacements(r dispatch.Report) (n, bytes int) {
+	for _, p := range r.Placements {
+		bytes += 32 + 8*len(p.Parts)
+	}
+	return len(r.Placements), bytes
+}
+
+// TestReportedPlacementsAreLimited guards against reports that exceed a datagram, which is
+// not sent at all, and against placements that are lost for that.
+func TestReportedPlacementsAreLimited(t *testing.T) {
+	const requests, parts = 30, 200
+	d := newLimited(1_000_000, endpoint("e1", model, "a"))
+	peer := newLimited(1_000_000, endpoint("e1", model, "a"))
+	for n := range requests {
+		serve(t, d, requestOfParts(n, parts, 16))
+	}
+	now, reports := start, 0
+	for ; peer.TrackedParts("e1") < requests*parts && reports < 10; reports++ {
+		for _, r := range []dispatch.Report{d.Report(now), d.RowReport(now, nil)} {
+			if n, bytes := reportedPlacements(r); bytes > 24<<10 || n == 0 {
+				t.Fatalf("report %d: %d placements of %d bytes", reports, n, bytes)
+			}
+		}
+		peer.SetPeerReport(now, "r1", d.Report(now))
+		now = now.Add(200 * time.Millisecond)
+	}
+	if got := peer.TrackedParts("e1"); got != requests*parts {
+		t.Errorf("the peer knows %d parts after %d reports", got, reports)
+	}
+}
--- a/core/dispatch/cachelist.go
+++ b/core/dispatch/cachelist.go
@@ -25,6 +25,9 @@
 	// 8 KB larger.
 	maxListedInReport    = 100
 	maxRowListedInReport = 860
+	// maxQueuedListed limits the listed parts and placements that wait to be announced.
+	// Further ones are dropped, so that other routers take them for not cached.
+	maxQueuedListed = 64 << 10
 )
 
 // CacheList is what an endpoint says that it has cached.
@@ -37,9 +40,18 @@
 type listedQueue struct {
 	limit      int // parts and placements
 	placements []listedPlacement
+	size       int // parts and placements
 	releasedAt time.Time
 }
 
+// add queues parts that an endpoint has listed, unless the queue is full.
+func (q *listedQueue) add(p listedPlacement) {
+	if size := len(p.Parts) + 1; q.size+size <= maxQueuedListed {
+		q.placements = append(q.placements, p)
+		q.size += size
+	}
+}
+
 // listedPlacement announces parts that an endpoint has listed.
 type listedPlacement struct {
 	Placement
@@ -99,7 +111,7 @@
 			p.Parts = append(p.Parts, part.ID)
 		}
 		d.touchCache(ep, p.Parts, len(p.Parts), 0)
-		d.ownListed.placements = append(d.ownListed.placements, listedPlacement{p, ep})
+		d.ownListed.add(listedPlacement{p, ep})
 	}
 	ep.cache.listed = true
 	return len(listed), true
@@ -131,6 +143,9 @@
 		n++
 	}
 	out := slices.Clone(q.placements[:n])
+	for _, p := range out {
+		q.size -= len(p.Parts) + 1
+	}
 	q.placements = slices.Delete(q.placements, 0, n)
 	q.releasedAt = now
 	return out
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -70,7 +70,10 @@
 	versions        knownVersions
 	exit            time.Time // see SetExit; zero: none
 
-	placements       []Placement // of this router and its row, newest last
+	placements       []Placement // of this router and its row, that reports carry, newest last
+	announcedBytes   int         // of these, estimated
+	waiting          []Placement // to be announced once reports have room, oldest first
+	waitingBytes     int
 	lastSequence     uint64      // sequence number of the newest placement
 	ownListed        listedQueue // listed parts that this router announces
 	rowListed        listedQueue // those of its row, for other rows
--- a/core/dispatch/report.go
+++ b/core/dispatch/report.go
@@ -212,6 +212,7 @@
 	next.lastProfile = d.mergeProfiles(now, r.Profiles, next.lastProfile, forward)
 	d.mergeCrashes(now, r.Crashes, forward)
 	d.mergeParts(now, r, forward)
+	next.report.Placements = nil // most of a report, and not needed any more
 	d.replacePeer(peer, next)
 	d.mergeCold(now, r.Cold, forward)
 	d.mergeRollouts(now, peer, r.Rollouts)
--- a/test/prepared/promptparts_test.go
+++ b/test/prepared/promptparts_test.go
@@ -70,7 +70,7 @@
 		}
 	})
 
-	DescribeTable("do not use up the memory of routers", func(tokens int) {
+	DescribeTable("do not use up the memory of routers, nor silence one for the others", func(tokens int) {
 		front := routers[0].listenAddress("frontend")
 		transport := &http.Transport{MaxIdleConnsPerHost: partsClients}
 		DeferCleanup(transport.CloseIdleConnections)
@@ -98,6 +98,7 @@
 			peak := peakMB(pid)
 			AddReportEntry(r.name+", peak memory in MB", peak)
 			Expect(peak).To(BeNumerically("<", partsMemoryMB))
+			Expect(string(r.session.Out.Contents())).NotTo(ContainSubstring("mesh.beat_not_sent"))
 			n := 0
 			Eventually(func() int { n++; return small(r, fmt.Sprint("after-", i, "-", n)) }).Should(Equal(200))
 		}
