Cut long values in log lines

What could be seen: a client whose requests have IDs as long as their heads made each of its log lines up to 360 KB long: bytes that are no text take six in JSON. At 150 failures a second that is 54 MB/s of log instead of the 100 KB/s that the package promises, and 1,024 such lines in the queue behind a blocked output take 368 MB, in no budget.

Cause: lines were limited in number, not in size.

Change: texts are cut at 512 bytes and lists at 16 entries.

--- a/internal/oplog/oplog.go
+++ b/internal/oplog/oplog.go
@@ -50,6 +50,9 @@
 	flushInterval      = 100 * time.Millisecond // between two writes, to batch lines
 	flushBytes         = 16 << 10               // size of a batch that is written at once
 	dropReportInterval = 5 * time.Second        // between two reports of dropped lines
+	maxValueBytes      = 512                    // of a text in a line, before it is encoded
+	maxListLength      = 16                     // of a list in a line
+	cutMark            = "..."                  // at the end of a text that was cut
 )
 
 // Logger writes lines. It is safe for concurrent use.
@@ -95,18 +98,42 @@
 	r.AddAttrs(l.base...)
 	r.AddAttrs(attrs...)
 	// Writes to a bytes.Buffer don't fail, so Handle returns no error.
-	_ = slog.NewJSONHandler(&b, &slog.HandlerOptions{ReplaceAttr: renameMessageKey}).Handle(context.Background(), r)
+	_ = slog.NewJSONHandler(&b, &slog.HandlerOptions{ReplaceAttr: replaceAttr}).Handle(context.Background(), r)
 	return b.Bytes()
 }
 
-// renameMessageKey changes the key of the message to "event".
-func renameMessageKey(groups []string, a slog.Attr) slog.Attr {
+// replaceAttr changes the key of the message to "event", and cuts long values: clients
+// choose some of them.
+func replaceAttr(groups []string, a slog.Attr) slog.Attr {
 	if len(groups) == 0 && a.Key == slog.MessageKey {
 		a.Key = "event"
 	}
+	if a.Value.Kind() == slog.KindString {
+		if text := a.Value.String(); len(text) > maxValueBytes {
+			a.Value = slog.StringValue(cut(text))
+		}
+		return a
+	}
+	switch list := a.Value.Any().(type) {
+	case []uint64:
+		a.Value = slog.AnyValue(list[:min(len(list), maxListLength)])
+	case []string:
+		short := make([]string, 0, min(len(list), maxListLength))
+		for _, text := range list[:cap(short)] {
+			short = append(short, cut(text))
+		}
+		a.Value = slog.AnyValue(short)
+	}
 	return a
 }
 
+func cut(text string) string {
+	if len(text) <= maxValueBytes {
+		return text
+	}
+	return text[:maxValueBytes] + cutMark
+}
+
 func (l *Logger) enqueue(class Class, line []byte) {
 	select {
 	case l.queue <- line:
