Copy the details of events

What callers saw on the own interface: a client that sends requests for models with names of nearly a mebibyte, all refused, slowed a router down until its requests were refused for lack of memory.

Cause: an event keeps 512 bytes of its detail as a part of the original text, and so the whole text, up to the size of a body, for each of the 20,000 events of the timeline, in no budget. A short path of a long request target is kept the same way.

Change: the detail is copied.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -3,7 +3,10 @@
 // all routers can be merged into one causally consistent order.
 package eventlog
 
-import "sync"
+import (
+	"strings"
+	"sync"
+)
 
 // Kind is the type of an event.
 type Kind string
@@ -78,12 +81,10 @@
 func (l *Log) Clock() *Clock { return l.clock }
 
 // Add sets the router and the clock value of an event and stores it. It truncates
-// a detail to 512 bytes.
+// a detail to 512 bytes, and copies it: it may be a part of a text as long as a request.
 func (l *Log) Add(e Event) {
 	e.Router = l.router
-	if len(e.Detail) > maxDetailBytes {
-		e.Detail = e.Detail[:maxDetailBytes]
-	}
+	e.Detail = strings.Clone(e.Detail[:min(len(e.Detail), maxDetailBytes)])
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e.Clock = l.clock.Now()
