Read the messages of a prompt one at a time

What callers saw on the own interface: callers with a valid key take a router beyond its memory with complete requests within max_body_bytes, 40 at a time.

Cause: the budget reserves a body's bytes, but a body of a mebibyte may hold 350,000 messages of three bytes, of 32 bytes each once decoded; the prompt was joined for its first 256 bytes, and the body was copied three times for each fingerprint. A problem also quoted a name or path of any length.

Change: messages are decoded one at a time into what the router needs of them, and fingerprints are computed without copies, the body's once. A prompt has at most max_messages messages (new setting, 10,000), since each makes garbage beyond its own bytes; another one is refused with 1001. Details of problems end at 512 bytes.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -10,6 +10,7 @@
 import (
 	"crypto/rand"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"math"
@@ -49,6 +50,9 @@
 	Events       *eventlog.Log
 	Addresses    http.Handler
 	MaxBodyBytes int64
+	// MaxMessages limits the messages of a prompt, since each takes more memory while it
+	// is read than the few bytes of a small one; 0: no limit.
+	MaxMessages int
 	// MaxAccountRequests limits the open requests of one client account at
 	// this router, so that one account can't use up the router's memory.
 	MaxAccountRequests int
@@ -218,7 +222,10 @@
 	w.Write(body)
 }
 
-const maxKeyBytes = 255
+const (
+	maxKeyBytes    = 255
+	maxDetailBytes = 512 // of the detail of a problem
+)
 
 // Problem is the response body of a request that was refused or failed.
 type Problem = code.Problem
@@ -240,6 +247,7 @@
 // contain internal addresses; operators find them in the log and the events.
 func problem(c call, failure *code.Error) Problem {
 	p := code.NewProblem(failure, c.id)
+	p.Detail = p.Detail[:min(len(p.Detail), maxDetailBytes)] // it may quote the request
 	if failure.Code >= code.EndpointError {
 		p.Detail = ""
 	}
@@ -292,11 +300,13 @@
 }
 
 // fingerprint returns a 64-bit hash of the parts.
-func fingerprint(parts ...string) uint64 {
-	sum := sha256.Sum256([]byte(strings.Join(parts, "\x00")))
-	var n uint64
-	for _, b := range sum[:8] {
-		n = n<<8 | uint64(b)
+func fingerprint(parts ...[]byte) uint64 {
+	h := sha256.New()
+	for i, part := range parts {
+		if i > 0 {
+			h.Write([]byte{0})
+		}
+		h.Write(part)
 	}
-	return n
+	return binary.BigEndian.Uint64(h.Sum(nil))
 }
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,32 +19,25 @@
 const (
 	maxAttempts         = 3   // endpoints that one request may be sent to
 	defaultOutputTokens = 256 // expected output of a request without max_tokens
-	prefixBytes         = 256 // of the prompt, for prefix affinity
 	charsPerToken       = 4
-	maxPromptParts      = 32 // messages looked at for the quarantine; instructions come first
 )
 
 // chatRequest holds the fields of a chat completion request that the router
 // reads.
 type chatRequest struct {
-	Model     string        `json:"model"`
-	Messages  []chatMessage `json:"messages"`
-	MaxTokens int           `json:"max_tokens"`
-	Stream    bool          `json:"stream"`
-}
-
-type chatMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+	Model     string `json:"model"`
+	Messages  prompt `json:"messages"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
 }
 
 func (a *API) chat(w http.ResponseWriter, r *http.Request, c call) {
-	var req chatRequest
+	req := chatRequest{Messages: prompt{maxCount: a.opts.MaxMessages}}
 	if err := json.Unmarshal(c.body, &req); err != nil {
 		a.refuse(w, c, code.Refuse(code.BadRequest, err.Error()))
 		return
 	}
-	if len(req.Messages) == 0 {
+	if req.Messages.count == 0 {
 		a.refuse(w, c, code.Refuse(code.BadRequest, "messages is empty"))
 		return
 	}
@@ -54,7 +46,7 @@
 		a.refuse(w, c, code.Refuse(code.UnknownModel, req.Model))
 		return
 	}
-	run := &chatRun{api: a, w: w, r: r, call: c, req: req, pool: p}
+	run := &chatRun{api: a, w: w, r: r, call: c, req: req, pool: p, fingerprint: fingerprint(c.body)}
 	run.serve()
 }
 
@@ -69,6 +61,8 @@
 	avoid   []string // endpoints that earlier attempts failed at
 	started bool     // part of the response has been sent to the caller
 
+	fingerprint uint64 // of the body
+
 	// State of the current attempt.
 	slot      *pool.Slot
 	startedAt time.Time
@@ -102,18 +96,17 @@
 
 // attempt acquires a slot and sends the request to its endpoint.
 func (c *chatRun) attempt(newConnection bool) error {
-	bodyFingerprint := fingerprint(string(c.call.body))
 	slot, err := c.api.opts.Pools.Acquire(c.r.Context(), c.pool.Name, pool.Request{
 		Account:     c.call.account.Name,
 		Model:       c.req.Model,
 		Estimate:    c.estimate(),
-		Prefix:      fingerprint(c.req.Model, c.promptPrefix()),
-		Fingerprint: bodyFingerprint,
-		Parts:       c.promptParts(),
+		Prefix:      fingerprint([]byte(c.req.Model), c.req.Messages.prefix),
+		Fingerprint: c.fingerprint,
+		Parts:       c.req.Messages.sharedParts(),
 		Avoid:       c.avoid,
 	})
 	if err != nil {
-		return addFingerprint(err, bodyFingerprint)
+		return addFingerprint(err, c.fingerprint)
 	}
 	c.api.recordGrant(c.call, slot.Endpoint)
 	c.slot, c.tokens, c.ttft, c.startedAt = slot, 0, 0, time.Now()
@@ -180,33 +173,11 @@
 
 // estimate returns the expected number of prompt and output tokens.
 func (c *chatRun) estimate() fair.Cost {
-	chars := 0
-	for _, m := range c.req.Messages {
-		chars += len(m.Content)
-	}
 	outputTokens := c.req.MaxTokens
 	if outputTokens <= 0 {
 		outputTokens = defaultOutputTokens
 	}
-	return fair.Cost(chars/charsPerToken + outputTokens)
-}
-
-// promptParts identifies the messages that other requests may have: all but the last.
-func (c *chatRun) promptParts() []uint64 {
-	var parts []uint64
-	for _, m := range c.req.Messages[:min(len(c.req.Messages)-1, maxPromptParts)] {
-		parts = append(parts, fingerprint(m.Role, m.Content))
-	}
-	return parts
-}
-
-func (c *chatRun) promptPrefix() string {
-	var b strings.Builder
-	for _, m := range c.req.Messages {
-		b.WriteString(m.Content)
-	}
-	text := b.String()
-	return text[:min(len(text), prefixBytes)]
+	return fair.Cost(c.req.Messages.chars/charsPerToken + outputTokens)
 }
 
 func (a *API) endpointURL(name string) (string, bool) {
--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -40,7 +40,7 @@
 // name it returns too.
 func (a *API) attemptPlain(r *http.Request, c call, p manifest.Pool, avoid []string) (string, endpoint.Response, error) {
 	req := pool.Request{Account: c.account.Name, Estimate: 1, Avoid: avoid}
-	identity := fingerprint(r.Method, r.URL.RequestURI(), c.account.Name, string(c.body))
+	identity := fingerprint([]byte(r.Method), []byte(r.URL.RequestURI()), []byte(c.account.Name), c.body)
 	if len(c.body) > 0 {
 		req.Fingerprint = identity
 	} else {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -91,7 +91,7 @@
 	d.callers = callerapi.New(callerapi.Options{
 		Fleet: d.fleet, Pools: d.pools, Endpoints: endpoints, Ledger: d.ledger, Events: d.events,
 		Addresses:    addresses.New(d.fleet, time.Duration(s.AddressSeconds)*time.Second),
-		MaxBodyBytes: int64(s.MaxBodyBytes), MaxAccountRequests: s.MaxAccountOpen,
+		MaxBodyBytes: int64(s.MaxBodyBytes), MaxMessages: s.MaxMessages, MaxAccountRequests: s.MaxAccountOpen,
 		Memory: budget,
 		Lag:    d.lagMeter.Lag,
 	})
--- a/internal/jsonscan/jsonscan.go
+++ b/internal/jsonscan/jsonscan.go
@@ -35,16 +35,26 @@
 
 // Array returns the elements of a JSON array.
 func Array(data []byte) ([]json.RawMessage, error) {
-	s := scanner{data: data}
 	var out []json.RawMessage
-	err := s.members('[', ']', func() error {
-		raw, err := s.value()
+	err := Elements(data, func(raw json.RawMessage) error {
 		out = append(out, raw)
-		return err
+		return nil
 	})
 	return out, err
 }
 
+// Elements calls handle for each element of a JSON array, until it returns an error.
+func Elements(data []byte, handle func(json.RawMessage) error) error {
+	s := scanner{data: data}
+	return s.members('[', ']', func() error {
+		raw, err := s.value()
+		if err != nil {
+			return err
+		}
+		return handle(raw)
+	})
+}
+
 // scanner is a position in a JSON text.
 type scanner struct {
 	data []byte
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -58,6 +58,7 @@
 	{Path: "stop_seconds", Description: "Seconds that a graceful stop may take", Min: 1, Max: 3600},
 	{Path: "progress_millis", Description: "Milliseconds of silence after which an endpoint's answer has failed", Min: 100, Max: 600_000},
 	{Path: "max_body_bytes", Description: "Bytes of the largest request body", Min: 1024, Max: 64 << 20},
+	{Path: "max_messages", Description: "Messages of the largest prompt of a chat completion", Min: 1, Max: 1_000_000},
 	{Path: "max_account_open", Description: "Open requests of one client account at this router", Min: 1, Max: 100_000},
 	{Path: "request_memory_bytes", Description: "Bytes that all requests and responses in progress may hold", Min: 64 << 20, Max: 1 << 40},
 	{Path: "verbosity", Description: "Level of the log; changed by SIGHUP without a restart", Min: 0, Max: 4},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,7 @@
 	StopSeconds     int       `json:"stop_seconds"`
 	ProgressMillis  int       `json:"progress_millis"`
 	MaxBodyBytes    int       `json:"max_body_bytes"`
+	MaxMessages     int       `json:"max_messages"`
 	MaxAccountOpen  int       `json:"max_account_open"`
 	RequestMemory   int       `json:"request_memory_bytes,omitempty"`
 	Verbosity       int       `json:"verbosity"`
@@ -75,6 +76,7 @@
 		StopSeconds:     120,
 		ProgressMillis:  5000,
 		MaxBodyBytes:    1 << 20,
+		MaxMessages:     10_000,
 		MaxAccountOpen:  1000,
 		RequestMemory:   512 << 20,
 	}
--- a/test/untrusted_test.go
+++ b/test/untrusted_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/load"
 )
 
@@ -23,6 +27,10 @@
 	// its process may take with it: 128 MiB are for everything else.
 	untrustedMemory   = 64 << 20
 	untrustedMemoryMB = untrustedMemory>>20 + 128
+	// untrustedSenders is the number of callers that send complete requests.
+	untrustedSenders = 40
+	// largeBody is the default of max_body_bytes.
+	largeBody = 1 << 20
 )
 
 // residentMB returns how much memory a process uses now, without the pages of files.
@@ -38,6 +46,42 @@
 	return 0
 }
 
+// completeRequests are kinds of requests that arrive completely, and how many of them each
+// of untrustedSenders sends.
+var completeRequests = []struct {
+	name     string
+	requests int
+	request  func(model string) (path, body string)
+}{
+	{"name models that fill their bodies", 25, func(string) (string, string) {
+		return chatPath, `{"model":"` + strings.Repeat("x", largeBody-100) + `","messages":[{"role":"user","content":"x"}]}`
+	}},
+	{"name paths that fill their heads", 250, func(string) (string, string) { return "/" + strings.Repeat("x", 60_000), "" }},
+	{"have prompts of very many messages", 25, func(model string) (string, string) {
+		const start, message, end = `{"model":"%s","messages":[`, `{},`, `{"role":"user","content":"x"}],"max_tokens":5}`
+		return chatPath, fmt.Sprintf(start, model) + strings.Repeat(message, (largeBody-200)/len(message)) + end
+	}},
+	{"have one message that fills their bodies", 5, func(model string) (string, string) {
+		return chatPath, fmt.Sprintf(`{"model":"%s","messages":[{"role":"user","content":"%s"}],"max_tokens":5}`, model, strings.Repeat("x", largeBody-200))
+	}},
+	{"nest arrays as deeply as their bodies allow", 25, func(model string) (string, string) {
+		return chatPath, `{"model":"` + model + `","messages":[` + strings.Repeat("[", largeBody-200)
+	}},
+}
+
+const chatPath = "/v1/chat/completions"
+
+// expectServed checks that a request of an ordinary caller is answered.
+func expectServed(c *cluster, account string) {
+	GinkgoHelper()
+	s := &callers{cluster: c, target: load.NewRoutersTarget(c.Fleet), startedAt: time.Now()}
+	n := 0
+	Eventually(func() load.Outcome {
+		n++
+		return s.send(load.Arrival{Account: account, Zone: c.manifest.Zones[0].Name, Prompt: fmt.Sprint("a bar stool ", n), Tokens: 5}).Outcome
+	}).Should(Equal(load.Completed))
+}
+
 // Guards against callers that end a router by the memory of their connections, of heads of
 // requests and of bodies without an end.
 var _ = Describe("Untrusted callers", Serial, func() {
@@ -82,16 +126,59 @@
 			for end := time.Now().Add(untrustedPeriod); time.Now().Before(end); time.Sleep(pollInterval) {
 				peak = max(peak, residentMB(pid))
 			}
-			s := &callers{cluster: c, target: load.NewRoutersTarget(c.Fleet), startedAt: time.Now()}
-			n := 0
-			Eventually(func() load.Outcome {
-				n++
-				return s.send(load.Arrival{Account: ordinary, Zone: c.manifest.Zones[0].Name, Prompt: fmt.Sprint("a bar stool ", n), Tokens: 5}).Outcome
-			}).Should(Equal(load.Completed))
+			expectServed(c, ordinary)
 			close(stop)
 			senders.Wait()
 			AddReportEntry("peak memory in MB", peak)
 			Expect(peak).To(BeNumerically("<", untrustedMemoryMB))
 		})
 	}
+
+	for _, kind := range completeRequests {
+		It("whose complete requests "+kind.name+" do not use up the memory of a router", func() {
+			attacker, ordinary := c.manifest.Accounts[0].Name, c.manifest.Accounts[1].Name
+			url, pid := c.Routers[0].CallerURL, c.routers[0].running().Command.Process.Pid
+			path, text := kind.request(modelOf(c.manifest))
+			var senders sync.WaitGroup
+			var sending atomic.Int64
+			sending.Store(untrustedSenders)
+			for range untrustedSenders {
+				senders.Go(func() {
+					defer sending.Add(-1)
+					client := &http.Client{Transport: &http.Transport{}, Timeout: hangTimeout}
+					defer client.CloseIdleConnections()
+					for range kind.requests {
+						req, err := http.NewRequest("POST", url+path, strings.NewReader(text))
+						if err != nil {
+							return
+						}
+						req.Header.Set("Authorization", "Bearer demo-"+attacker)
+						if resp, err := client.Do(req); err == nil { // the router may refuse it
+							_, _ = io.Copy(io.Discard, resp.Body)
+							resp.Body.Close()
+						}
+					}
+				})
+			}
+			peak := 0
+			for sending.Load() > 0 {
+				peak = max(peak, residentMB(pid))
+				time.Sleep(pollInterval)
+			}
+			senders.Wait()
+			expectServed(c, ordinary)
+			AddReportEntry("peak memory in MB", peak)
+			Expect(peak).To(BeNumerically("<", untrustedMemoryMB))
+		})
+	}
 })
+
+// modelOf returns the name of a model that a pool serves.
+func modelOf(m *manifest.Manifest) string {
+	for _, p := range m.Pools {
+		if len(p.Models) > 0 {
+			return p.Models[0]
+		}
+	}
+	return ""
+}
