Limit the connections and calls of the listener for other routers

What could be seen: 1,500 connections at a router's port for other routers end it, although none of them is a router: 2,090 MB with calls whose heads have many fields, 1,692 MB with calls that send no message, 208 MB with large messages without their last byte, where the instance has 112 MB.

Cause: the gRPC server had its default limits: any number of connections, and of calls on each, heads of 16 MiB, messages of 4 MiB, growing windows, two minutes for the first bytes. Responses that nobody reads stayed in memory, up to a collection each. No budget knew of it.

Change: a listener admits connections within a tenth of the descriptors and, 64 KiB each, within the control part of the memory budget. If they are reached, the one that has been open for longest makes room, since calls are short and routers connect again. A response is reserved until its bytes were written; without memory the call fails, and the caller asks another router. 8 calls a connection, heads of 8 KiB, requests of 4 KiB (they have some tens of bytes), fixed windows of 64 KiB.

--- /dev/null
+++ b/internal/connlimit/connlimit.go
@@ -0,0 +1,173 @@
+// Package connlimit limits what the connections of a server may hold together: their
+// number, the memory of each, and the responses that were handed over and that their
+// clients have not read yet. It serves servers that are not net/http's, such as gRPC's.
+package connlimit
+
+import (
+	"container/list"
+	"net"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
+)
+
+// ConnectionBytes is what each connection reserves: its buffers and, in HTTP/2, its
+// unread bytes and a few calls.
+const ConnectionBytes = 64 << 10
+
+// Limits limit the connections of a server.
+type Limits struct {
+	Max    int            // open connections; 0: no limit
+	Memory *memory.Budget // nil: no limit
+	Server string         // its name, the holder of the memory
+}
+
+// Listener admits connections within the limits. If they are reached, the connection that
+// has been open for longest makes room: calls are short, and their callers connect again.
+// It is safe for concurrent use.
+type Listener struct {
+	net.Listener
+	limits  Limits
+	refused *metrics.Counter
+	evicted *metrics.Counter
+
+	mu       sync.Mutex
+	open     *list.List // of *conn, the longest open first
+	byRemote map[string]*conn
+}
+
+// New returns a listener that limits the connections of another one.
+func New(l net.Listener, limits Limits) *Listener {
+	counter := func(what string) *metrics.Counter {
+		return metrics.GetOrCreateCounter("cyclamenwinch_server_connections_" + what + `_total{server="` + limits.Server + `"}`)
+	}
+	return &Listener{Listener: l, limits: limits, refused: counter("refused"), evicted: counter("evicted"),
+		open: list.New(), byRemote: map[string]*conn{}}
+}
+
+// Accept returns the next connection that is admitted.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(accepted); c != nil {
+			return c, nil
+		}
+		l.refused.Inc()
+		_ = accepted.Close() // an error means that the client has closed it
+	}
+}
+
+// admit adds a connection, or returns nil if there is no memory for it although the
+// longest open one was closed.
+func (l *Listener) admit(accepted net.Conn) *conn {
+	c := &conn{Conn: accepted, listener: l}
+	if l.limits.Memory != nil {
+		c.held = l.limits.Memory.Reserve(memory.Control, l.limits.Server, 0)
+	}
+	if l.full() {
+		l.evict()
+	}
+	if !c.held.Resize(ConnectionBytes) {
+		l.evict()
+		if !c.held.Resize(ConnectionBytes) {
+			return nil
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.element = l.open.PushBack(c)
+	l.byRemote[c.RemoteAddr().String()] = c
+	return c
+}
+
+func (l *Listener) full() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limits.Max > 0 && l.open.Len() >= l.limits.Max
+}
+
+// evict closes the connection that has been open for longest.
+func (l *Listener) evict() {
+	l.mu.Lock()
+	oldest := l.open.Front()
+	l.mu.Unlock()
+	if oldest != nil {
+		l.evicted.Inc()
+		_ = oldest.Value.(*conn).Close() // an error means that it is closed already
+	}
+}
+
+// Respond reserves memory for a response of a number of bytes to the client at an address,
+// until it was written or the connection is closed. It returns false if there is none.
+func (l *Listener) Respond(remote net.Addr, bytes int) bool {
+	l.mu.Lock()
+	c := l.byRemote[remote.String()]
+	l.mu.Unlock()
+	return c == nil || c.respond(int64(bytes)) // nil: the connection was closed
+}
+
+// conn is an admitted connection.
+type conn struct {
+	net.Conn
+	listener *Listener
+	element  *list.Element // in listener.open
+
+	mu      sync.Mutex
+	held    *memory.Reservation
+	unsent  int64 // bytes of responses that were not written yet
+	removed bool
+}
+
+func (c *conn) respond(bytes int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.removed {
+		return true
+	}
+	if !c.held.Resize(ConnectionBytes + c.unsent + bytes) {
+		return false
+	}
+	c.unsent += bytes
+	return true
+}
+
+// Write writes to the connection.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unsent > 0 && !c.removed {
+		c.unsent = max(0, c.unsent-int64(n))
+		c.held.Resize(ConnectionBytes + c.unsent) // less than before, so it succeeds
+	}
+	return n, err
+}
+
+// Close closes the connection and gives back its memory.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	first := !c.removed
+	c.removed = true
+	if first {
+		c.held.Release()
+	}
+	c.mu.Unlock()
+	if first {
+		c.listener.remove(c)
+	}
+	return c.Conn.Close()
+}
+
+func (l *Listener) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open.Remove(c.element)
+	if remote := c.RemoteAddr().String(); l.byRemote[remote] == c {
+		delete(l.byRemote, remote)
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -25,6 +25,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
 	"github.com/cyclamenwinch/cyclamenwinch/core/rollout"
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/connlimit"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/forward"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/mesh"
@@ -136,6 +137,8 @@
 	// otherFileFraction is the fraction that the connections to each other server of
 	// this process may use at most.
 	otherFileFraction = 0.05
+	// peerFileFraction is the fraction that connections from other routers may use.
+	peerFileFraction = 0.1
 	// maxCPULag is the mean time that work waits for the CPU above which the
 	// router refuses new requests at once. A request waits several times while it
 	// is handled; five such waits use up most of a typical latency objective.
@@ -187,6 +190,7 @@
 	replica    *replica.Replica
 	mesh       *mesh.Mesh
 	peerServer *grpc.Server
+	peerConns  atomic.Pointer[connlimit.Listener] // of the peer server; nil: not listening yet
 	leaving    atomic.Bool
 	startedAt  time.Time
 
@@ -239,7 +243,7 @@
 	for _, seed := range s.Seeds {
 		e.mesh.AddPeer("", "", seed, false)
 	}
-	e.peerServer = mesh.NewServer(e.replica)
+	e.peerServer = mesh.NewServer(e.replica, e.reserveResponse)
 	if s.forwards() {
 		if e.copier, err = e.newCopier(); err != nil {
 			return nil, err
@@ -406,14 +410,22 @@
 	e.log.Log(oplog.StateChange, "part.event", slog.String("what", event.String()))
 }
 
+// reserveResponse reserves memory for a response to a peer.
+func (e *Edge) reserveResponse(client net.Addr, bytes int) bool {
+	conns := e.peerConns.Load()
+	return conns == nil || conns.Respond(client, bytes)
+}
+
 func (e *Edge) servePeers(ctx context.Context) error {
 	l, err := net.Listen("tcp", netip.AddrPortFrom(e.settings.Address, e.settings.PeerPort).String())
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
+	conns := connlimit.New(l, connlimit.Limits{Max: int(peerFileFraction * float64(e.settings.MaxFiles)), Memory: e.budget, Server: "peers"})
+	e.peerConns.Store(conns)
 	stop := context.AfterFunc(ctx, e.peerServer.Stop)
 	defer stop()
-	return e.peerServer.Serve(l)
+	return e.peerServer.Serve(conns)
 }
 
 // pruneInterval is the time between two checks of the idle connections.
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -13,8 +13,12 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/retry"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
@@ -239,9 +243,38 @@
 	return encodeDelta(d), nil
 }
 
-// NewServer returns the gRPC server from which peers fetch records.
-func NewServer(r *replica.Replica) *grpc.Server {
-	s := grpc.NewServer(grpc.MaxSendMsgSize(maxMessageBytes),
+const (
+	// Limits of a connection from a peer. Requests have some tens of bytes, and a peer
+	// makes a few calls at a time.
+	maxRequestBytes   = 4 << 10
+	maxCallHeadBytes  = 8 << 10
+	maxCallsPerConn   = 8
+	callWindowBytes   = 64 << 10 // unread bytes, the least that gRPC supports
+	readBufferBytes   = 4 << 10
+	writeBufferBytes  = 16 << 10
+	connectionTimeout = 5 * time.Second // until the connection is set up
+)
+
+// errNoMemoryToRespond is the status of a call whose response exceeds the memory that is
+// left. The caller asks another router, or again.
+var errNoMemoryToRespond = status.Error(codes.ResourceExhausted, "no memory is left for the response")
+
+// NewServer returns the gRPC server from which peers fetch records. respond reserves memory
+// for a response of a number of bytes to a client; nil: there is no limit.
+func NewServer(r *replica.Replica, respond func(client net.Addr, bytes int) bool) *grpc.Server {
+	reserve := func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
+		resp, err := handle(ctx, req)
+		message, isMessage := resp.(proto.Message)
+		client, known := peer.FromContext(ctx)
+		if err == nil && respond != nil && isMessage && known && !respond(client.Addr, proto.Size(message)) {
+			return nil, errNoMemoryToRespond
+		}
+		return resp, err
+	}
+	s := grpc.NewServer(grpc.MaxSendMsgSize(maxMessageBytes), grpc.MaxRecvMsgSize(maxRequestBytes), grpc.MaxHeaderListSize(maxCallHeadBytes),
+		grpc.MaxConcurrentStreams(maxCallsPerConn), grpc.InitialWindowSize(callWindowBytes), grpc.InitialConnWindowSize(callWindowBytes),
+		grpc.ReadBufferSize(readBufferBytes), grpc.WriteBufferSize(writeBufferBytes), grpc.SharedWriteBuffer(true),
+		grpc.ConnectionTimeout(connectionTimeout), grpc.UnaryInterceptor(reserve),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 5 * time.Second, Timeout: 2 * time.Second, MaxConnectionIdle: 30 * time.Second}))
 	peerpb.RegisterRecordsServer(s, recordsServer{replica: r})
 	return s
--- a/internal/mesh/mesh_suite_test.go
+++ b/internal/mesh/mesh_suite_test.go
@@ -96,7 +96,7 @@
 	n.address = address.String()
 	l, err := net.Listen("tcp", n.address)
 	Expect(err).NotTo(HaveOccurred())
-	server := mesh.NewServer(n.replica)
+	server := mesh.NewServer(n.replica, nil)
 	n.stopCalls = server.Stop
 	ctx, cancel := context.WithCancel(context.Background())
 	go server.Serve(l)
