Limit the listener for other routers on the own interface

What could be seen: 1,000 connections at peer_listen, in plain mode, end a router: 1,154 MB with calls that send no message, 1,077 MB with calls of many fields, where request_memory_bytes and the rest allow 192 MB.

Cause: the same defaults of gRPC as on the prepared platform.

Change: the limits of connlimit apply here too: connections within a tenth of the descriptors, 64 KiB each and 16 KiB for each call within the control part of the budget, heads of 8 KiB, five seconds until a connection is set up. Sessions between routers are long, so that connections that are open stay, and new ones are refused. Calls are reserved until their context ends, on the prepared platform as well. A refused forwarded order runs at the router that its caller asked.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -1,10 +1,11 @@
-// Package connlimit limits what the connections of a server may hold together: their
-// number, the memory of each, and the responses that were handed over and that their
-// clients have not read yet. It serves servers that are not net/http's, such as gRPC's.
+// Package connlimit limits what the connections of a gRPC server may hold together: their
+// number, the memory of each and of its calls, and the responses that were handed over and
+// that their clients have not read yet.
 package connlimit
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"sync"
 
@@ -13,20 +14,25 @@
 	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 )
 
-// ConnectionBytes is what each connection reserves: its buffers and, in HTTP/2, its
-// unread bytes and a few calls.
-const ConnectionBytes = 64 << 10
+const (
+	// ConnectionBytes is what each connection reserves, for its buffers and unread bytes.
+	ConnectionBytes = 64 << 10
+	// CallBytes is what each call reserves, for its goroutine, its head and its message.
+	CallBytes = 16 << 10
+)
 
 // Limits limit the connections of a server.
 type Limits struct {
 	Max    int            // open connections; 0: no limit
 	Memory *memory.Budget // nil: no limit
 	Server string         // its name, the holder of the memory
+	// MakeRoom closes the connection that has been open for longest if a limit is reached.
+	// Otherwise the new one is closed: it suits servers with long calls, whose clients have
+	// to prove who they are.
+	MakeRoom bool
 }
 
-// Listener admits connections within the limits. If they are reached, the connection that
-// has been open for longest makes room: calls are short, and their callers connect again.
-// It is safe for concurrent use.
+// Listener admits connections within the limits. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
 	limits  Limits
@@ -62,21 +68,11 @@
 	}
 }
 
-// admit adds a connection, or returns nil if there is no memory for it although the
-// longest open one was closed.
+// admit adds a connection, or returns nil if the limits don't allow it.
 func (l *Listener) admit(accepted net.Conn) *conn {
-	c := &conn{Conn: accepted, listener: l}
-	if l.limits.Memory != nil {
-		c.held = l.limits.Memory.Reserve(memory.Control, l.limits.Server, 0)
-	}
-	if l.full() {
-		l.evict()
-	}
-	if !c.held.Resize(ConnectionBytes) {
-		l.evict()
-		if !c.held.Resize(ConnectionBytes) {
-			return nil
-		}
+	c := &conn{Conn: accepted, listener: l, held: l.reserve()}
+	if l.full() && !l.evict() || !c.held.Resize(ConnectionBytes) && !(l.evict() && c.held.Resize(ConnectionBytes)) {
+		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -85,21 +81,42 @@
 	return c
 }
 
+// reserve returns a reservation of the server; nil: there is no limit.
+func (l *Listener) reserve() *memory.Reservation {
+	if l.limits.Memory == nil {
+		return nil
+	}
+	return l.limits.Memory.Reserve(memory.Control, l.limits.Server, 0)
+}
+
 func (l *Listener) full() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.limits.Max > 0 && l.open.Len() >= l.limits.Max
 }
 
-// evict closes the connection that has been open for longest.
-func (l *Listener) evict() {
+// evict closes the connection that has been open for longest. It returns false if none
+// may be closed.
+func (l *Listener) evict() bool {
 	l.mu.Lock()
 	oldest := l.open.Front()
 	l.mu.Unlock()
-	if oldest != nil {
-		l.evicted.Inc()
-		_ = oldest.Value.(*conn).Close() // an error means that it is closed already
+	if oldest == nil || !l.limits.MakeRoom {
+		return false
 	}
+	l.evicted.Inc()
+	_ = oldest.Value.(*conn).Close() // an error means that it is closed already
+	return true
+}
+
+// Call reserves memory for a call until its context ends. It returns false if there is none.
+func (l *Listener) Call(ctx context.Context) bool {
+	held := l.reserve()
+	if !held.Resize(CallBytes) {
+		return false
+	}
+	context.AfterFunc(ctx, held.Release)
+	return true
 }
 
 // Respond reserves memory for a response of a number of bytes to the client at an address,
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -1,9 +1,11 @@
 package connlimit
 
 import (
+	"context"
 	"io"
 	"net"
 	"testing"
+	"testing/synctest"
 
 	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 )
@@ -47,7 +49,7 @@
 // TestLongestOpenConnectionMakesRoom guards against a crowd that leaves no connection for
 // others, whatever it does on its own.
 func TestLongestOpenConnectionMakesRoom(t *testing.T) {
-	l := listen(t, Limits{Max: 2})
+	l := listen(t, Limits{Max: 2, MakeRoom: true})
 	first, _ := connect(t, l)
 	second, server := connect(t, l)
 	connect(t, l)
@@ -60,6 +62,49 @@
 	}
 }
 
+// TestOpenConnectionsStayWithoutMakeRoom guards against a crowd that ends the connections of
+// others.
+func TestOpenConnectionsStayWithoutMakeRoom(t *testing.T) {
+	l := listen(t, Limits{Max: 1})
+	first, server := connect(t, l)
+	refused, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer refused.Close()
+	go func() { _, _ = l.Accept() }() // until the listener is closed
+	if _, err := refused.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection beyond the limit is admitted")
+	}
+	go func() { _, _ = server.Write([]byte("x")) }()
+	if _, err := io.ReadFull(first, make([]byte, 1)); err != nil {
+		t.Errorf("the open connection: %v", err)
+	}
+}
+
+// TestCallsReserveMemory guards against calls that no budget counts, or that are counted
+// after their end.
+func TestCallsReserveMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := memory.NewBudget(4 << 20)
+		before := free(b)
+		l := New(nil, Limits{Memory: b, Server: "test"})
+		ctx, end := context.WithCancel(context.Background())
+		calls := 0
+		for l.Call(ctx) {
+			calls++
+		}
+		if calls == 0 || calls > 16 {
+			t.Errorf("%d calls", calls)
+		}
+		end()
+		synctest.Wait()
+		if got := free(b); got != before {
+			t.Errorf("%d bytes are free after the calls, %d before", got, before)
+		}
+	})
+}
+
 // TestConnectionsReserveMemory guards against connections and unread responses that no
 // budget counts, or that are counted after their end.
 func TestConnectionsReserveMemory(t *testing.T) {
@@ -101,7 +146,7 @@
 // TestConnectionsWithoutMemoryAreRefused guards against a crowd that exceeds the budget.
 func TestConnectionsWithoutMemoryAreRefused(t *testing.T) {
 	b := memory.NewBudget(4 << 20) // an eighth for control, half of it for one server
-	l := listen(t, Limits{Memory: b})
+	l := listen(t, Limits{Memory: b, MakeRoom: true})
 	for range 20 {
 		connect(t, l)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,7 +42,8 @@
 	ledger    *ledger.Ledger
 	dialer    *peer.Dialer
 	lagMeter  *overload.Meter
-	aborted   chan struct{} // closed by Abort
+	budget    *memory.Budget // of connections, and of requests and responses in progress
+	aborted   chan struct{}  // closed by Abort
 	abortOnce sync.Once
 
 	callers   *callerapi.API
@@ -86,20 +87,20 @@
 		Fleet: d.fleet, Platform: store, Pools: d.pools, Endpoints: endpoints, Dialer: d.dialer, Events: d.events,
 		RestoreHold: time.Duration(s.LeaseSeconds) * time.Second, // every router renews its lease in that time and learns of the restoration
 	})
-	budget := memory.NewBudget(int64(s.RequestMemory))
-	budget.LimitRuntime(int64(s.RequestMemory) + otherMemory)
+	d.budget = memory.NewBudget(int64(s.RequestMemory))
+	d.budget.LimitRuntime(int64(s.RequestMemory) + otherMemory)
 	d.callers = callerapi.New(callerapi.Options{
 		Fleet: d.fleet, Pools: d.pools, Endpoints: endpoints, Ledger: d.ledger, Events: d.events,
 		Addresses:    addresses.New(d.fleet, time.Duration(s.AddressSeconds)*time.Second),
 		MaxBodyBytes: int64(s.MaxBodyBytes), MaxMessages: s.MaxMessages, MaxAccountRequests: s.MaxAccountOpen,
-		Memory: budget,
+		Memory: d.budget,
 		Lag:    d.lagMeter.Lag,
 	})
 	d.ops = opsapi.New(opsapi.Options{Fleet: d.fleet, Events: d.events, Token: s.OpsToken, OpenRequests: d.callers.OpenRequests, Usage: d.host.Usage, Pools: d.ownedPools, Orders: d.ledger, Quarantine: d.host})
 	d.callerWeb = newWebServer("callers", s.CallerTLS, d.callerHandler())
-	d.callerWeb.limits = closing.Limits{Max: maxConnections(callerFileFraction), Memory: budget}
+	d.callerWeb.limits = closing.Limits{Max: maxConnections(callerFileFraction), Memory: d.budget}
 	d.opsWeb = newWebServer("operators", s.OpsTLS, d.ops.Handler())
-	d.opsWeb.limits = closing.Limits{Max: maxConnections(opsFileFraction), Memory: budget, Control: "operators"}
+	d.opsWeb.limits = closing.Limits{Max: maxConnections(opsFileFraction), Memory: d.budget, Control: "operators"}
 	return d, nil
 }
 
--- a/internal/daemon/supervise.go
+++ b/internal/daemon/supervise.go
@@ -11,6 +11,7 @@
 	"github.com/thejerf/suture/v4"
 	"k8s.io/klog/v2"
 
+	"github.com/cyclamenwinch/cyclamenwinch/internal/connlimit"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/limitio"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peer"
@@ -56,7 +57,8 @@
 	root.Add(&part{name: "pools", serve: d.host.Serve})
 	root.Add(&part{name: "orders", serve: d.ledger.Serve})
 	root.Add(&part{name: "peers", serve: func(ctx context.Context) error {
-		return peer.Serve(ctx, reusable(l.peers), d.creds, peer.Handlers{Fleet: d.fleet, Admission: d.host, Orders: d.ledger})
+		return peer.Serve(ctx, reusable(l.peers), d.creds, peer.Handlers{Fleet: d.fleet, Admission: d.host, Orders: d.ledger},
+			connlimit.Limits{Max: maxConnections(peerFileFraction), Memory: d.budget})
 	}})
 	root.Add(&part{name: "callers", serve: func(ctx context.Context) error { return d.callerWeb.serve(ctx, reusable(l.callers)) }})
 	root.Add(&part{name: "operators", serve: func(ctx context.Context) error { return d.opsWeb.serve(ctx, reusable(l.ops)) }})
--- a/internal/daemon/web.go
+++ b/internal/daemon/web.go
@@ -32,6 +32,8 @@
 	callerFileFraction = 0.5
 	// opsFileFraction is the fraction that connections from operators may use.
 	opsFileFraction = 0.05
+	// peerFileFraction is the fraction that connections from other routers may use.
+	peerFileFraction = 0.1
 )
 
 // maxConnections returns the number of connections that may use a fraction of the file
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -243,7 +243,7 @@
 	for _, seed := range s.Seeds {
 		e.mesh.AddPeer("", "", seed, false)
 	}
-	e.peerServer = mesh.NewServer(e.replica, e.reserveResponse)
+	e.peerServer = mesh.NewServer(e.replica, peerLimits{e})
 	if s.forwards() {
 		if e.copier, err = e.newCopier(); err != nil {
 			return nil, err
@@ -410,8 +410,17 @@
 	e.log.Log(oplog.StateChange, "part.event", slog.String("what", event.String()))
 }
 
-// reserveResponse reserves memory for a response to a peer.
-func (e *Edge) reserveResponse(client net.Addr, bytes int) bool {
+// peerLimits are the limits of the listener for peers, once there is one.
+type peerLimits struct{ *Edge }
+
+// Call implements mesh.CallLimits.
+func (e peerLimits) Call(ctx context.Context) bool {
+	conns := e.peerConns.Load()
+	return conns == nil || conns.Call(ctx)
+}
+
+// Respond implements mesh.CallLimits.
+func (e peerLimits) Respond(client net.Addr, bytes int) bool {
 	conns := e.peerConns.Load()
 	return conns == nil || conns.Respond(client, bytes)
 }
@@ -421,7 +430,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	conns := connlimit.New(l, connlimit.Limits{Max: int(peerFileFraction * float64(e.settings.MaxFiles)), Memory: e.budget, Server: "peers"})
+	conns := connlimit.New(l, connlimit.Limits{Max: int(peerFileFraction * float64(e.settings.MaxFiles)), Memory: e.budget, Server: "peers", MakeRoom: true})
 	e.peerConns.Store(conns)
 	stop := context.AfterFunc(ctx, e.peerServer.Stop)
 	defer stop()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -23,6 +23,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/connlimit"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/fleet"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peer"
@@ -151,7 +152,7 @@
 	for _, run := range []func(context.Context) error{
 		f.RunLeaseRenewal, f.RunHeartbeats, f.WatchManifest, f.RunNotifier,
 		func(ctx context.Context) error {
-			return peer.Serve(ctx, l, insecure.NewCredentials(), peer.Handlers{Fleet: f})
+			return peer.Serve(ctx, l, insecure.NewCredentials(), peer.Handlers{Fleet: f}, connlimit.Limits{})
 		},
 	} {
 		wg.Go(func() { run(ctx) })
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/retry"
@@ -255,26 +256,40 @@
 	connectionTimeout = 5 * time.Second // until the connection is set up
 )
 
-// errNoMemoryToRespond is the status of a call whose response exceeds the memory that is
-// left. The caller asks another router, or again.
-var errNoMemoryToRespond = status.Error(codes.ResourceExhausted, "no memory is left for the response")
+// errNoMemoryForCall is the status of a call that exceeds the memory that is left, itself or
+// by its response. The caller asks another router, or again.
+var errNoMemoryForCall = status.Error(codes.ResourceExhausted, "no memory is left for the call")
 
-// NewServer returns the gRPC server from which peers fetch records. respond reserves memory
-// for a response of a number of bytes to a client; nil: there is no limit.
-func NewServer(r *replica.Replica, respond func(client net.Addr, bytes int) bool) *grpc.Server {
+// CallLimits reserve memory for the calls of peers.
+type CallLimits interface {
+	// Call reserves memory for a call until its context ends.
+	Call(ctx context.Context) bool
+	// Respond reserves memory for a response until the client has read it.
+	Respond(client net.Addr, bytes int) bool
+}
+
+// NewServer returns the gRPC server from which peers fetch records. nil: there are no
+// limits.
+func NewServer(r *replica.Replica, limits CallLimits) *grpc.Server {
+	begin := func(ctx context.Context, _ *tap.Info) (context.Context, error) {
+		if limits != nil && !limits.Call(ctx) {
+			return ctx, errNoMemoryForCall
+		}
+		return ctx, nil
+	}
 	reserve := func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
 		resp, err := handle(ctx, req)
 		message, isMessage := resp.(proto.Message)
 		client, known := peer.FromContext(ctx)
-		if err == nil && respond != nil && isMessage && known && !respond(client.Addr, proto.Size(message)) {
-			return nil, errNoMemoryToRespond
+		if err == nil && limits != nil && isMessage && known && !limits.Respond(client.Addr, proto.Size(message)) {
+			return nil, errNoMemoryForCall
 		}
 		return resp, err
 	}
 	s := grpc.NewServer(grpc.MaxSendMsgSize(maxMessageBytes), grpc.MaxRecvMsgSize(maxRequestBytes), grpc.MaxHeaderListSize(maxCallHeadBytes),
 		grpc.MaxConcurrentStreams(maxCallsPerConn), grpc.InitialWindowSize(callWindowBytes), grpc.InitialConnWindowSize(callWindowBytes),
-		grpc.ReadBufferSize(readBufferBytes), grpc.WriteBufferSize(writeBufferBytes), grpc.SharedWriteBuffer(true),
-		grpc.ConnectionTimeout(connectionTimeout), grpc.UnaryInterceptor(reserve),
+		grpc.ReadBufferSize(readBufferBytes), grpc.WriteBufferSize(writeBufferBytes),
+		grpc.ConnectionTimeout(connectionTimeout), grpc.InTapHandle(begin), grpc.UnaryInterceptor(reserve),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 5 * time.Second, Timeout: 2 * time.Second, MaxConnectionIdle: 30 * time.Second}))
 	peerpb.RegisterRecordsServer(s, recordsServer{replica: r})
 	return s
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,9 +9,13 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 
+	"github.com/cyclamenwinch/cyclamenwinch/internal/connlimit"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
 )
 
@@ -21,8 +25,16 @@
 	minPingInterval     = 5 * time.Second // the server disconnects peers that ping more often
 	maxBackoff          = time.Second     // between attempts to connect; also the minimum timeout of an attempt
 	gracefulStopTimeout = 3 * time.Second // for calls in progress when the server stops
+
+	// Limits of a connection from a peer, most of whose calls are forwarded orders.
+	maxCallHeadBytes  = 8 << 10
+	maxCallsPerConn   = 1000
+	connectionTimeout = 5 * time.Second // until the connection is set up
 )
 
+// errNoMemoryForCall is the status of a call that exceeds the memory that is left.
+var errNoMemoryForCall = status.Error(codes.ResourceExhausted, "no memory is left for the call")
+
 // Handlers implement the services that Serve offers to other routers.
 type Handlers struct {
 	Fleet     peerpb.FleetServer
@@ -30,10 +42,22 @@
 	Orders    peerpb.OrdersServer
 }
 
-// Serve handles calls from peers on the listener until the context ends.
-func Serve(ctx context.Context, l net.Listener, creds credentials.TransportCredentials, h Handlers) error {
+// Serve handles calls from peers on the listener, within limits, until the context ends.
+func Serve(ctx context.Context, l net.Listener, creds credentials.TransportCredentials, h Handlers, limits connlimit.Limits) error {
+	limits.Server = "peers"
+	conns := connlimit.New(countingListener{l}, limits)
+	begin := func(ctx context.Context, _ *tap.Info) (context.Context, error) {
+		if !conns.Call(ctx) {
+			return ctx, errNoMemoryForCall
+		}
+		return ctx, nil
+	}
 	s := grpc.NewServer(
 		grpc.Creds(creds),
+		grpc.InTapHandle(begin),
+		grpc.MaxHeaderListSize(maxCallHeadBytes),
+		grpc.MaxConcurrentStreams(maxCallsPerConn),
+		grpc.ConnectionTimeout(connectionTimeout),
 		grpc.StatsHandler(trafficStats{}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}),
@@ -46,7 +70,7 @@
 		defer close(stopped)
 		stopGracefully(s)
 	})
-	err := s.Serve(countingListener{l})
+	err := s.Serve(conns)
 	if !stop() {
 		<-stopped
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -23,6 +23,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/connlimit"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peer"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/settings"
@@ -51,7 +52,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		peer.Serve(ctx, l, creds, peer.Handlers{Fleet: heartbeatServer{}})
+		peer.Serve(ctx, l, creds, peer.Handlers{Fleet: heartbeatServer{}}, connlimit.Limits{})
 	}()
 	DeferCleanup(func() { cancel(); <-done })
 	return member.Router{Name: "r", PeerAddr: l.Addr().String()}
@@ -215,7 +216,9 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		blocking := blockingServer{started: make(chan struct{}), release: make(chan struct{})}
 		served := make(chan error, 1)
-		go func() { served <- peer.Serve(ctx, l, insecure.NewCredentials(), peer.Handlers{Fleet: blocking}) }()
+		go func() {
+			served <- peer.Serve(ctx, l, insecure.NewCredentials(), peer.Handlers{Fleet: blocking}, connlimit.Limits{})
+		}()
 		d := peer.NewDialer(insecure.NewCredentials())
 		defer d.Close()
 		replied := make(chan error, 1)
--- a/internal/pool/pool_suite_test.go
+++ b/internal/pool/pool_suite_test.go
@@ -18,6 +18,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/fair"
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/core/member"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/connlimit"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peer"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
@@ -196,7 +197,7 @@
 	cleanup(func() { stop() })
 	go peer.Serve(ctx, l, insecure.NewCredentials(), peer.Handlers{
 		Fleet: peerpb.UnimplementedFleetServer{}, Admission: n.host, Orders: peerpb.UnimplementedOrdersServer{},
-	})
+	}, connlimit.Limits{})
 	go n.host.Serve(ctx)
 	return n
 }
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -132,6 +132,7 @@
 	platform *process
 	models   []*process
 	proxies  map[string]*netproxy.Proxy // by name of the router; only with size.peerProxies
+	peers    map[string]string          // addresses for other routers, by name of the router
 	orders   []*process
 	routers  []*process
 }
@@ -159,7 +160,7 @@
 // in force.
 func startCluster(s size) *cluster {
 	GinkgoHelper()
-	c := &cluster{dir: GinkgoT().TempDir(), proxies: map[string]*netproxy.Proxy{}}
+	c := &cluster{dir: GinkgoT().TempDir(), proxies: map[string]*netproxy.Proxy{}, peers: map[string]string{}}
 	layout := load.Layout{
 		Example: filepath.Join("..", "examples", s.example),
 		Routers: s.routers, Models: s.models, Orders: s.orders, Accounts: s.accounts,
@@ -191,6 +192,7 @@
 // adjustSettings shortens the timeouts, so that failures are detected sooner,
 // and puts a proxy in front of the listener for peers if the size asks for it.
 func (c *cluster) adjustSettings(s size, x *settings.Settings) {
+	c.peers[x.Name] = x.PeerListen
 	x.LeaseSeconds = 2
 	x.HeartbeatMillis = 200
 	x.ProgressMillis = 1500
--- a/test/untrusted_test.go
+++ b/test/untrusted_test.go
@@ -82,6 +82,35 @@
 	}).Should(Equal(load.Completed))
 }
 
+// expectBorne opens untrustedConns connections at an address of a router, sends a text on
+// each and checks that the router stays within its memory, and that a request of an
+// ordinary caller is answered while they are open.
+func expectBorne(c *cluster, pid int, at, text, ordinary string) {
+	GinkgoHelper()
+	stop := make(chan struct{})
+	var senders sync.WaitGroup
+	for range untrustedConns {
+		senders.Go(func() {
+			conn, err := net.Dial("tcp", at)
+			if err != nil {
+				return // the router may refuse it
+			}
+			go func() { <-stop; conn.Close() }()
+			_, _ = conn.Write([]byte(text)) // fails for those that are refused
+			<-stop
+		})
+	}
+	peak := 0
+	for end := time.Now().Add(untrustedPeriod); time.Now().Before(end); time.Sleep(pollInterval) {
+		peak = max(peak, residentMB(pid))
+	}
+	expectServed(c, ordinary)
+	close(stop)
+	senders.Wait()
+	AddReportEntry("peak memory in MB", peak)
+	Expect(peak).To(BeNumerically("<", untrustedMemoryMB))
+}
+
 // Guards against callers that end a router by the memory of their connections, of heads of
 // requests and of bodies without an end.
 var _ = Describe("Untrusted callers", Serial, func() {
@@ -108,29 +137,7 @@
 		It("that send "+name+" do not use up the memory of a router", func() {
 			attacker, ordinary := c.manifest.Accounts[0].Name, c.manifest.Accounts[1].Name
 			front, pid := address(c.Routers[0].CallerURL), c.routers[0].running().Command.Process.Pid
-			text := []byte(message("demo-" + attacker))
-			stop := make(chan struct{})
-			var senders sync.WaitGroup
-			for range untrustedConns {
-				senders.Go(func() {
-					conn, err := net.Dial("tcp", front)
-					if err != nil {
-						return // the router may refuse it
-					}
-					go func() { <-stop; conn.Close() }()
-					_, _ = conn.Write(text) // fails for those that are refused
-					<-stop
-				})
-			}
-			peak := 0
-			for end := time.Now().Add(untrustedPeriod); time.Now().Before(end); time.Sleep(pollInterval) {
-				peak = max(peak, residentMB(pid))
-			}
-			expectServed(c, ordinary)
-			close(stop)
-			senders.Wait()
-			AddReportEntry("peak memory in MB", peak)
-			Expect(peak).To(BeNumerically("<", untrustedMemoryMB))
+			expectBorne(c, pid, front, message("demo-"+attacker), ordinary)
 		})
 	}
 
