Reserve the large heads of HTTP/2 requests

What could happen on the own interface: an HTTP/2 connection carries 250 requests at a time, whose heads of 64 KiB take some 250 KB each once parsed. Only the 80 KiB of a request were reserved, so that with a larger budget than the least one the heads exceed what is left beside it.

Change: what a head takes beyond the usual is reserved with its request, as connections reserve it for HTTP/1.1; without memory the request is refused with 2011.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -28,6 +28,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/manifest"
 	"github.com/cyclamenwinch/cyclamenwinch/core/retry"
 	"github.com/cyclamenwinch/cyclamenwinch/core/urlpath"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/closing"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/ledger"
@@ -262,12 +263,16 @@
 	a.opts.Events.Add(eventlog.Event{Kind: eventlog.RequestRefused, Request: c.id, Account: c.account.Name, Code: int(failure.Code), Detail: failure.Detail})
 }
 
-// readBody reads the body of a request into memory that it reserves.
+// readBody reads the body of a request into memory that it reserves, as it does for a
+// large head that its connection has not reserved.
 func (a *API) readBody(w http.ResponseWriter, r *http.Request, c call) ([]byte, error) {
 	limit := a.opts.MaxBodyBytes
 	if r.ContentLength > limit {
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
+	if r.ProtoMajor >= 2 && !c.memory.Reserve(memory.Heads, c.account.Name, 0).Resize(closing.HeadCost(r.Header)) {
+		return nil, memory.ErrNoMemory
+	}
 	if !c.memory.Reserve(memory.Requests, c.account.Name, 0).Resize(memory.RequestBytes) {
 		return nil, memory.ErrNoMemory
 	}
--- a/internal/callerapi/memory_test.go
+++ b/internal/callerapi/memory_test.go
@@ -1,6 +1,7 @@
 package callerapi_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -57,6 +58,43 @@
 		Expect(router.send("/stock", strings.Repeat("x", size)).Code).To(Equal(http.StatusOK))
 	})
 
+	It("is reserved for large heads of HTTP/2 requests, whose connection has not reserved it", func() {
+		router := newTestRouterOptions(time.Minute, time.Minute, 1, receive, withMemory)
+		var bodies []*io.PipeWriter
+		responses := make(chan int, 20)
+		send := func() (begun bool) {
+			body, w := io.Pipe()
+			r := httptest.NewRequest(http.MethodPost, "/stock", body)
+			r.ProtoMajor, r.ContentLength = 2, 10
+			r.Header.Set("Authorization", "Bearer secret")
+			for i := range 1000 {
+				r.Header.Set(fmt.Sprint("X-", i), "v")
+			}
+			go func() {
+				response := httptest.NewRecorder()
+				router.api.Handler().ServeHTTP(response, r)
+				body.CloseWithError(io.ErrClosedPipe) // refused: the body is not read
+				responses <- response.Code
+			}()
+			if _, err := w.Write([]byte("x")); err != nil {
+				return false
+			}
+			bodies = append(bodies, w)
+			return true
+		}
+		for len(bodies) < 20 && send() {
+		}
+		Expect(len(bodies)).To(And(BeNumerically(">", 0), BeNumerically("<=", 5)), "5 MiB, of which heads may take a quarter, at 250 KiB each")
+		Eventually(responses).Should(Receive(Equal(http.StatusServiceUnavailable)))
+		Expect(router.send("/stock", "small").Code).To(Equal(http.StatusOK))
+		for _, w := range bodies {
+			_, err := io.WriteString(w, strings.Repeat("x", 9))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(w.Close()).To(Succeed())
+			Eventually(responses).WithTimeout(time.Minute).Should(Receive(Equal(http.StatusOK)))
+		}
+	})
+
 	DescribeTable("is not exceeded by a response",
 		func(budget int64, status int) {
 			large := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, size)) }
--- a/internal/closing/limits.go
+++ b/internal/closing/limits.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"math"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -197,6 +198,23 @@
 	}
 }
 
+// HeadCost returns the memory that the head of a request takes beyond that of its
+// connection. It is meant for HTTP/2, of whose connections many requests share one.
+func HeadCost(h http.Header) int64 {
+	lines, size := 0, 0
+	for name, values := range h {
+		lines += len(values)
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	need := headByteCost*size + headLineCost*lines
+	if need <= freeHeadBytes {
+		return 0
+	}
+	return int64(need)
+}
+
 // endHead releases the memory of the latest head. The caller must hold c.mu.
 func (c *conn) endHead() {
 	c.held.head.Release()
--- a/test/crowds_test.go
+++ b/test/crowds_test.go
@@ -54,6 +54,7 @@
 		text           func(key string) string
 	}{
 		{"callers", "HTTP/2 requests with many fields and no end", func(key string) string { return http2Requests("/v1/chat/completions", key, 100, 500) }},
+		{"callers", "as many HTTP/2 requests as a connection may, with heads of the largest size", func(key string) string { return http2Requests("/v1/chat/completions", key, 250, 1400) }},
 		{"callers", "HTTP/2 requests with many fields of an unknown account", func(string) string { return http2Requests("/v1/chat/completions", "unknown", 100, 500) }},
 		{"operators", "heads of many fields without their end", heads},
 		{"operators", "HTTP/2 requests with many fields and no end", func(string) string { return http2Requests("/v1/status", "unknown", 100, 500) }},
