Reserve forwarded orders at their home router

What could happen on the own interface: callers whose orders belong to one shard send them to many routers, each of which forwards them to the shard's home router. That runs up to 4,096 at a time, with bodies of up to 4 MB, in no budget: only the routers that the callers asked had reserved them. Found by reading.

Change: a home router reserves a forwarded order like a request of its own callers, until its run no longer holds it, and refuses it as not run, with a time to return, if there is no memory.

Evidence: the new spec fails without the change (20 orders of 1 MiB are taken with a budget of 8 MiB) and passes with it; after the orders have ended one is run again.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,12 +83,12 @@
 	endpoints := endpoint.New(time.Duration(s.ProgressMillis) * time.Millisecond)
 	d.host = pool.NewHost(d.fleet, d.events)
 	d.pools = pool.NewClient(d.fleet, d.host, d.dialer)
+	d.budget = memory.NewBudget(int64(s.RequestMemory))
+	d.budget.LimitRuntime(int64(s.RequestMemory) + otherMemory)
 	d.ledger = ledger.New(ledger.Options{
-		Fleet: d.fleet, Platform: store, Pools: d.pools, Endpoints: endpoints, Dialer: d.dialer, Events: d.events,
+		Fleet: d.fleet, Platform: store, Pools: d.pools, Endpoints: endpoints, Dialer: d.dialer, Events: d.events, Memory: d.budget,
 		RestoreHold: time.Duration(s.LeaseSeconds) * time.Second, // every router renews its lease in that time and learns of the restoration
 	})
-	d.budget = memory.NewBudget(int64(s.RequestMemory))
-	d.budget.LimitRuntime(int64(s.RequestMemory) + otherMemory)
 	d.callers = callerapi.New(callerapi.Options{
 		Fleet: d.fleet, Pools: d.pools, Endpoints: endpoints, Ledger: d.ledger, Events: d.events,
 		Addresses:    addresses.New(d.fleet, time.Duration(s.AddressSeconds)*time.Second),
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -33,6 +33,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/core/retry"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peer"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/peerpb"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/pool"
@@ -58,6 +59,7 @@
 	maxRetryTokens       = 20                    // size of the retry budget
 	pollInterval         = 20 * time.Millisecond // of waits for the shards
 	maxRunning           = 4096                  // limit of concurrent orders at this router
+	memoryRetryAfter     = time.Second           // Retry-After of a forwarded order without memory
 )
 
 // Fleet provides this router's view of the fleet.
@@ -78,6 +80,9 @@
 	Endpoints *endpoint.Client
 	Dialer    *peer.Dialer
 	Events    *eventlog.Log
+	// Memory limits what orders that other routers forward hold; nil: no limit. Those of
+	// this router's own callers are reserved by the callers' API.
+	Memory *memory.Budget
 	// StartupGrace is how long after its start a router considers all claimants
 	// alive, because its view of the fleet is not complete yet; 0: the default.
 	StartupGrace time.Duration
@@ -193,14 +198,22 @@
 // Run runs an order at this router. A resend of an order that is already
 // running at this router waits for that run and gets its response.
 func (l *Ledger) Run(ctx context.Context, o Order) (Result, error) {
+	return l.run(ctx, o, func() {})
+}
+
+// run is Run. ended is called once the run no longer holds the order, which may be after
+// its caller has left.
+func (l *Ledger) run(ctx context.Context, o Order, ended func()) (Result, error) {
 	l.activeRuns.Add(1)
 	defer l.activeRuns.Done()
 	n, err := l.shardOf(o.Account, o.Key)
 	if err != nil {
+		ended()
 		return Result{}, err
 	}
 	done, err := l.beginRun(ctx, order.NewID(o.Account, o.Key))
 	if err != nil {
+		ended()
 		return Result{}, err
 	}
 	r := &run{ledger: l, shard: l.shard(n), order: o, acceptedAt: time.Now().Round(0).UTC(), dispatchable: make(chan struct{})}
@@ -209,6 +222,7 @@
 	go func() {
 		defer l.activeRuns.Done()
 		defer done()
+		defer ended()
 		result, err := r.runAttempts(ctx)
 		outcome <- runResult{result, err}
 	}()
@@ -353,7 +367,7 @@
 
 // PlaceOrder runs an order that another router forwarded.
 func (l *Ledger) PlaceOrder(ctx context.Context, in *peerpb.OrderRequest) (*peerpb.OrderReply, error) {
-	result, err := l.Run(ctx, Order{
+	result, err := l.runForwarded(ctx, Order{
 		Account: in.Account, Key: in.Key, Pool: in.Pool, Path: in.Path,
 		ContentType: in.ContentType, Body: in.Body, RequestID: in.RequestId,
 	})
@@ -377,6 +391,22 @@
 	}, nil
 }
 
+// runForwarded runs an order within the memory budget.
+func (l *Ledger) runForwarded(ctx context.Context, o Order) (Result, error) {
+	if l.opts.Memory == nil {
+		return l.Run(ctx, o)
+	}
+	held := &memory.Scope{Budget: l.opts.Memory}
+	if !held.Reserve(memory.Requests, o.Account, 0).Resize(memory.RequestBytes) ||
+		!held.Reserve(memory.RequestBodies, o.Account, memory.FreeBodyBytes).Resize(int64(len(o.Body))) {
+		held.Release()
+		failure := code.Refuse(code.NoMemory, "at the order's home router")
+		failure.RetryAfter = memoryRetryAfter
+		return Result{}, failure
+	}
+	return l.run(ctx, o, held.Release)
+}
+
 // newToken returns a unique claim token.
 func newToken(self member.Router) string {
 	random := make([]byte, 8)
--- a/internal/ledger/rig_test.go
+++ b/internal/ledger/rig_test.go
@@ -22,6 +22,7 @@
 	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/eventlog"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/ledger"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/memory"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/platform"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/pool"
 	"github.com/cyclamenwinch/cyclamenwinch/standin/objects"
@@ -118,6 +119,7 @@
 	serve    bool                // added routers maintain their shards
 	platform func() ledger.Store // returns the store of a router that is added
 	silence  time.Duration       // how long an added router waits for a silent runner
+	memory   *memory.Budget      // of added routers; nil: no limit
 
 	mu     sync.Mutex
 	fences []int64 // fencing numbers of the orders that reached the runner
@@ -163,7 +165,7 @@
 	go host.Serve(ctx)
 	pools := pool.NewClient(f, host, nil)
 	DeferCleanup(pools.Close)
-	l := ledger.New(ledger.Options{Fleet: f, Platform: r.platform(), Pools: pools, Endpoints: endpoint.New(r.silence), Events: events, StartupGrace: time.Nanosecond, RestoreHold: restoreHold})
+	l := ledger.New(ledger.Options{Fleet: f, Platform: r.platform(), Pools: pools, Endpoints: endpoint.New(r.silence), Events: events, Memory: r.memory, StartupGrace: time.Nanosecond, RestoreHold: restoreHold})
 	DeferCleanup(l.Close)
 	serving, stop := context.WithCancel(context.Background())
 	DeferCleanup(stop)
--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -18,6 +18,7 @@
 | memory of connections to other listeners, and of their heads | an eighth, of which 1.5 in 100 can't be used otherwise | the same |
 | connections and calls from other routers | 0.1 of the descriptors; 64 KiB for each connection and 16 KiB for each call of the memory for other listeners; heads of 8 KiB | a new connection is closed, or on a prepared platform the one that has been open for longest; a call is refused |
 | the same on a prepared platform | 8 calls at a time, requests of 4 KiB, and responses that were not read yet in the same memory | the call waits or is refused |
+| memory of orders that other routers forward | that of requests at their home router too | refused as not run |
 | memory of large heads, also of HTTP/2 requests | 3 bytes a byte and 256 a line beyond 8 KiB, together a quarter | 503 with ` + "`Retry-After`" + ` |
 | kernel buffers of a connection | 8 KiB in each direction (the kernel doubles it); 64 KiB for a request body above 8 KiB and 32 KiB for such a response, together an eighth | the connection keeps its small buffers |
 | request body | its request's deadline, of any length; 30 s on the own interface | 503; 400 on the own interface |
