Refuse prompts that exceed every endpoint's memory

What callers saw: an account whose requests state more tokens than any endpoint can hold has the requests of others limited: the service counted as overloaded, and the account as underserved, although nothing more could be served. Its own requests were refused as too slow, with a time to return, or waited.

Cause: the tokens counted as demand before it was known whether the request can be placed at all.

Change: a prompt that alone exceeds the memory that the service's engines state is refused at once with 400 (1001, prompt_exceeds_memory), before it counts.

The relay's spec gets 400 without Retry-After, and the endpoint no request.

--- a/core/dispatch/ticket.go
+++ b/core/dispatch/ticket.go
@@ -71,6 +71,7 @@
 	NoWeights                             // no usable endpoint has the version of the weights that it names
 	PartQuarantined                       // a part of the prompt crashes endpoints
 	ExitTooSoon                           // no endpoint could complete the response before this router exits
+	TooLarge                              // the prompt exceeds the memory of each endpoint
 )
 
 // String returns the name of the reason in logs. These names are fixed; two of
@@ -91,6 +92,8 @@
 		return "part_quarantined"
 	case ExitTooSoon:
 		return "not_whole_before_exit"
+	case TooLarge:
+		return "prompt_exceeds_memory"
 	}
 	return ""
 }
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -36,12 +36,17 @@
 		c = code.Quarantined
 	case dispatch.ExitTooSoon:
 		c = code.Stopping
+	case dispatch.TooLarge:
+		c = code.BadRequest
 	}
 	if x.mayHaveRun {
 		return code.Fail(c, t.Reason.String())
 	}
 	failure := notRunError(c, t.RetryAfter)
 	failure.Detail = t.Reason.String()
+	if c == code.BadRequest {
+		failure.RetryAfter = 0 // it can't be served later either
+	}
 	if t.OverShare {
 		failure.Detail += ", and the account has used up its share"
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -12,7 +12,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/cyclamenwinch/cyclamenwinch/core/dispatch"
 	"github.com/cyclamenwinch/cyclamenwinch/core/topology"
+	"github.com/cyclamenwinch/cyclamenwinch/internal/relay"
 )
 
 var (
@@ -165,6 +167,21 @@
 		}
 	})
 
+	It("whose prompt exceeds the memory of every endpoint is refused for good", func() {
+		f := newFakeEndpoint(func(_ int, s receivedRequest) reply { return reply{raw: response(s, 200, event(1))} })
+		server, _, dispatcher := newServerWithDispatcher(relay.Options{}, stream, f)
+		dispatcher.Update(func(_ time.Time, d *dispatch.Dispatcher) {
+			d.SetTable(topology.NewTable(topology.Config{Services: []topology.Service{{Name: "s", Engine: &topology.Engine{MemoryTokens: 250}}}}))
+		})
+		for parts, status := range map[string]int{"1 2": http.StatusOK, "1 2 3": http.StatusBadRequest} {
+			resp, _, err := send(server, "POST", "/p/", "x", "Test-Parts", parts)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(status), parts)
+			Expect(resp.Header.Get("Retry-After")).To(BeEmpty())
+		}
+		Expect(f.requests()).To(HaveLen(1))
+	})
+
 	It("is not said not to have run because of the copy of an earlier rejection", func() {
 		var f *fakeEndpoint
 		f = newFakeEndpoint(func(n int, s receivedRequest) reply {
--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -33,6 +33,7 @@
 | parts of a prompt | the first 255 and the request's own; only those of 16 tokens or more are tracked | the request is served; the rest counts as not cached |
 | memory of tracked parts | a sixteenth of the memory above, at 48 bytes a part; each endpoint has an equal share, at most 8,192 parts | the least recently used are forgotten, and may be read again |
 | tokens that a request states | 2^30 | counted as 2^30 |
+| tokens of a prompt | the memory that its service's engines state | 400, without being sent |
 | text in a log line, list in a log line | 512 bytes, 16 entries | the rest is cut off |
 | placements in a heartbeat | 24 KiB | they wait for the next ones, 256 KiB of them at most |
 | heartbeat | 65,507 bytes | what peers estimate or fetch by themselves is left out |
