Use a connection to an endpoint once for each request ID

What callers could see: two clients of different accounts that use the same ID, such as a constant or a count, share a kept connection to an endpoint. If that sends the first response a second time, right before the next one, the second client gets it (MIXED).

Change: a connection remembers the IDs of its last eight requests, as hashes, and is not used again for one of them. Clients whose attempts have IDs of their own, as they must, notice nothing.

Evidence: the new spec got "first" for "second" before; it passes, and checks that another ID still uses the kept connection.

--- a/internal/edge/health.go
+++ b/internal/edge/health.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return errors.Wrap(err, "parse the path")
 	}
-	conn, err := e.pool.Get(ctx, address, false)
+	conn, err := e.pool.Get(ctx, address, "", false)
 	if err != nil {
 		return err
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -112,7 +112,7 @@
 
 // connect returns a connection to the endpoint of a ticket.
 func (x *exchange) connect(ctx context.Context, t *dispatch.Ticket, newConn bool) (*upstream.Conn, *attemptResult) {
-	conn, err := x.h.opts.Pool.Get(ctx, t.Endpoint.Address, newConn)
+	conn, err := x.h.opts.Pool.Get(ctx, t.Endpoint.Address, x.meta.ID, newConn)
 	if err == nil {
 		return conn, nil
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -167,6 +167,29 @@
 		}
 	})
 
+	It("gets no late response to an earlier request with the same ID", func() {
+		var f *fakeEndpoint
+		f = newFakeEndpoint(func(n int, s receivedRequest) reply {
+			switch {
+			case n == 1:
+				return reply{raw: response(s, 200, "first")}
+			case f.accepted.Load() == 1: // a late copy on the connection of the first request
+				return reply{raw: response(s, 200, "first") + response(s, 200, "second")}
+			}
+			return reply{raw: response(s, 200, "second")}
+		})
+		server, _ := newServer(idempotent, f)
+		for _, want := range []string{"first", "second"} {
+			_, body, err := send(server, "POST", "/p/", "x")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(want))
+		}
+		By("using a connection again for another ID")
+		_, _, err := send(server, "POST", "/p/", "x", "Test-Id", "id-2")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(f.accepted.Load()).To(BeEquivalentTo(2))
+	})
+
 	It("whose prompt exceeds the memory of every endpoint is refused for good", func() {
 		f := newFakeEndpoint(func(_ int, s receivedRequest) reply { return reply{raw: response(s, 200, event(1))} })
 		server, _, dispatcher := newServerWithDispatcher(relay.Options{}, stream, f)
--- a/internal/relay/unread_test.go
+++ b/internal/relay/unread_test.go
@@ -23,7 +23,7 @@
 			_, _ = io.WriteString(c, "here")
 		}
 	}()
-	c, err := upstream.NewPool().Get(context.Background(), l.Addr().String(), true)
+	c, err := upstream.NewPool().Get(context.Background(), l.Addr().String(), "", true)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstream/unsolicited_test.go
+++ b/internal/upstream/unsolicited_test.go
@@ -22,7 +22,7 @@
 	filler := strings.Repeat("x", 64<<10)
 
 	exchange := func(pool *upstream.Pool, address string) *upstream.Conn {
-		c, err := pool.Get(context.Background(), address, false)
+		c, err := pool.Get(context.Background(), address, "", false)
 		Expect(err).NotTo(HaveOccurred())
 		req, err := http.NewRequest("POST", "http://x/", nil)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,6 +22,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
@@ -52,6 +54,9 @@
 	// receiveBufferBytes limits the unread bytes of a connection. It lets an endpoint
 	// that is 5 ms away send 6 MB/s, while a stream of events takes about 0.1 MB/s.
 	receiveBufferBytes = 32 << 10
+	// rememberedIDs is how many requests a connection remembers by their IDs. Late
+	// responses come where the next response is expected.
+	rememberedIDs = 8
 	// maxInterimResponses limits the interim (1xx) responses to one request.
 	maxInterimResponses = 5
 )
@@ -100,19 +105,25 @@
 	idleTimeout time.Duration
 	inFlight    atomic.Bool // a request was sent and its response is not complete
 	idleSince   time.Time
-	bodyResult  chan error // result of sending a large body in the background, or nil
+	carried     [rememberedIDs]uint64 // hashes of the IDs of its last requests; 0: none
+	requests    int                   // with an ID
+	bodyResult  chan error            // result of sending a large body in the background, or nil
 }
 
-// Get returns a connection to an address: an idle one if there is any, unless
-// newConn is set. The error is ErrUnreachable or that of the context.
-func (p *Pool) Get(ctx context.Context, address string, newConn bool) (*Conn, error) {
+// Get returns a connection to an address for a request with an ID, or none: an idle one if
+// there is any, unless newConn is set. A connection that has carried a request with this
+// ID is not used: a late response to that could not be told from the one to this request.
+// The error is ErrUnreachable or that of the context.
+func (p *Pool) Get(ctx context.Context, address, id string, newConn bool) (*Conn, error) {
+	hash := hashID(id)
 	for !newConn {
-		c := p.takeIdle(address)
+		c := p.takeIdle(address, hash)
 		if c == nil {
 			break
 		}
 		if c.usable() {
 			c.Reused = true
+			c.remember(hash)
 			return c, nil
 		}
 		c.Close()
@@ -129,9 +140,26 @@
 	c := &Conn{Conn: nc, address: address, idleTimeout: defaultIdleTimeout}
 	c.limit = &limitio.Reader{R: c, Remaining: math.MaxInt}
 	c.reader = bufio.NewReaderSize(c.limit, readBufferBytes)
+	c.remember(hash)
 	return c, nil
 }
 
+// hashID returns a hash of a request's ID; 0: it has none.
+func hashID(id string) uint64 {
+	if id == "" {
+		return 0
+	}
+	return xxhash.Sum64String(id)
+}
+
+func (c *Conn) remember(id uint64) {
+	if id == 0 {
+		return
+	}
+	c.carried[c.requests%rememberedIDs] = id
+	c.requests++
+}
+
 // Read reads from the connection. It asks WaitOn at a read deadline, since neither a
 // head nor a chunked body can be read further once a read of it has failed.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -143,18 +171,19 @@
 	}
 }
 
-// takeIdle removes the most recently used idle connection to an address from
-// the pool and returns it, or nil if there is none.
-func (p *Pool) takeIdle(address string) *Conn {
+// takeIdle removes the most recently used idle connection to an address that has not
+// carried an ID from the pool and returns it, or nil if there is none.
+func (p *Pool) takeIdle(address string, id uint64) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[address]
-	if len(idle) == 0 {
-		return nil
+	for i := len(idle) - 1; i >= 0; i-- {
+		if c := idle[i]; id == 0 || !slices.Contains(c.carried[:], id) {
+			p.idle[address] = slices.Delete(idle, i, i+1)
+			return c
+		}
 	}
-	c := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
-	return c
+	return nil
 }
 
 // usable reports whether an idle connection can be used: its idle timeout has
--- a/internal/upstream/upstream_suite_test.go
+++ b/internal/upstream/upstream_suite_test.go
@@ -59,7 +59,7 @@
 	BeforeEach(func() { pool = upstream.NewPool() })
 
 	exchange := func(address string, body []byte) *upstream.Conn {
-		c, err := pool.Get(context.Background(), address, false)
+		c, err := pool.Get(context.Background(), address, "", false)
 		Expect(err).NotTo(HaveOccurred())
 		req, err := http.NewRequest("POST", "http://x/", nil)
 		Expect(err).NotTo(HaveOccurred())
@@ -72,7 +72,7 @@
 		return c
 	}
 	reused := func(address string) bool {
-		c, err := pool.Get(context.Background(), address, false)
+		c, err := pool.Get(context.Background(), address, "", false)
 		Expect(err).NotTo(HaveOccurred())
 		defer c.Close()
 		return c.Reused
@@ -96,7 +96,7 @@
 			}
 			ended <- err
 		}()
-		c, err := pool.Get(context.Background(), l.Addr().String(), false)
+		c, err := pool.Get(context.Background(), l.Addr().String(), "", false)
 		Expect(err).NotTo(HaveOccurred())
 		req, err := http.NewRequest("POST", "http://x/", nil)
 		Expect(err).NotTo(HaveOccurred())
@@ -117,7 +117,7 @@
 		}
 		address := serveResponse(ok, func(net.Conn) {})
 		for range 2 {
-			c, err := pool.Get(context.Background(), address, false)
+			c, err := pool.Get(context.Background(), address, "", false)
 			Expect(err).NotTo(HaveOccurred())
 			req, err := http.NewRequest("POST", "http://x/", nil)
 			Expect(err).NotTo(HaveOccurred())
@@ -144,7 +144,7 @@
 	It("opens a new connection on request", func() {
 		address := serveResponse(ok, func(net.Conn) {})
 		exchange(address, nil)
-		c, err := pool.Get(context.Background(), address, true)
+		c, err := pool.Get(context.Background(), address, "", true)
 		Expect(err).NotTo(HaveOccurred())
 		defer c.Close()
 		Expect(c.Reused).To(BeFalse())
@@ -180,7 +180,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		l.Close()
-		_, err = pool.Get(context.Background(), l.Addr().String(), false)
+		_, err = pool.Get(context.Background(), l.Addr().String(), "", false)
 		Expect(errors.Is(err, upstream.ErrUnreachable)).To(BeTrue())
 	})
 
--- a/internal/upstream/wait_test.go
+++ b/internal/upstream/wait_test.go
@@ -21,7 +21,7 @@
 			<-goOn
 			io.WriteString(c, "rst\r\n0\r\n\r\n")
 		})
-		c, err := upstream.NewPool().Get(context.Background(), address, true)
+		c, err := upstream.NewPool().Get(context.Background(), address, "", true)
 		Expect(err).NotTo(HaveOccurred())
 		defer c.Close()
 		deadlines := 0
