Test small crowds of bodies against lowered limits

The process specs on bodies use the limits of the smallest instances and 1,500 connections. The new ones lower the limits in the test's settings (48 MB, 1,000 descriptors) and use 400 connections, for all seven kinds that send bodies: large or very small chunks, stopping short of the end, far over the limit, announced or not. Process and kernel bytes, descriptors and one ordinary request are checked, no times.

--- a/test/prepared/listeners_test.go
+++ b/test/prepared/listeners_test.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/http/httptest"
-	"os"
 	"strings"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -140,24 +138,7 @@
 
 	check := func(listener string, kind untrustedClient) {
 		It("that send "+kind.name+" at the listener "+listener+" do not use up the memory of a router", func() {
-			pid, at := r.session.Command.Process.Pid, addresses[listener]
-			stop := make(chan struct{})
-			clients := sendUntrusted(at, kind, stop)
-			var total, files int
-			for end := time.Now().Add(untrustedPeriod); time.Now().Before(end); time.Sleep(sampleInterval) {
-				total = max(total, int(kernelBytesAt(at)>>20)+procValueMB(pid, "RssAnon"))
-				open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-				Expect(err).NotTo(HaveOccurred(), "the process has ended")
-				files = max(files, len(open))
-			}
-			n := 0
-			Eventually(func() int { n++; return small(r, fmt.Sprint("after-", n)) }).Should(Equal(200))
-			close(stop)
-			clients.Wait()
-			AddReportEntry("MB: peak of the process, peak of it and the kernel together; descriptors", fmt.Sprint(peakMB(pid), " ", total, "; ", files))
-			Expect(peakMB(pid)).To(BeNumerically("<", untrustedMemoryMB))
-			Expect(total).To(BeNumerically("<", untrustedMemoryMB))
-			Expect(files).To(BeNumerically("<", untrustedMaxFDs))
+			expectBorne(r, addresses[listener], kind, untrustedConns, untrustedMemoryMB, untrustedMaxFDs)
 		})
 	}
 	for _, kind := range peerClients {
--- a/test/prepared/untrusted_test.go
+++ b/test/prepared/untrusted_test.go
@@ -21,6 +21,13 @@
 	untrustedMaxFDs   = 3075
 	// untrustedConns is the number of connections that a kind of client opens.
 	untrustedConns = 1500
+	// fewMemoryMB and fewMaxFDs are lowered limits, and fewConns is the number of
+	// connections that is a crowd for them.
+	fewMemoryMB = 48
+	fewMaxFDs   = 1000
+	fewConns    = 400
+	// bodyKinds is the number of kinds of clients that send bodies, the first ones.
+	bodyKinds = 7
 	// untrustedPeriod is for how long they send. Most connections are stalled by then.
 	untrustedPeriod = 5 * time.Second
 	// sampleInterval is the time between two samples of memory and descriptors.
@@ -113,9 +120,9 @@
 
 // sendUntrusted opens the connections of a kind of client and sends on them. They are
 // open until stop is closed.
-func sendUntrusted(address string, kind untrustedClient, stop <-chan struct{}) *sync.WaitGroup {
+func sendUntrusted(address string, kind untrustedClient, conns int, stop <-chan struct{}) *sync.WaitGroup {
 	var clients sync.WaitGroup
-	for n := range untrustedConns {
+	for n := range conns {
 		clients.Go(func() {
 			c, err := net.Dial("tcp", address)
 			if err != nil {
@@ -142,7 +149,7 @@
 // instance, with what the kernel holds for its connections, or that has no descriptors left.
 var _ = Describe("Untrusted clients", Serial, func() {
 	var r *router
-	BeforeEach(func() {
+	start := func(memoryMB, maxFDs int) {
 		store := prepared.NewStore()
 		server := httptest.NewServer(store)
 		DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
@@ -160,36 +167,51 @@
 		}
 		store.Put("config", "main", c)
 		r = newRouter("r1", "127.0.0.1", "a", strings.TrimPrefix(server.URL, "http://"), freePort())
-		r.settings["limits"] = map[string]any{"memory-mb": untrustedMemoryMB, "max-fds": untrustedMaxFDs}
+		r.settings["limits"] = map[string]any{"memory-mb": memoryMB, "max-fds": maxFDs}
 		r.write()
 		r.start()
 		DeferCleanup(func() { r.session.Kill().Wait(hangTimeout) })
 		Eventually(r.ready).Should(Equal(200))
 		Eventually(func() int { return small(r, "first") }).Should(Equal(200))
-	})
+	}
 
 	for _, kind := range untrustedClients {
 		It("that send "+kind.name+" do not use up the memory of a router", func() {
-			pid, front := r.session.Command.Process.Pid, r.listenAddress("frontend")
-			stop := make(chan struct{})
-			clients := sendUntrusted(front, kind, stop)
-			var total, kernel, files int
-			for end := time.Now().Add(untrustedPeriod); time.Now().Before(end); time.Sleep(sampleInterval) {
-				held := int(kernelBytesAt(front) >> 20)
-				kernel, total = max(kernel, held), max(total, held+procValueMB(pid, "RssAnon"))
-				open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-				Expect(err).NotTo(HaveOccurred(), "the process has ended")
-				files = max(files, len(open))
-			}
-			n := 0
-			Eventually(func() int { n++; return small(r, fmt.Sprint("after-", n)) }).Should(Equal(200))
-			close(stop)
-			clients.Wait()
-			AddReportEntry("MB: peak of the process, peak in the kernel, peak of both together; descriptors",
-				fmt.Sprint(peakMB(pid), " ", kernel, " ", total, "; ", files))
-			Expect(peakMB(pid)).To(BeNumerically("<", untrustedMemoryMB))
-			Expect(total).To(BeNumerically("<", untrustedMemoryMB))
-			Expect(files).To(BeNumerically("<", untrustedMaxFDs))
+			start(untrustedMemoryMB, untrustedMaxFDs)
+			expectBorne(r, r.listenAddress("frontend"), kind, untrustedConns, untrustedMemoryMB, untrustedMaxFDs)
+		})
+	}
+	for _, kind := range untrustedClients[:bodyKinds] {
+		It("in a small crowd that send "+kind.name+" do not use up the memory of a router with lowered limits", func() {
+			start(fewMemoryMB, fewMaxFDs)
+			expectBorne(r, r.listenAddress("frontend"), kind, fewConns, fewMemoryMB, fewMaxFDs)
 		})
 	}
 })
+
+// expectBorne checks that a router stays within its limits while a kind of client sends at
+// an address of it, and that an ordinary request is answered while the connections of the
+// crowd are still open.
+func expectBorne(r *router, address string, kind untrustedClient, conns, memoryMB, maxFDs int) {
+	GinkgoHelper()
+	pid := r.session.Command.Process.Pid
+	stop := make(chan struct{})
+	clients := sendUntrusted(address, kind, conns, stop)
+	var total, kernel, files int
+	for end := time.Now().Add(untrustedPeriod); time.Now().Before(end); time.Sleep(sampleInterval) {
+		held := int(kernelBytesAt(address) >> 20)
+		kernel, total = max(kernel, held), max(total, held+procValueMB(pid, "RssAnon"))
+		open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+		Expect(err).NotTo(HaveOccurred(), "the process has ended")
+		files = max(files, len(open))
+	}
+	n := 0
+	Eventually(func() int { n++; return small(r, fmt.Sprint("after-", n)) }).Should(Equal(200))
+	close(stop)
+	clients.Wait()
+	AddReportEntry("MB: peak of the process, peak in the kernel, peak of both together; descriptors",
+		fmt.Sprint(peakMB(pid), " ", kernel, " ", total, "; ", files))
+	Expect(peakMB(pid)).To(BeNumerically("<", memoryMB))
+	Expect(total).To(BeNumerically("<", memoryMB))
+	Expect(files).To(BeNumerically("<", maxFDs))
+}
