Test crowds at the listener for forwarded connections

Four kinds at the listener to which other routers forward connections: nothing, no header of a router, a header and nothing, and bodies just short of the limit. The router of these specs now forwards, so that it listens there.

--- a/test/prepared/listeners_test.go
+++ b/test/prepared/listeners_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"net/http/httptest"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/pires/go-proxyproto"
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 	"google.golang.org/protobuf/proto"
@@ -108,6 +110,25 @@
 	}},
 }
 
+// forwardedClients are kinds of clients of the listener for forwarded connections.
+var forwardedClients = []untrustedClient{
+	{"nothing", func(int) (string, string, int) { return "", "", 0 }},
+	{"no header of a forwarding router", peerClients[len(peerClients)-1].send},
+	{"the header of a forwarding router and nothing", func(int) (string, string, int) { return forwardHeader(), "", 0 }},
+	{"bodies of two accounts just short of the limit", func(n int) (string, string, int) {
+		start, chunk, times := chunkedBodies(90_000, 1000, "key-large", "key-small")(n)
+		return forwardHeader() + start, chunk, times
+	}},
+}
+
+// forwardHeader is what a forwarding router sends before the bytes of a client.
+func forwardHeader() string {
+	h := proxyproto.HeaderProxyFromAddrs(2, &net.TCPAddr{IP: net.IPv4(127, 0, 0, 9), Port: 1}, &net.TCPAddr{IP: net.IPv4(127, 0, 0, 8), Port: 2})
+	text, err := h.Format()
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
 // Guards against a router that crowds at its other listeners end: those of other routers,
 // of the platform's checks and of clients that ask for addresses.
 var _ = Describe("Crowds at the other listeners", Serial, func() {
@@ -128,12 +149,14 @@
 		peerPort := freePort()
 		r = newRouter("r1", "127.0.0.1", "a", strings.TrimPrefix(server.URL, "http://"), peerPort)
 		r.settings["limits"] = map[string]any{"memory-mb": untrustedMemoryMB, "max-fds": untrustedMaxFDs}
+		r.setForwarding()
 		r.write()
 		r.start()
 		DeferCleanup(func() { r.session.Kill().Wait(hangTimeout) })
 		Eventually(r.ready).Should(Equal(200))
 		Eventually(func() int { return small(r, "first") }).Should(Equal(200))
-		addresses = map[string]string{"peers": fmt.Sprint("127.0.0.1:", peerPort), "ready": r.listenAddress("ready"), "directory": r.listenAddress("directory")}
+		addresses = map[string]string{"peers": fmt.Sprint("127.0.0.1:", peerPort), "forwarded": fmt.Sprint("127.0.0.1:", peerPort+1),
+			"ready": r.listenAddress("ready"), "directory": r.listenAddress("directory")}
 	})
 
 	check := func(listener string, kind untrustedClient) {
@@ -144,6 +167,9 @@
 	for _, kind := range peerClients {
 		check("peers", kind)
 	}
+	for _, kind := range forwardedClients {
+		check("forwarded", kind)
+	}
 	for _, kind := range controlClients {
 		check("ready", kind)
 		check("directory", kind)
