Split files that have grown

The memory plan and the listener for peers of package edge, the size of heartbeats, forwarded orders and the test of many connections have files of their own. Nothing else changes; the tests of the packages pass.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -250,16 +250,6 @@
 	return t
 }
 
-// exceedsMemory reports whether the prompt of a request alone exceeds an engine's memory. An
-// expected output beyond it is cut, since it is an estimate.
-func exceedsMemory(engine *topology.Engine, r *Request) bool {
-	if engine == nil || engine.MemoryTokens <= 0 {
-		return false
-	}
-	r.OutputTokens = min(r.OutputTokens, engine.MemoryTokens)
-	return r.PromptTokens > engine.MemoryTokens
-}
-
 // SetExit sets the time at which this router ends the requests that still run. A new
 // one is refused if it probably takes longer, so that its caller can use another router.
 func (d *Dispatcher) SetExit(at time.Time) { d.exit = at }
--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -129,3 +129,13 @@
 	}
 	return true
 }
+
+// exceedsMemory reports whether the prompt of a request alone exceeds an engine's memory. An
+// expected output beyond it is cut, since it is an estimate.
+func exceedsMemory(engine *topology.Engine, r *Request) bool {
+	if engine == nil || engine.MemoryTokens <= 0 {
+		return false
+	}
+	r.OutputTokens = min(r.OutputTokens, engine.MemoryTokens)
+	return r.PromptTokens > engine.MemoryTokens
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,7 +10,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -118,10 +117,6 @@
 }
 
 const (
-	// gcMemoryFraction is the fraction of the memory limit that is set as the
-	// soft memory limit of the Go runtime. It exceeds what requests and responses may
-	// hold, since the collector would run all the time otherwise.
-	gcMemoryFraction = 0.9
 	// Limits for client connections. The platform's configuration has the same
 	// or lower ones.
 	headerTimeout  = 5 * time.Second
@@ -143,37 +138,8 @@
 	// router refuses new requests at once. A request waits several times while it
 	// is handled; five such waits use up most of a typical latency objective.
 	maxCPULag = 40 * time.Millisecond
-	// requestMemoryFraction is the fraction of the memory limit that requests and
-	// responses in progress may hold. The rest is left for what the process holds
-	// without any, for garbage and for kernel buffers.
-	requestMemoryFraction = 0.84
-	// cachedPartsFraction is the fraction of this memory that may hold which prompt parts
-	// endpoints have cached.
-	cachedPartsFraction = 1.0 / 16
-	// minOtherMemory is the least that is left for these, in bytes. A router of a small
-	// fleet without requests takes 16 MB.
-	minOtherMemory = 24 << 20
 )
 
-// requestMemory returns how much of the memory limit of the process clients' connections,
-// requests and responses in progress may hold; 0: no limit.
-func requestMemory(limit int64) int64 {
-	if limit == 0 {
-		return 0
-	}
-	return max(1, min(int64(requestMemoryFraction*float64(limit)), limit-minOtherMemory))
-}
-
-// reserveCachedParts reserves memory for what is known of cached prompt parts. It returns
-// the number of parts; 0: no limit.
-func reserveCachedParts(b *memory.Budget, requestMemory int64) (int, error) {
-	n := int64(cachedPartsFraction * float64(requestMemory))
-	if n > 0 && !b.Reserve(memory.State, "cached prompt parts", 0).Resize(n) {
-		return 0, errors.Newf("reserve %d bytes for cached prompt parts", n)
-	}
-	return int(n / dispatch.CachedPartBytes), nil
-}
-
 // Edge is the router process on a prepared platform.
 type Edge struct {
 	settings   Settings
@@ -410,33 +376,6 @@
 	e.log.Log(oplog.StateChange, "part.event", slog.String("what", event.String()))
 }
 
-// peerLimits are the limits of the listener for peers, once there is one.
-type peerLimits struct{ *Edge }
-
-// Call implements mesh.CallLimits.
-func (e peerLimits) Call(ctx context.Context) bool {
-	conns := e.peerConns.Load()
-	return conns == nil || conns.Call(ctx)
-}
-
-// Respond implements mesh.CallLimits.
-func (e peerLimits) Respond(client net.Addr, bytes int) bool {
-	conns := e.peerConns.Load()
-	return conns == nil || conns.Respond(client, bytes)
-}
-
-func (e *Edge) servePeers(ctx context.Context) error {
-	l, err := net.Listen("tcp", netip.AddrPortFrom(e.settings.Address, e.settings.PeerPort).String())
-	if err != nil {
-		return errors.Wrap(err, "listen for peers")
-	}
-	conns := connlimit.New(l, connlimit.Limits{Max: int(peerFileFraction * float64(e.settings.MaxFiles)), Memory: e.budget, Server: "peers", MakeRoom: true})
-	e.peerConns.Store(conns)
-	stop := context.AfterFunc(ctx, e.peerServer.Stop)
-	defer stop()
-	return e.peerServer.Serve(conns)
-}
-
 // pruneInterval is the time between two checks of the idle connections.
 const pruneInterval = time.Second
 
