Let the soak send odd requests, and runners keep their ports

The soak has a further kind of client: complete requests without an ID, with hundreds of prompt parts, or with more tokens than any endpoint holds. Only those with many parts may be run, and each response with 200 must have the ID of its request.

--- a/standin/prepared/host.go
+++ b/standin/prepared/host.go
@@ -29,10 +29,10 @@
 	crashed  bool
 }
 
-// NewHost starts a runner on a free port of the loopback interface, with version 1
-// of the weights.
-func NewHost(r *Runner) (*Host, error) {
-	h := &Host{Runner: r, address: "127.0.0.1:0", handler: r, version: 1}
+// NewHost starts a runner at an address, with version 1 of the weights. A port of the
+// system's choice may be taken by an outgoing connection while the runner is down.
+func NewHost(r *Runner, address string) (*Host, error) {
+	h := &Host{Runner: r, address: address, handler: r, version: 1}
 	return h, h.Start()
 }
 
--- a/standin/prepared/host_test.go
+++ b/standin/prepared/host_test.go
@@ -15,7 +15,7 @@
 	var host *prepared.Host
 	BeforeEach(func() {
 		var err error
-		host, err = prepared.NewHost(&prepared.Runner{ID: "e1", EventCount: 3})
+		host, err = prepared.NewHost(&prepared.Runner{ID: "e1", EventCount: 3}, "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(host.Crash)
 	})
@@ -96,7 +96,7 @@
 
 var _ = Describe("The list of a runner's cached parts", func() {
 	It("holds those of model requests since its start", func() {
-		host, err := prepared.NewHost(&prepared.Runner{ID: "e1", EventCount: 1})
+		host, err := prepared.NewHost(&prepared.Runner{ID: "e1", EventCount: 1}, "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(host.Crash)
 		list := func() (int, string) {
--- a/test/prepared/harness_test.go
+++ b/test/prepared/harness_test.go
@@ -175,7 +175,7 @@
 
 func newRunner(store *prepared.Store, id, service, zone string) *runner {
 	r := &runner{Runner: &prepared.Runner{ID: id, EventCount: 6, EventInterval: 10 * time.Millisecond}, store: store}
-	host, err := prepared.NewHost(r.Runner)
+	host, err := prepared.NewHost(r.Runner, fmt.Sprint("127.0.0.1:", freePort()))
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(host.Crash)
 	r.host, r.address = host, host.Address()
--- a/test/prepared/soak_clients_test.go
+++ b/test/prepared/soak_clients_test.go
@@ -40,6 +40,7 @@
 	{"versions", 3, (*soak).sendWithVersion},
 	{keptConnections, 4, (*soak).sendSmall},
 	{"untrusted", 8, (*soak).sendUnfinished},
+	{"odd-requests", 6, (*soak).sendOddRequest},
 }
 
 // keptConnections is a kind of client that uses its connection for as long as it
@@ -250,3 +251,23 @@
 	_, _ = io.Copy(io.Discard, c)                     // until the hold ends or the router closes it
 	return nil
 }
+
+// sendOddRequest sends a complete request that names no ID, many parts of a prompt, or more
+// tokens than any endpoint holds. Only the second one may be run.
+func (s *soak) sendOddRequest(transport http.RoundTripper, rng *rand.Rand, address, attempt string) error {
+	header, id, mayRun := []string{"X-Model", "m", "X-Token-Usage", "100,2"}, attempt, false
+	switch rng.IntN(3) {
+	case 0:
+		id = ""
+	case 1:
+		mayRun = true
+		header = append(header, "X-Prefix-Hash", promptOfParts(rng.IntN(1<<20), rng.IntN(2)))
+	case 2:
+		header = append(header, "X-Token-Usage", "999999999999,2")
+	}
+	status, _, response, err := callWith(transport, address, "POST", "/chat/x", "key-1", id, strings.NewReader(smallBody(attempt)), io.ReadAll, header...)
+	if status == http.StatusOK && (!mayRun || response.Get("X-Attempt-Id") != id) {
+		s.results.addViolation("%s: status 200 with the ID %q for the ID %q", attempt, response.Get("X-Attempt-Id"), id)
+	}
+	return err
+}
