Give the spec on streams without events a longer limit

Cause: its limit of 40 ms without progress counts from the call on, so the head of the response has to arrive within it; on a busy machine the test's server may write it later. Shown by a trial that delays the first bytes by 60 ms: the same failure. 40 runs on one thread beside a load of 23 did not show it.

The limit is 500 ms now. The check is stricter than before: the stream must be given up as silent, not for any reason, and its request must be canceled.

--- a/internal/endpoint/endless_test.go
+++ b/internal/endpoint/endless_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/cyclamenwinch/cyclamenwinch/core/code"
 	"github.com/cyclamenwinch/cyclamenwinch/internal/endpoint"
 	"github.com/cyclamenwinch/cyclamenwinch/standin/endless"
 )
@@ -68,11 +69,12 @@
 				time.Sleep(time.Millisecond)
 			}
 		})
-		s, err := endpoint.New(40*time.Millisecond).Open(ctx, endpoint.Call{URL: url, Method: http.MethodPost, RequestID: "r1"})
+		// The head of the response has to come in this time, too, also on a busy machine.
+		s, err := endpoint.New(500*time.Millisecond).Open(ctx, endpoint.Call{URL: url, Method: http.MethodPost, RequestID: "r1"})
 		Expect(err).NotTo(HaveOccurred())
 		defer s.Close()
 		_, err = s.Next()
-		Expect(err).To(HaveOccurred())
+		Expect(code.Is(err, code.Silent)).To(BeTrue(), "%v", err)
 		Eventually(ctx, canceled).Should(BeClosed())
 	}, SpecTimeout(time.Minute))
 })
