Give the tests of a package forty minutes instead of go's ten

Beside load it would end at go's default limit of ten minutes, which bounds the speed of the machine and guards against nothing that the specs' own limits of a minute don't. No test changes.

--- a/scripts/go-test.sh
+++ b/scripts/go-test.sh
@@ -8,11 +8,13 @@
 # containers and the spec itself, separated by spaces. Only that test is skipped.
 # "none", empty lines and lines that start with # are not entries.
 set -euo pipefail
+# Guards against a hang. The default of ten minutes is one for the speed of the machine.
+timeout=40m
 list=KNOWN-RED.txt
 entries=$(grep -vE '^(#.*|none|[[:space:]]*)$' "$list" || true)
 packages=$(go list -f '{{.Dir}}' ./... | sed "s|^$PWD|.|")
 if [ -z "$entries" ]; then
-  exec go test ./...
+  exec go test -timeout "$timeout" ./...
 fi
 echo "Known red, passed over:"
 echo "$entries"
@@ -38,8 +40,8 @@
     echo "KNOWN-RED.txt has an entry without go: or spec: for $package"
     exit 1
   fi
-  go test "$package" "${args[@]}" || failed=1
+  go test -timeout "$timeout" "$package" "${args[@]}" || failed=1
 done
 others=$(grep -vxF "$red" <<<"$packages" || true)
-[ -z "$others" ] || go test $others || failed=1
+[ -z "$others" ] || go test -timeout "$timeout" $others || failed=1
 exit $failed
