Track at least one prompt part for each endpoint

What could happen: a router whose memory holds fewer parts than there are endpoints, or just one for each, ends with a panic at the second part, since none was kept when the limit was reached.

Evidence: TestFewerPartsThanEndpoints panicked before (index out of range) and passes.

--- a/core/dispatch/cache.go
+++ b/core/dispatch/cache.go
@@ -90,7 +90,7 @@
 			uses = append(uses, use)
 		}
 	}
-	kept := int(keptCachedFraction * float64(limit))
+	kept := max(1, int(keptCachedFraction*float64(limit)))
 	if len(uses) <= kept {
 		return
 	}
@@ -122,12 +122,12 @@
 	ep.cache.trim(d.cachedPartsLimit(), retainedTokens(d.engine(ep.Service)))
 }
 
-// cachedPartsLimit returns how many parts are tracked for one endpoint.
+// cachedPartsLimit returns how many parts are tracked for one endpoint, at least one.
 func (d *Dispatcher) cachedPartsLimit() int {
 	if d.opts.MaxCachedParts <= 0 {
 		return maxCachedParts
 	}
-	return min(maxCachedParts, d.opts.MaxCachedParts/max(1, len(d.endpoints)))
+	return max(1, min(maxCachedParts, d.opts.MaxCachedParts/max(1, len(d.endpoints))))
 }
 
 // retainedTokens returns the number of tokens after which an endpoint has evicted a part
--- a/core/dispatch/cachelimit_test.go
+++ b/core/dispatch/cachelimit_test.go
@@ -59,6 +59,19 @@
 	}
 }
 
+// TestFewerPartsThanEndpoints guards against a limit that leaves an endpoint no part.
+func TestFewerPartsThanEndpoints(t *testing.T) {
+	d := newLimited(2, endpoint("e1", model, "a"), endpoint("e2", model, "a"), endpoint("e3", model, "a"))
+	for n := range 10 {
+		serve(t, d, requestOfParts(n, 3, 100))
+		for _, id := range []string{"e1", "e2", "e3"} {
+			if got := d.TrackedParts(id); got > 1 {
+				t.Fatalf("%d parts of %s are tracked", got, id)
+			}
+		}
+	}
+}
+
 // TestMoreEndpointsTrackFewerPartsEach guards against a limit that grows with the number of
 // endpoints.
 func TestMoreEndpointsTrackFewerPartsEach(t *testing.T) {
