Tidy the wording of limits and the specs of crowds

Comments and a detail say what happens in plain words; a refusal for good sets no time to return by its reason instead of its code; two specs share the start of their routers.

--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -42,11 +42,12 @@
 	if x.mayHaveRun {
 		return code.Fail(c, t.Reason.String())
 	}
-	failure := notRunError(c, t.RetryAfter)
-	failure.Detail = t.Reason.String()
-	if c == code.BadRequest {
-		failure.RetryAfter = 0 // it can't be served later either
+	retryAfter := t.RetryAfter
+	if t.Reason == dispatch.TooLarge {
+		retryAfter = 0 // it can't be served later either
 	}
+	failure := notRunError(c, retryAfter)
+	failure.Detail = t.Reason.String()
 	if t.OverShare {
 		failure.Detail += ", and the account has used up its share"
 	}
--- a/internal/relay/prepare.go
+++ b/internal/relay/prepare.go
@@ -44,7 +44,7 @@
 		return failure
 	}
 	if x.meta.ID == "" {
-		return code.Refuse(code.BadRequest, "the request has no ID, by which its response could be told from others")
+		return code.Refuse(code.BadRequest, "the request has no ID, which its response has to name")
 	}
 	if !x.memory.Reserve(memory.Requests, x.account, 0).Resize(memory.RequestBytes) {
 		return noMemory("for another request")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -112,7 +112,7 @@
 
 // Get returns a connection to an address for a request with an ID, or none: an idle one if
 // there is any, unless newConn is set. A connection that has carried a request with this
-// ID is not used: a late response to that could not be told from the one to this request.
+// ID is not used: a late response to that would be taken for the one to this request.
 // The error is ErrUnreachable or that of the context.
 func (p *Pool) Get(ctx context.Context, address, id string, newConn bool) (*Conn, error) {
 	hash := hashID(id)
--- a/test/prepared/crowdevents_test.go
+++ b/test/prepared/crowdevents_test.go
@@ -32,6 +32,26 @@
 	return len(files)
 }
 
+// startPair starts two routers with limits, and waits until they know each other and serve.
+func startPair(store string, memoryMB, maxFDs int) (routers []*router) {
+	GinkgoHelper()
+	peerPort := freePort()
+	for i, seeds := range [][]string{nil, {"127.0.0.1"}} {
+		r := newRouter(fmt.Sprint("r", i+1), fmt.Sprint("127.0.0.", i+1), "a", store, peerPort, seeds...)
+		r.settings["limits"] = map[string]any{"memory-mb": memoryMB, "max-fds": maxFDs}
+		r.write()
+		r.start()
+		DeferCleanup(func() { r.session.Kill().Wait(hangTimeout) })
+		routers = append(routers, r)
+	}
+	for _, r := range routers {
+		Eventually(r.ready).Should(Equal(200))
+		Eventually(func() int { return small(r, "first") }).Should(Equal(200))
+		Eventually(r.addresses).Should(HaveLen(len(routers)))
+	}
+	return routers
+}
+
 // passOnce opens a connection, sends a request that nothing else has in common, and closes
 // the connection in one of several ways.
 func passOnce(address string, n int) {
@@ -75,21 +95,7 @@
 		c["services"] = append(c["services"].([]any), map[string]any{"name": "sink"})
 		c["tenants"] = append(c["tenants"].([]any), map[string]any{"name": "large", "api-keys": []string{"key-large"}})
 		store.Put("config", "main", c)
-		peerPort := freePort()
-		routers = nil
-		for i, seeds := range [][]string{nil, {"127.0.0.1"}} {
-			r := newRouter(fmt.Sprint("r", i+1), fmt.Sprint("127.0.0.", i+1), "a", strings.TrimPrefix(server.URL, "http://"), peerPort, seeds...)
-			r.settings["limits"] = map[string]any{"memory-mb": fewMemoryMB, "max-fds": fewMaxFDs}
-			r.write()
-			r.start()
-			DeferCleanup(func() { r.session.Kill().Wait(hangTimeout) })
-			routers = append(routers, r)
-		}
-		for _, r := range routers {
-			Eventually(r.ready).Should(Equal(200))
-			Eventually(func() int { return small(r, "first") }).Should(Equal(200))
-			Eventually(r.addresses).Should(HaveLen(len(routers)))
-		}
+		routers = startPair(strings.TrimPrefix(server.URL, "http://"), fewMemoryMB, fewMaxFDs)
 	})
 
 	served := func(r *router, name string) {
--- a/test/prepared/promptparts_test.go
+++ b/test/prepared/promptparts_test.go
@@ -53,21 +53,7 @@
 		orders.publish()
 		c := config(1, []string{"key-small"})
 		store.Put("config", "main", c)
-		peerPort := freePort()
-		routers = nil
-		for i, seeds := range [][]string{nil, {"127.0.0.1"}} {
-			r := newRouter(fmt.Sprint("r", i+1), fmt.Sprint("127.0.0.", i+1), "a", strings.TrimPrefix(server.URL, "http://"), peerPort, seeds...)
-			r.settings["limits"] = map[string]any{"memory-mb": partsMemoryMB, "max-fds": 1000}
-			r.write()
-			r.start()
-			DeferCleanup(func() { r.session.Kill().Wait(hangTimeout) })
-			routers = append(routers, r)
-		}
-		for _, r := range routers {
-			Eventually(r.ready).Should(Equal(200))
-			Eventually(func() int { return small(r, "first") }).Should(Equal(200))
-			Eventually(r.addresses).Should(HaveLen(len(routers)))
-		}
+		routers = startPair(strings.TrimPrefix(server.URL, "http://"), partsMemoryMB, 1000)
 	})
 
 	DescribeTable("do not use up the memory of routers, nor silence one for the others", func(tokens int) {
