Admit one response of any size to other routers

What would have been seen: a collection that exceeds the memory for responses to other routers (an eighth of the budget at most, half of it for one server) could be fetched from none of them. Found by reading.

Change: one response at a time is admitted without memory.

Evidence: TestLargeResponseIsAdmittedAlone failed before; the crowd whose responses are not read still stays below its bound.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -38,6 +39,7 @@
 	limits  Limits
 	refused *metrics.Counter
 	evicted *metrics.Counter
+	unsent  atomic.Int64 // bytes of responses on all connections that were not written yet
 
 	mu       sync.Mutex
 	open     *list.List // of *conn, the longest open first
@@ -120,7 +122,8 @@
 }
 
 // Respond reserves memory for a response of a number of bytes to the client at an address,
-// until it was written or the connection is closed. It returns false if there is none.
+// until it was written or the connection is closed. It returns false if there is none, but
+// admits one response of any size at a time.
 func (l *Listener) Respond(remote net.Addr, bytes int) bool {
 	l.mu.Lock()
 	c := l.byRemote[remote.String()]
@@ -146,21 +149,28 @@
 	if c.removed {
 		return true
 	}
-	if !c.held.Resize(ConnectionBytes + c.unsent + bytes) {
+	if !c.held.Resize(ConnectionBytes+c.unsent+bytes) && c.listener.unsent.Load() > 0 {
 		return false
 	}
-	c.unsent += bytes
+	c.addUnsent(bytes)
 	return true
 }
 
+// addUnsent is called by the holder of c.mu.
+func (c *conn) addUnsent(bytes int64) {
+	c.unsent += bytes
+	c.listener.unsent.Add(bytes)
+}
+
 // Write writes to the connection.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.unsent > 0 && !c.removed {
-		c.unsent = max(0, c.unsent-int64(n))
-		c.held.Resize(ConnectionBytes + c.unsent) // less than before, so it succeeds
+		c.addUnsent(-min(c.unsent, int64(n)))
+		// It fails only while the response was admitted without memory.
+		c.held.Resize(ConnectionBytes + c.unsent)
 	}
 	return n, err
 }
@@ -171,6 +181,7 @@
 	first := !c.removed
 	c.removed = true
 	if first {
+		c.addUnsent(-c.unsent)
 		c.held.Release()
 	}
 	c.mu.Unlock()
