Limit the Go runtime of the own interface to 0.9 of the memory

Cause: the limit of the runtime was exactly what the process may take. It is a soft one, which the runtime exceeds for a while if much is allocated at once and the collector gets too little CPU time.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -84,7 +84,7 @@
 	d.host = pool.NewHost(d.fleet, d.events)
 	d.pools = pool.NewClient(d.fleet, d.host, d.dialer)
 	d.budget = memory.NewBudget(int64(s.RequestMemory))
-	d.budget.LimitRuntime(int64(s.RequestMemory) + otherMemory)
+	d.budget.LimitRuntime(int64(runtimeFraction * float64(s.RequestMemory+otherMemory)))
 	d.ledger = ledger.New(ledger.Options{
 		Fleet: d.fleet, Platform: store, Pools: d.pools, Endpoints: endpoints, Dialer: d.dialer, Events: d.events, Memory: d.budget,
 		RestoreHold: time.Duration(s.LeaseSeconds) * time.Second, // every router renews its lease in that time and learns of the restoration
@@ -108,6 +108,10 @@
 // request and for garbage, in bytes. Control functions may take half of it.
 const otherMemory = 128 << 20
 
+// runtimeFraction is the fraction of both that is set as the limit of the Go runtime. The
+// runtime exceeds its limit for a while if much memory is allocated at once.
+const runtimeFraction = 0.9
+
 // selfRouter returns this router's membership entry, as its settings describe
 // it.
 func selfRouter(s settings.Settings) member.Router {
--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -12,7 +12,7 @@
 | limit | default | beyond it |
 | --- | --- | --- |
 | memory of connections, requests and responses | 0.84 of ` + "`memory-mb`" + `, and at least 24 MiB less than it; ` + "`request_memory_bytes`" + ` | 503 with ` + "`Retry-After`" + `, or a reset |
-| memory of the Go runtime | 0.9 of ` + "`memory-mb`; `request_memory_bytes`" + ` and 128 MiB; less what the kernel may hold for connections | garbage is collected more often |
+| memory of the Go runtime | 0.9 of ` + "`memory-mb`, or of `request_memory_bytes`" + ` and 128 MiB; less what the kernel may hold for connections | garbage is collected more often |
 | open client connections | 0.5 of the descriptors; 0.05 for each other listener | reset; from 15/16 of it on, the connection that has been without a request for longest is closed |
 | memory of client connections | 40 KiB each, together half of the memory above | the same |
 | memory of connections to other listeners, and of their heads | an eighth, of which 1.5 in 100 can't be used otherwise | the same |
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,7 +36,7 @@
 	StopSeconds     int       `json:"stop_seconds"`
 	ProgressMillis  int       `json:"progress_millis"`
 	MaxBodyBytes    int       `json:"max_body_bytes"`
-	MaxMessages     int       `json:"max_messages"`
+	MaxMessages     int       `json:"max_messages,omitempty"`
 	MaxAccountOpen  int       `json:"max_account_open"`
 	RequestMemory   int       `json:"request_memory_bytes,omitempty"`
 	Verbosity       int       `json:"verbosity"`
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -198,6 +198,7 @@
 	x.ProgressMillis = 1500
 	x.StopSeconds = 60
 	x.RequestMemory = s.requestMemory // 0: left to its default, so that a router of an older build starts too
+	x.MaxMessages = 0                 // the same
 	if s.peerProxies {
 		c.proxies[x.Name] = newProxy(x.PeerListen)
 		x.PeerAdvertise = c.proxies[x.Name].Address()
--- a/test/session/processes_test.go
+++ b/test/session/processes_test.go
@@ -101,7 +101,7 @@
 	s.OpsToken, s.PlatformURL = opsToken, f.platform
 	s.LeaseSeconds, s.AddressSeconds, s.StopSeconds = generousSeconds/4, 1, 10*generousSeconds
 	s.ProgressMillis = 1000 * generousSeconds
-	s.RequestMemory = 0 // left to its default, so that a router of an older build starts too
+	s.RequestMemory, s.MaxMessages = 0, 0 // left to their defaults, so that a router of an older build starts too
 	return s
 }
 
