--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -48,11 +48,10 @@
 
 // New returns a listener that limits the connections of another one.
 func New(l net.Listener, limits Limits) *Listener {
-	counter := func(what string) *metrics.Counter {
-		return metrics.GetOrCreateCounter("cyclamenwinch_server_connections_" + what + `_total{server="` + limits.Server + `"}`)
-	}
-	return &Listener{Listener: l, limits: limits, refused: counter("refused"), evicted: counter("evicted"),
-		open: list.New(), byRemote: map[string]*conn{}}
+	label := `{server="` + limits.Server + `"}`
+	return &Listener{Listener: l, limits: limits, open: list.New(), byRemote: map[string]*conn{},
+		refused: metrics.GetOrCreateCounter("cyclamenwinch_server_connections_refused_total" + label),
+		evicted: metrics.GetOrCreateCounter("cyclamenwinch_server_connections_evicted_total" + label)}
 }
 
 // Accept returns the next connection that is admitted.
